Skeleton: build, base and http libraries, seams, protocols

The libraries' folders, their CMake targets and the order of dependencies stand; base holds the closed list of error kinds, identities, metrics and logs; http wraps Beast's client and server. docs/PROTOCOLS.md fixes the formats on each connection so that the parts can be written side by side.

Found while writing http_test: g++ 12 miscompiles co_await inside a short-circuit condition and braced temporaries inside a co_await expression (crashes in otherwise valid code); both are avoided.

--- /dev/null
+++ b/libs/base/include/base/snapshot_box.hpp
@@ -0,0 +1,27 @@
+/// \file
+/// Hands immutable snapshots from the control thread to the traffic threads.
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+namespace boragefront {
+
+/// Holds the newest snapshot of `T`. Readers share ownership, because a traffic thread may still
+/// decide by a snapshot that the control thread has replaced.
+template <class T>
+class snapshot_box {
+public:
+    /// The newest snapshot; never null.
+    std::shared_ptr<const T> load() const { return current_.load(std::memory_order_acquire); }
+
+    /// Replaces the snapshot.
+    void publish(T next) {
+        current_.store(std::make_shared<const T>(std::move(next)), std::memory_order_release);
+    }
+
+private:
+    std::atomic<std::shared_ptr<const T>> current_{std::make_shared<const T>()};
+};
+
+} // namespace boragefront
--- /dev/null
+++ b/libs/base/tests/metrics_test.cpp
@@ -0,0 +1,21 @@
+#include "base/metrics.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace boragefront;
+
+TEST_CASE("the exposition holds counters, gauges and quantiles") {
+    metrics_registry registry;
+    registry.get_counter("requests_total", R"(kind="plain")").add(3);
+    registry.get_gauge("in_flight").set(2);
+    for (int i = 1; i <= 1000; ++i) {
+        registry.get_latency("latency_seconds").record(milliseconds{i});
+    }
+    const auto text = registry.exposition();
+    REQUIRE(text.find("requests_total{kind=\"plain\"} 3\n") != std::string::npos);
+    REQUIRE(text.find("in_flight 2\n") != std::string::npos);
+    REQUIRE(text.find("latency_seconds_count 1000\n") != std::string::npos);
+    const auto median = registry.get_latency("latency_seconds").quantile(0.5);
+    REQUIRE(median > milliseconds{400});
+    REQUIRE(median < milliseconds{600});
+}
--- /dev/null
+++ b/libs/http/include/http/message.hpp
@@ -0,0 +1,58 @@
+/// \file
+/// HTTP/1.1 messages as plain values, free of Beast's types.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace boragefront::http {
+
+struct header {
+    std::string name;
+    std::string value;
+};
+
+/// Headers in order; names compare without regard to case.
+class header_list {
+public:
+    /// The value of the first header of this name, or an empty view.
+    std::string_view get(std::string_view name) const;
+    bool has(std::string_view name) const;
+
+    /// Sets the header, replacing one of the same name.
+    void set(std::string_view name, std::string value);
+
+    auto begin() const { return headers_.begin(); }
+    auto end() const { return headers_.end(); }
+
+private:
+    std::vector<header> headers_;
+};
+
+struct request {
+    std::string method{"GET"};
+    std::string target{"/"};
+    header_list headers{};
+    std::string body{};
+};
+
+struct response {
+    unsigned status{200};
+    header_list headers{};
+    std::string body{};
+};
+
+/// A JSON response.
+response make_json_response(unsigned status, std::string body);
+
+/// The path of a target, without its query.
+std::string_view target_path(std::string_view target);
+
+/// The percent-decoded value of `name` in the query of a target, or empty.
+std::string query_value(std::string_view target, std::string_view name);
+
+/// The non-empty segments of the path of a target, percent-decoded.
+std::vector<std::string> path_segments(std::string_view target);
+
+} // namespace boragefront::http
--- /dev/null
+++ b/libs/http/src/client.cpp
@@ -0,0 +1,308 @@
+#include "http/client.hpp"
+
+#include "beast_messages.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <vector>
+
+namespace boragefront::http {
+namespace {
+
+constexpr std::size_t read_size = 8192;
+constexpr std::size_t idle_connections_per_address = 64;
+constexpr seconds idle_connection_lifetime{30};
+
+auto awaitable_into(boost::system::error_code& failure) {
+    return asio::redirect_error(asio::use_awaitable, failure);
+}
+
+// One connection to a peer, owned by a call or idle in the pool.
+struct peer_connection {
+    explicit peer_connection(const asio::any_io_executor& executor) : stream{executor} {}
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    time_point idle_since{};
+};
+
+using connection_ptr = std::unique_ptr<peer_connection>;
+
+// Idle connections by address.
+class connection_pool {
+public:
+    connection_ptr take(const std::string& address, time_point now) {
+        auto& idle = idle_[address];
+        while (!idle.empty()) {
+            auto taken = std::move(idle.back());
+            idle.pop_back();
+            if (now - taken->idle_since < idle_connection_lifetime && is_quiet(*taken)) {
+                return taken;
+            }
+        }
+        return nullptr;
+    }
+
+    void give_back(const std::string& address, connection_ptr returned, time_point now) {
+        auto& idle = idle_[address];
+        if (idle.size() < idle_connections_per_address && returned->buffer.size() == 0) {
+            returned->idle_since = now;
+            idle.push_back(std::move(returned));
+        }
+    }
+
+    void drop(const std::string& address) { idle_.erase(address); }
+
+private:
+    // An idle connection with bytes or an end of file to read is out of step or closed.
+    static bool is_quiet(peer_connection& candidate) {
+        auto& socket = candidate.stream.socket();
+        boost::system::error_code failure;
+        char byte = 0;
+        socket.non_blocking(true, failure);
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+        return failure == asio::error::would_block;
+    }
+
+    std::map<std::string, std::vector<connection_ptr>, std::less<>> idle_;
+};
+
+using shared_pool = std::shared_ptr<connection_pool>;
+
+// Disarms a cancel source when its call ends.
+class cancel_guard {
+public:
+    cancel_guard(cancel_source* source, peer_connection& connection) : source_{source} {
+        if (source_ != nullptr) {
+            source_->arm([&connection] {
+                connection.stream.cancel();
+                connection.stream.close();
+            });
+        }
+    }
+    ~cancel_guard() { release(); }
+    cancel_guard(const cancel_guard&) = delete;
+    cancel_guard& operator=(const cancel_guard&) = delete;
+
+    void release() {
+        if (source_ != nullptr) {
+            source_->disarm();
+        }
+    }
+    bool cancelled() const { return source_ != nullptr && source_->cancelled(); }
+
+private:
+    cancel_source* source_;
+};
+
+error call_failure(const boost::system::error_code& failure, bool cancelled) {
+    if (cancelled) {
+        return make_error(error_kind::cancelled, "cancelled");
+    }
+    if (failure == beast::error::timeout) {
+        return make_error(error_kind::deadline_exceeded, "no answer in time");
+    }
+    if (failure == beast::http::error::body_limit || failure == beast::http::error::header_limit) {
+        return make_error(error_kind::too_large, work_ran::unknown, failure.message());
+    }
+    if (failure == beast::http::error::partial_message) {
+        return make_error(error_kind::incomplete_answer, failure.message());
+    }
+    return make_error(error_kind::connection_lost, failure.message());
+}
+
+using body_parser = beast::http::response_parser<beast::http::buffer_body>;
+
+class beast_stream : public response_stream {
+public:
+    beast_stream(connection_ptr connection, std::string address, shared_pool pool,
+                 const call_options& options)
+        : connection_{std::move(connection)}, address_{std::move(address)}, pool_{std::move(pool)},
+          guard_{options.cancel, *connection_}, body_limit_{options.body_limit} {
+        parser_.body_limit(options.body_limit);
+    }
+
+    awaitable<result<void>> exchange(request message, time_point deadline) {
+        auto outgoing = to_beast(std::move(message), address_);
+        boost::system::error_code failure;
+        auto& stream = connection_->stream;
+        stream.expires_at(deadline);
+        co_await beast::http::async_write(stream, outgoing, awaitable_into(failure));
+        if (!failure) {
+            co_await beast::http::async_read_header(stream, connection_->buffer, parser_,
+                                                    awaitable_into(failure));
+        }
+        if (failure) {
+            co_return call_failure(failure, guard_.cancelled());
+        }
+        head_.status = parser_.get().result_int();
+        head_.headers = read_headers(parser_.get());
+        release_if_done();
+        co_return success();
+    }
+
+    const response& head() const override { return head_; }
+
+    awaitable<result<std::optional<std::string>>> next_line(time_point deadline) override {
+        for (;;) {
+            const auto newline = pending_.find('\n');
+            if (newline != std::string::npos) {
+                auto line = pending_.substr(0, newline);
+                pending_.erase(0, newline + 1);
+                co_return line;
+            }
+            if (parser_.is_done()) {
+                co_return take_last_line();
+            }
+            BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
+        }
+    }
+
+    awaitable<result<std::string>> read_rest(time_point deadline) override {
+        while (!parser_.is_done()) {
+            BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
+        }
+        co_return std::exchange(pending_, {});
+    }
+
+private:
+    std::optional<std::string> take_last_line() {
+        if (pending_.empty()) {
+            return std::nullopt;
+        }
+        return std::exchange(pending_, {});
+    }
+
+    awaitable<result<void>> read_more(time_point deadline) {
+        std::array<char, read_size> bytes{};
+        auto& body = parser_.get().body();
+        body.data = bytes.data();
+        body.size = bytes.size();
+        boost::system::error_code failure;
+        connection_->stream.expires_at(deadline);
+        co_await beast::http::async_read_some(connection_->stream, connection_->buffer, parser_,
+                                              awaitable_into(failure));
+        if (failure == beast::http::error::need_buffer) {
+            failure = {};
+        }
+        if (failure) {
+            co_return call_failure(failure, guard_.cancelled());
+        }
+        pending_.append(bytes.data(), bytes.size() - body.size);
+        if (pending_.size() > body_limit_) {
+            co_return make_error(error_kind::too_large, work_ran::unknown, "answer over the limit");
+        }
+        release_if_done();
+        co_return success();
+    }
+
+    // Only a connection whose answer was read to its end, in time, may serve another call.
+    void release_if_done() {
+        if (!parser_.is_done() || connection_ == nullptr || guard_.cancelled()) {
+            return;
+        }
+        guard_.release();
+        if (parser_.keep_alive()) {
+            connection_->stream.expires_never();
+            pool_->give_back(address_, std::move(connection_), steady_clock::now());
+        }
+    }
+
+    connection_ptr connection_;
+    std::string address_;
+    shared_pool pool_;
+    cancel_guard guard_;
+    std::size_t body_limit_;
+    body_parser parser_;
+    response head_;
+    std::string pending_;
+};
+
+class beast_client : public client {
+public:
+    explicit beast_client(asio::any_io_executor executor) : executor_{std::move(executor)} {}
+
+    awaitable<result<response>> call(std::string address, request message,
+                                     call_options options) override {
+        const auto deadline = options.deadline;
+        BOOST_OUTCOME_CO_TRY(auto stream,
+                             co_await open(std::move(address), std::move(message), options));
+        BOOST_OUTCOME_CO_TRY(auto body, co_await stream->read_rest(deadline));
+        response answer = stream->head();
+        answer.body = std::move(body);
+        co_return answer;
+    }
+
+    awaitable<result<std::unique_ptr<response_stream>>> open(std::string address, request message,
+                                                             call_options options) override {
+        if (options.cancel != nullptr && options.cancel->cancelled()) {
+            co_return make_error(error_kind::cancelled, work_ran::no,
+                                 "cancelled before it was sent");
+        }
+        auto connection =
+            options.fresh_connection ? nullptr : pool_->take(address, steady_clock::now());
+        if (connection == nullptr) {
+            BOOST_OUTCOME_CO_TRY(connection, co_await connect(address, options));
+        }
+        auto stream = std::make_unique<beast_stream>(std::move(connection), std::move(address),
+                                                     pool_, options);
+        BOOST_OUTCOME_CO_TRY(co_await stream->exchange(std::move(message), options.deadline));
+        co_return std::unique_ptr<response_stream>{std::move(stream)};
+    }
+
+    void drop_idle(const std::string& address) override { pool_->drop(address); }
+
+private:
+    awaitable<result<connection_ptr>> connect(const std::string& address,
+                                              const call_options& options) {
+        BOOST_OUTCOME_CO_TRY(const auto where, parse_address(address));
+        auto made = std::make_unique<peer_connection>(executor_);
+        const cancel_guard guard{options.cancel, *made};
+        made->stream.expires_at(
+            std::min(options.deadline, steady_clock::now() + options.connect_timeout));
+        boost::system::error_code failure;
+        co_await made->stream.async_connect(where, awaitable_into(failure));
+        if (guard.cancelled()) {
+            co_return make_error(error_kind::cancelled, work_ran::no, "cancelled while connecting");
+        }
+        if (failure) {
+            co_return make_error(error_kind::connect_failed, address + ": " + failure.message());
+        }
+        made->stream.socket().set_option(tcp::no_delay{true}, failure);
+        co_return made;
+    }
+
+    asio::any_io_executor executor_;
+    shared_pool pool_{std::make_shared<connection_pool>()};
+};
+
+} // namespace
+
+void cancel_source::cancel() {
+    cancelled_ = true;
+    if (auto close = std::exchange(close_, nullptr)) {
+        close();
+    }
+}
+
+void cancel_source::arm(std::function<void()> close) {
+    if (cancelled_) {
+        close();
+        return;
+    }
+    close_ = std::move(close);
+}
+
+std::unique_ptr<client> client::make(asio::any_io_executor executor) {
+    return std::make_unique<beast_client>(std::move(executor));
+}
+
+} // namespace boragefront::http
--- /dev/null
+++ b/libs/settings/include/settings/settings.hpp
@@ -0,0 +1,53 @@
+/// \file
+/// The settings of one daemon, read from a file of JSON with comments.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/logging.hpp"
+#include "base/time.hpp"
+
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace boragefront::settings {
+
+/// Settings of an entry.
+struct entry_settings {
+    unsigned traffic_threads{2};
+    milliseconds readiness_grace{2'000}; ///< from SIGTERM until callers are refused
+    std::size_t body_bytes{1U << 20U};   ///< largest request body
+};
+
+/// Settings of a sidecar.
+struct sidecar_settings {
+    std::string pool;             ///< the pool that its endpoint serves
+    std::string endpoint_address; ///< "ip:port" of its endpoint
+};
+
+/// Settings of either role.
+struct daemon_settings {
+    std::string id;
+    std::string data_centre;
+    std::string data_address;            ///< "ip:port" of its HTTP server
+    std::string control_address;         ///< "ip:port" of its control server
+    std::string platform_address;        ///< "ip:port" of the platform's service
+    std::vector<std::string> seed_peers; ///< control addresses to ask before the list is known
+    log_format logs{log_format::key_value};
+    milliseconds drain_timeout{30'000}; ///< the most that a graceful shutdown may take
+    std::variant<entry_settings, sidecar_settings> role;
+};
+
+/// Reads settings from text.
+/// \returns `bad_request` whose field is the path of the fault and whose detail says what was
+/// found and what is allowed.
+result<daemon_settings> parse(std::string_view text);
+
+/// Reads settings from a file.
+/// \returns errors as `parse`; the detail begins with the file's name.
+result<daemon_settings> load(const std::filesystem::path& file);
+
+} // namespace boragefront::settings
