--- /dev/null
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -0,0 +1,416 @@
+/// \file
+/// Implementation of admission, dispatch and their record.
+#include "work_scheduler.hpp"
+
+#include <algorithm>
+
+namespace boragefront::sidecar {
+namespace {
+
+using admission::cold_cause;
+using admission::waiting_work;
+using std::chrono::duration_cast;
+
+constexpr double quick_quantile = 0.25;
+constexpr double slow_quantile = 0.95;
+constexpr std::size_t least_samples = 8;
+constexpr unsigned load_failures_to_doubt = 3;
+constexpr std::size_t least_cached_prefixes = 4;
+constexpr std::size_t most_past_instances = 16;
+
+error too_late() {
+    return make_error(error_kind::expired, "the deadline passed before the work began");
+}
+
+} // namespace
+
+work_scheduler::work_scheduler(scheduler_policy policy, incarnation life, clock_reading now)
+    : policy_{policy}, life_{life}, ledger_{policy.ledger, now.wall},
+      queue_{policy.limits.queue, policy.mechanisms.queue}, ramp_{policy.limits, policy.ramp,
+                                                                  policy.mechanisms.ramp},
+      abandoned_{policy.abandoned}, phase_since_{now.steady}, last_contact_{now.steady},
+      last_decision_{now.steady}, held_until_{now.steady} {
+    abandoned_.assume_predecessor(policy.limits.concurrency, now.steady);
+}
+
+ledger::arrival work_scheduler::offer(const offered_work& work, clock_reading now) {
+    note_time(now.steady);
+    const auto& id = work.record.id;
+    if (work.life != life_) {
+        auto reason = make_error(error_kind::wrong_incarnation, "another incarnation was meant");
+        return refuse(id, std::move(reason), now);
+    }
+    auto known = ledger_.arrive(work.record, now);
+    if (const auto* ended = std::get_if<ledger::settled>(&known)) {
+        if (const auto* reason = std::get_if<error>(&ended->what)) {
+            count_refusal(*reason);
+        }
+    }
+    if (!std::holds_alternative<ledger::admitted>(known)) {
+        return known;
+    }
+    waiting_work waiting{id, work.lane, work.workspace, work.share, work.record.expires_at};
+    if (auto reason = objection(waiting, now.steady)) {
+        return refuse(id, std::move(*reason), now);
+    }
+    waiting_[id] = work.idempotent;
+    return enqueue(std::move(waiting), now);
+}
+
+ledger::arrival work_scheduler::ask(const work_id& id, clock_reading now) {
+    return ledger_.ask(id, now);
+}
+
+ledger::arrival work_scheduler::refuse(const work_id& id, error reason, clock_reading now) {
+    count_refusal(reason);
+    return ledger_.refuse(id, std::move(reason), now);
+}
+
+ledger::arrival work_scheduler::enqueue(waiting_work work, clock_reading now) {
+    const auto id = work.id;
+    if (work.lane == config::lane::urgent) {
+        last_urgent_ = now.steady;
+    }
+    auto pushed = queue_.push(std::move(work));
+    if (std::holds_alternative<admission::queue_full>(pushed)) {
+        waiting_.erase(id);
+        return refuse(id, make_error(error_kind::over_limit, "the queue is full"), now);
+    }
+    if (auto& displaced = std::get<admission::queued>(pushed).displaced) {
+        refuse_waiting(*displaced,
+                       make_error(error_kind::over_limit, "gave way to more urgent work"), now);
+    }
+    return ledger::admitted{};
+}
+
+std::optional<error> work_scheduler::phase_objection(time_point now) const {
+    switch (phase(now)) {
+    case service_phase::serving:
+        return std::nullopt;
+    case service_phase::starting:
+        return make_error(error_kind::not_ready, "the endpoint is not known well enough yet");
+    case service_phase::draining:
+        return make_error(error_kind::shutting_down, "the sidecar is draining");
+    case service_phase::out:
+        break;
+    }
+    return make_error(error_kind::shutting_down, "the endpoint or its data centre is out");
+}
+
+std::optional<error> work_scheduler::objection(const waiting_work& work, time_point now) const {
+    if (work.expires_at <= now) {
+        return too_late();
+    }
+    if (auto reason = phase_objection(now)) {
+        return reason;
+    }
+    if (policy_.mechanisms.refuse_hopeless && is_hopeless(work, now)) {
+        return make_error(error_kind::over_limit, "the deadline cannot be met");
+    }
+    return std::nullopt;
+}
+
+// Whether the work ahead and its own service time take it past its deadline. Never so at an idle
+// endpoint, for otherwise a wrong estimate could not be corrected by more work.
+bool work_scheduler::is_hopeless(const waiting_work& work, time_point now) const {
+    if (running_.empty() && queue_.size() == 0) {
+        return false;
+    }
+    const std::size_t slots = std::max(1U, limit(now));
+    const auto used = running_.size() + abandoned_.held(now);
+    const auto free = slots > used ? slots - used : 0;
+    const auto place = queue_.ahead_of(work) + 1;
+    const auto turns = place > free ? place - free : 0;
+    const auto wait =
+        times_.usual() * static_cast<duration::rep>(turns) / static_cast<duration::rep>(slots);
+    const auto own = times_.quantile(quick_quantile).value_or(duration::zero());
+    return now + wait + own > work.expires_at;
+}
+
+std::optional<work_id> work_scheduler::next(clock_reading now) {
+    note_time(now.steady);
+    refuse_what_may_not_wait(now);
+    if (now.steady < held_until_) {
+        return std::nullopt;
+    }
+    while (auto work = pop_within_limit(now.steady)) {
+        if (policy_.mechanisms.recheck_at_dispatch && work->expires_at <= now.steady) {
+            refuse_waiting(*work, too_late(), now);
+            continue;
+        }
+        const bool idempotent = waiting_[work->id];
+        waiting_.erase(work->id);
+        if (!ledger_.start(work->id)) {
+            continue;
+        }
+        running_.insert_or_assign(work->id, running_work{now.steady, work->expires_at,
+                                                         ramp_.current(), idempotent, false});
+        abandoned_.note_own_running(running_.size(), now.steady);
+        return work->id;
+    }
+    return std::nullopt;
+}
+
+// An endpoint that was not heard from lately may have restarted since.
+unsigned work_scheduler::limit(time_point now) const {
+    const bool heard_lately = now - last_contact_ <= policy_.contact_age;
+    const auto earned = ramp_.limit();
+    return heard_lately || !policy_.mechanisms.ramp ? earned
+                                                    : std::min(earned, policy_.ramp.cold_limit);
+}
+
+std::optional<waiting_work> work_scheduler::pop_within_limit(time_point now) {
+    const std::size_t slots = limit(now);
+    const auto used = running_.size() + abandoned_.held(now);
+    if (used >= slots) {
+        return std::nullopt;
+    }
+    const bool urgent_expected = policy_.mechanisms.reserve_urgent && last_urgent_ &&
+                                 now - *last_urgent_ < policy_.urgent_memory;
+    const bool last_slot = slots > 1 && used + 1 == slots;
+    return queue_.pop(urgent_expected && last_slot);
+}
+
+void work_scheduler::refuse_what_may_not_wait(clock_reading now) {
+    if (policy_.mechanisms.recheck_at_dispatch) {
+        for (const auto& work : queue_.take_expired(now.steady)) {
+            refuse_waiting(work, too_late(), now);
+        }
+    }
+    const bool in_grace = phase(now.steady) == service_phase::draining &&
+                          now.steady < phase_since_ + policy_.drain_grace;
+    if (in_grace || queue_.size() == 0) {
+        return;
+    }
+    if (const auto reason = phase_objection(now.steady)) {
+        for (const auto& work : queue_.take_all()) {
+            refuse_waiting(work, *reason, now);
+        }
+    }
+}
+
+void work_scheduler::refuse_waiting(const waiting_work& work, error reason, clock_reading now) {
+    waiting_.erase(work.id);
+    refuse(work.id, std::move(reason), now);
+    settled_.push_back(work.id);
+}
+
+void work_scheduler::finish(const work_id& id, call_end how, ledger::outcome what,
+                            clock_reading now) {
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return;
+    }
+    const auto ended = found->second;
+    running_.erase(found);
+    ledger_.finish(id, std::move(what), now);
+    settled_.push_back(id);
+    account_for(how, ended, now.steady);
+    abandoned_.note_own_running(running_.size(), now.steady);
+}
+
+void work_scheduler::account_for(call_end how, const running_work& ended, time_point now) {
+    switch (how) {
+    case call_end::answered:
+        ++completed_;
+        last_contact_ = now;
+        times_.record(now - ended.started);
+        ramp_.on_completed(ended.warm_up);
+        break;
+    case call_end::failed:
+    case call_end::malformed:
+        last_contact_ = now;
+        break;
+    case call_end::overloaded:
+        last_contact_ = now;
+        fall_back(cold_cause::overloaded);
+        break;
+    case call_end::not_connected:
+        fall_back(cold_cause::connection_failed);
+        break;
+    case call_end::lost:
+        fall_back(cold_cause::connection_failed);
+        abandoned_.add(now);
+        break;
+    case call_end::timed_out:
+        abandoned_.add(now);
+        break;
+    case call_end::cancelled:
+        abandoned_.add_cancelled(now);
+        break;
+    }
+}
+
+bool work_scheduler::abandon(const work_id& id, clock_reading now) {
+    if (const auto found = running_.find(id); found != running_.end()) {
+        return found->second.idempotent;
+    }
+    const auto found = waiting_.find(id);
+    if (found != waiting_.end() && found->second && queue_.remove(id)) {
+        auto reason = make_error(error_kind::cancelled, work_ran::no, "cancelled while it waited");
+        waiting_work removed;
+        removed.id = id;
+        refuse_waiting(removed, std::move(reason), now);
+    }
+    return false;
+}
+
+void work_scheduler::tick(clock_reading now) {
+    note_time(now.steady);
+    refuse_what_may_not_wait(now);
+    find_slow_work(now.steady);
+    abandoned_.note_own_running(running_.size(), now.steady);
+    ledger_.forget_expired(now);
+}
+
+// A process that was paused acts on what it knew before; it gives the control plane time to catch
+// up before it sends anything to the endpoint.
+void work_scheduler::note_time(time_point now) {
+    if (now - last_decision_ > policy_.pause_threshold) {
+        held_until_ = now + policy_.wake_hold;
+        ++pauses_;
+    }
+    last_decision_ = now;
+}
+
+// An endpoint that turns cold without a word shows it by its service time, and long before the
+// slow work completes.
+void work_scheduler::find_slow_work(time_point now) {
+    if (times_.count() < least_samples) {
+        return;
+    }
+    const auto usual = times_.quantile(slow_quantile).value_or(duration::zero());
+    const auto slow = std::max(duration_cast<duration>(usual * policy_.ramp.slow_factor),
+                               duration{policy_.least_slow_time});
+    for (auto& [id, work] : running_) {
+        const bool counts = work.warm_up == ramp_.current() && !work.found_slow;
+        if (counts && now - work.started > slow) {
+            work.found_slow = true;
+            fall_back(cold_cause::slow);
+        }
+    }
+}
+
+void work_scheduler::on_load_report(const load_report& report, clock_reading now) {
+    load_failures_ = 0;
+    last_contact_ = now.steady;
+    endpoint_known_ = true;
+    note_endpoint(report.answering.empty() ? report.instance : report.answering, now.steady);
+    if (report.instance != endpoint_instance_) {
+        return;
+    }
+    if (ramp_.set_reported_cold(report.cold)) {
+        count_fall_back(cold_cause::reported_cold);
+    }
+    const bool cache_lost =
+        cached_prefixes_ >= least_cached_prefixes && report.cached_prefixes < cached_prefixes_ / 2;
+    cached_prefixes_ = report.cached_prefixes;
+    if (cache_lost) {
+        fall_back(cold_cause::cache_lost);
+    }
+    abandoned_.on_report(report.running, now.steady);
+}
+
+void work_scheduler::on_load_failure(bool refused, clock_reading now) {
+    ++load_failures_;
+    if (refused && load_failures_ == 1) {
+        fall_back(cold_cause::connection_failed);
+    }
+    const bool silent = now.steady - last_contact_ > policy_.contact_timeout;
+    if (load_failures_ >= load_failures_to_doubt && silent && endpoint_known_) {
+        endpoint_known_ = false;
+        fall_back(cold_cause::connection_failed);
+    }
+}
+
+bool work_scheduler::note_endpoint(const std::string& instance, time_point now) {
+    const bool is_past = std::find(past_instances_.begin(), past_instances_.end(), instance) !=
+                         past_instances_.end();
+    if (is_past) {
+        return false;
+    }
+    if (instance.empty() || instance == endpoint_instance_) {
+        return true;
+    }
+    if (!endpoint_instance_.empty()) {
+        past_instances_.push_back(endpoint_instance_);
+        if (past_instances_.size() > most_past_instances) {
+            past_instances_.pop_front();
+        }
+        fall_back(cold_cause::endpoint_restarted);
+        abandoned_.clear();
+        abandoned_.note_own_running(running_.size(), now);
+        cached_prefixes_ = 0;
+    }
+    endpoint_instance_ = instance;
+    return true;
+}
+
+void work_scheduler::set_phase(service_phase phase, clock_reading now) {
+    if (phase != wanted_phase_) {
+        wanted_phase_ = phase;
+        phase_since_ = now.steady;
+    }
+    refuse_what_may_not_wait(now);
+}
+
+void work_scheduler::set_policy(config::limits limits, config::ramp ramp) {
+    policy_.limits = limits;
+    policy_.ramp = ramp;
+    ramp_.set_policy(limits, ramp);
+    queue_.set_capacity(limits.queue);
+}
+
+std::vector<work_id> work_scheduler::take_settled() {
+    return std::exchange(settled_, {});
+}
+
+service_phase work_scheduler::phase(time_point now) const {
+    const bool endpoint_usable =
+        endpoint_known_ && abandoned_.held(now) < policy_.limits.concurrency;
+    if (wanted_phase_ == service_phase::serving && !endpoint_usable) {
+        return service_phase::starting;
+    }
+    return wanted_phase_;
+}
+
+std::optional<ledger::outcome> work_scheduler::outcome_of(const work_id& id) const {
+    return ledger_.outcome_of(id);
+}
+
+void work_scheduler::fall_back(cold_cause cause) {
+    ramp_.fall_back(cause);
+    count_fall_back(cause);
+}
+
+void work_scheduler::count_fall_back(cold_cause cause) {
+    ++fall_backs_[std::string{to_string(cause)}];
+}
+
+void work_scheduler::count_refusal(const error& reason) {
+    ++refusals_[std::string{answer_for(reason.kind).name}];
+}
+
+scheduler_state work_scheduler::state(time_point now) const {
+    scheduler_state shown;
+    shown.phase = phase(now);
+    shown.limit = limit(now);
+    shown.full_limit = ramp_.full_limit();
+    shown.cold_cause = to_string(ramp_.last_cause());
+    shown.running = running_.size();
+    shown.held_by_abandoned = abandoned_.held(now);
+    shown.queued_urgent = queue_.size(config::lane::urgent);
+    shown.queued_normal = queue_.size(config::lane::normal);
+    shown.queued_background = queue_.size(config::lane::background);
+    shown.usual_service_time = duration_cast<milliseconds>(times_.usual());
+    shown.endpoint_instance = endpoint_instance_;
+    shown.endpoint_reachable = endpoint_known_;
+    shown.ledger = ledger_.sizes();
+    shown.refusals = refusals_;
+    shown.fall_backs = fall_backs_;
+    shown.completed = completed_;
+    shown.pauses = pauses_;
+    return shown;
+}
+
+} // namespace boragefront::sidecar
