--- a/libs/sidecar/src/state_dump.cpp
+++ b/libs/sidecar/src/state_dump.cpp
@@ -25,20 +25,6 @@
 
 } // namespace
 
-std::string_view to_string(service_phase phase) {
-    switch (phase) {
-    case service_phase::starting:
-        return "starting";
-    case service_phase::serving:
-        return "serving";
-    case service_phase::draining:
-        return "draining";
-    case service_phase::out:
-        break;
-    }
-    return "out";
-}
-
 std::string write_dump(const published_state& state, incarnation life, time_point now) {
     const auto& shown = state.scheduler;
     const json::object ledger{{"identities", shown.ledger.identities},
--- a/libs/sidecar/src/state_dump.hpp
+++ b/libs/sidecar/src/state_dump.hpp
@@ -14,6 +14,4 @@
 /// The heartbeat's report. A traffic thread that has stopped to publish is not serving.
 control::sidecar_report make_report(const published_state& state, incarnation life, time_point now);
 
-std::string_view to_string(service_phase phase);
-
 } // namespace boragefront::sidecar
--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -213,7 +213,7 @@
     metrics_.get_gauge("sidecar_queued").set(static_cast<double>(scheduler_.queued()));
     const auto before = published_.load();
     if (before->scheduler.phase != shown.phase) {
-        log_change("sidecar", "phase", {{"phase", std::to_string(static_cast<int>(shown.phase))}});
+        log_change("sidecar", "phase", {{"phase", std::string{to_string(shown.phase)}}});
     }
     published_.publish({std::move(shown), steady_clock::now()});
 }
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace boragefront::sidecar {
@@ -20,6 +21,8 @@
 using control::service_phase;
 using ledger::clock_reading;
 
+std::string_view to_string(service_phase phase);
+
 /// Work as an entry offers it.
 struct offered_work {
     ledger::work_arrival record;
--- /dev/null
+++ b/libs/sidecar/tests/fake_control.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// A control plane whose knowledge the test gives.
+#pragma once
+
+#include "control/control_plane.hpp"
+
+#include <atomic>
+
+namespace boragefront::sidecar::test {
+
+/// What a fake control plane and its test share.
+struct fake_knowledge {
+    snapshot_box<config::snapshot> configuration;
+    snapshot_box<membership::instance_list> instances;
+    snapshot_box<control::heard_sidecars> sidecars;
+    control::role_hooks hooks;
+    std::atomic<revision> noted{0};
+};
+
+class fake_control : public control::control_plane {
+public:
+    explicit fake_control(fake_knowledge& knowledge) : knowledge_{knowledge} {}
+
+    const snapshot_box<config::snapshot>& configuration() const override {
+        return knowledge_.configuration;
+    }
+    const snapshot_box<membership::instance_list>& instances() const override {
+        return knowledge_.instances;
+    }
+    const snapshot_box<control::heard_sidecars>& sidecars() const override {
+        return knowledge_.sidecars;
+    }
+    bool ready() const override { return true; }
+    std::string control_address() const override { return "127.0.0.1:1"; }
+    void note_revision(revision seen) override { knowledge_.noted = seen; }
+    void stop() override {}
+
+private:
+    fake_knowledge& knowledge_;
+};
+
+} // namespace boragefront::sidecar::test
