Configuration, control messages and control plane, thin and whole

libs/config parses and validates each key, merges by the highest revision and keeps the last good value; two registers per key, so that a process that learns an invalid value first still learns the last good one. libs/wire: typed messages over nng req/rep, garbage refused without a log line. libs/control: one thread, watch of the platform, list with grace, heartbeats, anti-entropy, status, dump and metrics. Additive seams: service_phase lives in wire/messages.hpp (alias in control), control_options::heartbeat_targets, more fields in control.proto.

Shown by config_test, wire_test and control_test, all green; not linted yet.

--- a/libs/control/include/control/control_plane.hpp
+++ b/libs/control/include/control/control_plane.hpp
@@ -10,8 +10,8 @@
 #include "base/time.hpp"
 #include "config/types.hpp"
 #include "membership/instance.hpp"
+#include "wire/messages.hpp"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -20,8 +20,7 @@
 
 namespace boragefront::control {
 
-/// Whether a process takes new work.
-enum class service_phase : std::uint8_t { starting, serving, draining, out };
+using wire::service_phase;
 
 /// What a sidecar reports on every heartbeat.
 struct sidecar_report {
@@ -64,8 +63,11 @@
     membership::instance self;
     std::string platform_address;
     std::vector<std::string> seed_peers;
-    /// Pools whose sidecars are sent heartbeats: all for an entry, none for a sidecar.
+    /// Whether sidecars are sent heartbeats: true for an entry, false for a sidecar.
     bool heartbeats_to_sidecars{false};
+    /// Picks the sidecars that are sent heartbeats; all if empty. Called on the control thread.
+    std::function<std::vector<membership::instance>(const membership::instance_list&)>
+        heartbeat_targets;
 };
 
 /// The control plane of one process.
--- /dev/null
+++ b/libs/control/src/platform_reader.hpp
@@ -0,0 +1,44 @@
+/// \file
+/// Reads the platform's service over HTTP.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "control_core.hpp"
+#include "http/client.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boragefront::control {
+
+/// An answer to a read of the instance list.
+struct list_reading {
+    std::vector<membership::instance> instances;
+    bool unchanged{false}; ///< the platform said that it equals the one read before
+    std::size_t bytes{0};  ///< of the answer
+};
+
+/// The one adapter to the platform's wire format.
+class platform_reader {
+public:
+    /// \param address "ip:port" of the platform's service.
+    platform_reader(boost::asio::any_io_executor executor, std::string address);
+
+    /// Reads the entries above a revision, or all if it is 0.
+    /// \param wait how long the service may wait for one; 0 answers at once.
+    http::awaitable<result<platform_config>> read_config(revision since, milliseconds wait);
+
+    http::awaitable<result<list_reading>> read_instances();
+
+private:
+    http::awaitable<result<http::response>> get(http::request message, milliseconds wait);
+
+    std::unique_ptr<http::client> client_;
+    std::string address_;
+    std::string list_tag_;
+};
+
+} // namespace boragefront::control
--- /dev/null
+++ b/libs/wire/include/wire/client.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// Calls other processes over nng.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/metrics.hpp"
+#include "base/time.hpp"
+#include "wire/messages.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace boragefront::wire {
+
+/// Bytes of messages, counted on both sides. The counters outlive their users.
+struct byte_counters {
+    counter& sent;
+    counter& received;
+};
+
+/// A client for one single-threaded executor. It keeps a connection to each peer that it called
+/// lately, and replaces one on which a call went unanswered.
+class client {
+public:
+    static std::unique_ptr<client> make(boost::asio::any_io_executor executor, byte_counters bytes);
+
+    client() = default;
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    /// Ends all calls. The executor's context must still exist.
+    virtual ~client() = default;
+
+    /// Sends a request and waits for its answer.
+    /// \param address "ip:port"
+    /// \param timeout for the whole call, connecting included.
+    /// \returns `deadline_exceeded`, `connection_lost`, `bad_request` for a malformed address or
+    /// answer, `unavailable` if the peer refused the request.
+    virtual boost::asio::awaitable<result<answer>> call(std::string address, request message,
+                                                        milliseconds timeout) = 0;
+};
+
+} // namespace boragefront::wire
--- /dev/null
+++ b/libs/wire/include/wire/messages.hpp
@@ -0,0 +1,132 @@
+/// \file
+/// The messages between the processes of the system. Every request is idempotent.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "config/store.hpp"
+#include "membership/instance.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace boragefront::wire {
+
+/// Whether a process takes new work.
+enum class service_phase : std::uint8_t { starting, serving, draining, out };
+
+std::string_view to_string(service_phase phase);
+
+/// How good a process's knowledge of the configuration and of the instance list is.
+struct knowledge {
+    revision highest{0};
+    bool confirmed{false}; ///< by the platform or a confirmed peer, since the process started
+    milliseconds age{0};   ///< since the platform last confirmed it, through any chain of peers
+    bool list_known{false};
+    std::uint64_t list_hash{0};
+    milliseconds list_age{0};     ///< since the list was read from the platform, by anyone
+    std::uint64_t config_hash{0}; ///< of all revisions held
+};
+
+/// First round of anti-entropy: a key belongs to bucket `hash(key) % bucket_hashes.size()`. Without
+/// hashes it compares knowledge only.
+struct digest_request {
+    knowledge held;
+    std::vector<std::uint64_t> bucket_hashes{};
+};
+struct digest_answer {
+    std::vector<std::uint32_t> differing_buckets;
+    knowledge held;
+};
+
+/// Second round: what the asker holds in the buckets that differ, and what the answerer asked for.
+struct delta_request {
+    std::vector<std::uint32_t> buckets;
+    std::uint32_t bucket_count{0};
+    std::vector<config::held_revisions> held;
+    std::vector<config::published_entry> offered;
+};
+struct delta_answer {
+    std::vector<config::published_entry> entries; ///< what the asker lacks
+    std::vector<std::string> wanted;              ///< keys that the answerer lacks
+    bool complete{false};                         ///< whether `entries` holds all of it
+};
+
+struct heartbeat_request {
+    std::string from; ///< instance id
+    knowledge held;
+};
+struct heartbeat_answer {
+    incarnation life{0};
+    service_phase phase{service_phase::starting};
+    std::uint32_t concurrency_limit{0};
+    std::uint32_t in_flight{0};
+    std::uint32_t queued{0};
+    microseconds service_time{0};
+    remote_time clock; ///< the answerer's monotonic clock
+    knowledge held;
+};
+
+struct status_request {};
+struct status_answer {
+    std::string id;
+    membership::instance_role role{membership::instance_role::entry};
+    std::string data_centre;
+    service_phase phase{service_phase::starting};
+    revision highest{0};
+    milliseconds knowledge_age{0};
+    std::uint32_t in_flight{0};
+    std::uint32_t refused_values{0};
+    bool ready{false};
+};
+
+struct dump_request {};
+struct dump_answer {
+    std::string json;
+};
+
+struct metrics_request {};
+struct metrics_answer {
+    std::string exposition;
+};
+
+/// Asks for the platform's list as the answerer knows it, if that is newer than the asker's.
+struct instances_request {
+    std::vector<std::uint64_t> bucket_hashes; ///< of the asker's list; empty asks for all of it
+    milliseconds age{0};                      ///< of the asker's list
+};
+struct instances_answer {
+    std::vector<membership::instance> instances; ///< all that belong to `buckets`
+    milliseconds age{0};                ///< since the list was read from the platform, by anyone
+    std::vector<std::uint32_t> buckets; ///< which the answer replaces
+    bool known{false};                  ///< whether the answerer has a list at all
+};
+
+/// The request could not be read.
+struct refusal {
+    std::string detail;
+};
+
+using request = std::variant<digest_request, delta_request, heartbeat_request, status_request,
+                             dump_request, metrics_request, instances_request>;
+using answer = std::variant<digest_answer, delta_answer, heartbeat_answer, status_answer,
+                            dump_answer, metrics_answer, instances_answer, refusal>;
+
+/// Longest message that is sent or read.
+inline constexpr std::size_t message_bytes_limit = 8U << 20U;
+
+/// Most buckets of a digest.
+inline constexpr std::size_t bucket_limit = 1024;
+
+std::string encode(const request& message);
+std::string encode(const answer& message);
+
+/// Read what `encode` wrote. \returns `bad_request` for anything else.
+result<request> decode_request(std::string_view bytes);
+result<answer> decode_answer(std::string_view bytes);
+
+} // namespace boragefront::wire
--- /dev/null
+++ b/libs/wire/tests/wire_test.cpp
@@ -0,0 +1,145 @@
+#include "wire/client.hpp"
+#include "wire/server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/req.h>
+
+#include <future>
+#include <thread>
+
+using namespace boragefront;
+using namespace boragefront::wire;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr milliseconds long_enough{20'000};
+
+class fixture {
+public:
+    explicit fixture(handler handle) {
+        auto made = server::listen(io_.get_executor(), "127.0.0.1:0", std::move(handle), bytes_);
+        REQUIRE(made);
+        server_ = std::move(made.value());
+        client_ = client::make(io_.get_executor(), bytes_);
+        thread_ = std::thread{[this] { io_.run(); }};
+    }
+    ~fixture() {
+        io_.stop();
+        thread_.join();
+    }
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+
+    result<answer> call(const std::string& address, request message,
+                        milliseconds timeout = long_enough) {
+        std::promise<result<answer>> promise;
+        asio::co_spawn(io_, fulfil(*client_, address, std::move(message), timeout, promise),
+                       asio::detached);
+        return promise.get_future().get();
+    }
+    result<answer> call(request message) { return call(server_->address(), std::move(message)); }
+    const std::string address() const { return server_->address(); }
+
+private:
+    static asio::awaitable<void> fulfil(client& peer, std::string address, request message,
+                                        milliseconds timeout,
+                                        std::promise<result<answer>>& promise) {
+        auto answered = co_await peer.call(std::move(address), std::move(message), timeout);
+        promise.set_value(std::move(answered));
+    }
+
+    metrics_registry metrics_;
+    byte_counters bytes_{metrics_.get_counter("sent"), metrics_.get_counter("received")};
+    asio::io_context io_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard_{io_.get_executor()};
+    std::unique_ptr<server> server_;
+    std::unique_ptr<client> client_;
+    std::thread thread_;
+};
+
+answer echo_status(const request& /*asked*/) {
+    status_answer made;
+    made.id = "entry-1";
+    made.highest = 7;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("calls are answered") {
+    fixture peers{echo_status};
+    for (int i = 0; i < 3; ++i) {
+        const auto answered = peers.call(status_request{});
+        REQUIRE(answered);
+        REQUIRE(std::get<status_answer>(answered.value()).highest == 7);
+    }
+}
+
+TEST_CASE("nobody listening is an error within the timeout") {
+    fixture peers{echo_status};
+    const auto answered = peers.call("127.0.0.1:1", status_request{}, milliseconds{100});
+    REQUIRE_FALSE(answered);
+    REQUIRE(answered.error().kind == error_kind::deadline_exceeded);
+}
+
+TEST_CASE("a malformed address is a bad request") {
+    fixture peers{echo_status};
+    const auto answered = peers.call("nowhere", status_request{}, milliseconds{100});
+    REQUIRE_FALSE(answered);
+}
+
+TEST_CASE("an address in use is refused") {
+    fixture peers{echo_status};
+    metrics_registry metrics;
+    asio::io_context io;
+    const auto second = server::listen(io.get_executor(), peers.address(), echo_status,
+                                       {metrics.get_counter("a"), metrics.get_counter("b")});
+    REQUIRE_FALSE(second);
+    REQUIRE(second.error().kind == error_kind::unavailable);
+}
+
+TEST_CASE("a peer that accepts and stays silent times out, and a later call connects anew") {
+    fixture peers{echo_status};
+    asio::io_context io;
+    asio::ip::tcp::acceptor silent{io, {asio::ip::make_address("127.0.0.1"), 0}};
+    const auto address = "127.0.0.1:" + std::to_string(silent.local_endpoint().port());
+    for (int i = 0; i < 2; ++i) {
+        auto accepted = std::async(std::launch::async, [&] { return silent.accept(); });
+        const auto answered = peers.call(address, status_request{}, milliseconds{200});
+        REQUIRE_FALSE(answered);
+        accepted.get();
+    }
+}
+
+TEST_CASE("garbage is refused, and the server goes on") {
+    fixture peers{echo_status};
+    asio::io_context io;
+    asio::ip::tcp::socket raw{io};
+    const auto address = peers.address();
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    raw.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(raw, asio::buffer(std::string(64, '\xff')));
+
+    nng_socket socket{};
+    REQUIRE(nng_req0_open(&socket) == 0);
+    REQUIRE(nng_dial(socket, ("tcp://" + address).c_str(), nullptr, 0) == 0);
+    std::string garbage(100, '\xee');
+    REQUIRE(nng_send(socket, garbage.data(), garbage.size(), 0) == 0);
+    nng_msg* received = nullptr;
+    REQUIRE(nng_recvmsg(socket, &received, 0) == 0);
+    const auto read =
+        decode_answer({static_cast<char*>(nng_msg_body(received)), nng_msg_len(received)});
+    nng_msg_free(received);
+    nng_close(socket);
+    REQUIRE(read);
+    REQUIRE(std::holds_alternative<refusal>(read.value()));
+    REQUIRE(peers.call(status_request{}));
+}
