stand_ins: platform, endpoint and relay as one program

Tests need the platform, the endpoints and the network as processes whose failures can be switched. Adds stand_in platform|endpoint|relay, free of policy, and a blocking HTTP client for tests. An endpoint's ledger can also go to a file, because a killed endpoint takes its memory along.

Additions to the protocol page: relay mode 'hold' (for a request that sits in a cut link), the relay's own control address, the marker in ledgers and outputs.

--- /dev/null
+++ b/tests/stand_ins/include/stand_ins/relay.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// A TCP relay that cuts, holds or swallows what passes through it.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/time.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boragefront::stand_ins {
+
+enum class relay_mode : std::uint8_t {
+    pass,
+    hold,                ///< bytes wait, and pass once the mode is `pass` again
+    cut,                 ///< connections are closed, new ones refused
+    swallow,             ///< connections, new ones too, are silent for good
+    swallow_established, ///< established connections are silent for good, new ones pass
+};
+
+/// A relay from its own address to one target. All members run on one thread.
+class relay {
+public:
+    /// \param target "ip:port"
+    static result<std::unique_ptr<relay>> listen(boost::asio::any_io_executor executor,
+                                                 const std::string& address,
+                                                 const std::string& target);
+
+    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    /// Answers `POST /stand_in/faults`.
+    http::awaitable<void> handle(const http::request& incoming, http::responder& out);
+
+private:
+    struct link;
+
+    relay(boost::asio::ip::tcp::acceptor acceptor, boost::asio::ip::tcp::endpoint target);
+
+    void set_mode(relay_mode mode);
+    http::awaitable<void> accept_loop();
+    http::awaitable<void> serve(std::shared_ptr<link> served);
+    http::awaitable<void> pump(std::shared_ptr<link> served, bool towards_target);
+    http::awaitable<bool> pass(const std::shared_ptr<link>& served, bool towards_target,
+                               const char* bytes, std::size_t size);
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::endpoint target_;
+    relay_mode mode_{relay_mode::pass};
+    milliseconds answer_delay_{0};
+    std::vector<std::weak_ptr<link>> links_;
+};
+
+} // namespace boragefront::stand_ins
