--- a/tests/stand_ins/include/stand_ins/endpoint.hpp
+++ b/tests/stand_ins/include/stand_ins/endpoint.hpp
@@ -87,6 +87,7 @@
     http::awaitable<bool> work(active_run& run, duration time);
 
     bool refuses_new_work();
+    std::size_t count_begun_cold() const;
     void begin(active_run& run);
     void end(active_run& run, bool finished);
     void fall_over();
--- a/tests/stand_ins/include/stand_ins/relay.hpp
+++ b/tests/stand_ins/include/stand_ins/relay.hpp
@@ -28,7 +28,7 @@
 class relay {
 public:
     /// \param target "ip:port"
-    static result<std::unique_ptr<relay>> listen(boost::asio::any_io_executor executor,
+    static result<std::unique_ptr<relay>> listen(const boost::asio::any_io_executor& executor,
                                                  const std::string& address,
                                                  const std::string& target);
 
--- a/tests/stand_ins/include/stand_ins/run_ledger.hpp
+++ b/tests/stand_ins/include/stand_ins/run_ledger.hpp
@@ -5,6 +5,7 @@
 #include "base/error.hpp"
 
 #include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
 
 #include <cstdint>
 #include <fstream>
@@ -18,24 +19,29 @@
     std::string identity; ///< request/stage/attempt
     std::string marker;   ///< the caller's marker in the input
     std::uint64_t body_hash{0};
+    std::size_t running{0};      ///< runs in progress at its start, itself included
+    std::size_t running_cold{0}; ///< of these, the runs begun while cold; 0 once it is warm
     bool finished{false};
 };
 
 /// The runs of one life of an endpoint.
 class run_ledger {
 public:
-    /// \param file receives a line of JSON at each start and finish; none if empty.
+    /// \param file receives a line of JSON at each start, finish and fall; none if empty.
     static result<run_ledger> open(const std::string& file);
 
     /// Records a start. \returns the number of the run.
     std::size_t start(run_record started);
     void finish(std::size_t number);
 
+    /// Records that the endpoint fell over.
+    void fall_over();
+
     boost::json::array to_json() const;
     std::size_t size() const { return runs_.size(); }
 
 private:
-    void append(std::string_view event, const run_record& run);
+    void append(boost::json::object line);
 
     std::vector<run_record> runs_;
     std::ofstream file_;
--- a/tests/stand_ins/src/endpoint.cpp
+++ b/tests/stand_ins/src/endpoint.cpp
@@ -76,9 +76,9 @@
     if (incoming.method == "POST" && path == "/run") {
         co_await answer_run(incoming, out);
     } else if (incoming.method == "GET" && path == "/load") {
-        co_await out.send(answer(200, lagging_load()));
+        (void)co_await out.send(answer(200, lagging_load()));
     } else if (incoming.method == "GET" && path == "/stand_in/ledger") {
-        co_await out.send(answer(200, ledger_json()));
+        (void)co_await out.send(answer(200, ledger_json()));
     } else if (incoming.method == "POST" && path == "/stand_in/faults") {
         const auto wanted = parse_json(incoming.body);
         const bool valid = wanted && wanted.value().is_object();
@@ -86,20 +86,20 @@
             set_faults(wanted.value().get_object());
         }
         const unsigned status = valid ? 200 : 400;
-        co_await out.send(answer(status, "{}"));
+        (void)co_await out.send(answer(status, "{}"));
     } else {
-        co_await out.send(answer(404, "{}"));
+        (void)co_await out.send(answer(404, "{}"));
     }
 }
 
 http::awaitable<void> endpoint::answer_run(const http::request& incoming, http::responder& out) {
     auto body = parse_json(incoming.body);
     if (!body || !body.value().is_object() || !body.value().get_object().contains("input")) {
-        co_await out.send(answer(400, R"({"error": "malformed"})"));
+        (void)co_await out.send(answer(400, R"({"error": "malformed"})"));
         co_return;
     }
     if (refuses_new_work()) {
-        co_await out.send(answer(503, overloaded()));
+        (void)co_await out.send(answer(503, overloaded()));
         co_return;
     }
     active_run run{executor_};
@@ -132,13 +132,13 @@
     }
     if (faults_.fail) {
         end(run, true);
-        co_await out.send(answer(500, R"({"error": "failed"})"));
+        (void)co_await out.send(answer(500, R"({"error": "failed"})"));
     } else if (stream) {
         co_await stream_tokens(run, out);
     } else {
         const json::object whole{{"identity", run.identity}, {"output", output_of(run)}};
         end(run, true);
-        co_await out.send(answer(200, json::serialize(whole)));
+        (void)co_await out.send(answer(200, json::serialize(whole)));
     }
 }
 
@@ -165,7 +165,7 @@
     const auto last = json::serialize(json::object{{"end", true}, {"count", options_.tokens}});
     sent = co_await out.write(last + '\n');
     if (sent) {
-        co_await out.finish();
+        (void)co_await out.finish();
     }
 }
 
@@ -191,23 +191,27 @@
 }
 
 void endpoint::begin(active_run& run) {
-    run.number = ledger_.start(
-        {run.identity, run.marker, stable_hash(json::serialize(run.order.at("input")))});
     run.began_cold = cold_;
     active_.insert(&run);
+    const std::size_t running_cold = cold_ ? count_begun_cold() : 0;
+    run.number = ledger_.start({.identity = run.identity,
+                                .marker = run.marker,
+                                .body_hash = stable_hash(json::serialize(run.order.at("input"))),
+                                .running = active_.size(),
+                                .running_cold = running_cold});
     peak_running_ = std::max(peak_running_, active_.size());
-    if (cold_) {
-        const auto cold_runs = static_cast<std::size_t>(
-            std::count_if(active_.begin(), active_.end(),
-                          [](const active_run* other) { return other->began_cold; }));
-        peak_while_cold_ = std::max(peak_while_cold_, cold_runs);
-        if (cold_runs > options_.cold_limit) {
-            fall_over();
-        }
+    peak_while_cold_ = std::max(peak_while_cold_, running_cold);
+    if (running_cold > options_.cold_limit) {
+        fall_over();
     }
     report_load();
 }
 
+std::size_t endpoint::count_begun_cold() const {
+    return static_cast<std::size_t>(std::count_if(
+        active_.begin(), active_.end(), [](const active_run* run) { return run->began_cold; }));
+}
+
 void endpoint::end(active_run& run, bool finished) {
     if (active_.erase(&run) == 0) {
         return;
@@ -223,6 +227,7 @@
 
 void endpoint::fall_over() {
     ++fell_over_;
+    ledger_.fall_over();
     fallen_until_ = steady_clock::now() + options_.fallen_time;
     for (auto* run : active_) {
         run->stop();
@@ -293,7 +298,7 @@
         for (std::uint64_t index = 0; index < options_.tokens; ++index) {
             text += token_text(run.marker, index);
         }
-        output["text"] = std::move(text);
+        output["text"] = text;
     }
     return output;
 }
--- a/tests/stand_ins/src/platform.cpp
+++ b/tests/stand_ins/src/platform.cpp
@@ -167,7 +167,7 @@
 
 http::awaitable<void> platform::answer_read(const http::request& incoming, http::responder& out) {
     if (!admit_call()) {
-        co_await out.send(problem(make_error(error_kind::over_limit, "rate of calls")));
+        (void)co_await out.send(problem(make_error(error_kind::over_limit, "rate of calls")));
         co_return;
     }
     const bool list = http::target_path(incoming.target) == "/v1/instances";
@@ -177,22 +177,22 @@
         co_await wait_for_change(since, milliseconds{wait}, out);
     }
     if (down_) {
-        co_await out.send(problem(make_error(error_kind::unavailable, "down")));
+        (void)co_await out.send(problem(make_error(error_kind::unavailable, "down")));
         co_return;
     }
     auto body = list ? served_list() : entries_since(since);
-    co_await out.send(http::make_json_response(200, std::move(body)));
+    (void)co_await out.send(http::make_json_response(200, std::move(body)));
 }
 
 http::awaitable<void> platform::answer_write(const http::request& incoming, http::responder& out) {
     if (incoming.method == "DELETE") {
         const auto number = publish(key_of(incoming), std::nullopt);
-        co_await out.send(http::make_json_response(200, revision_json(number)));
+        (void)co_await out.send(http::make_json_response(200, revision_json(number)));
         co_return;
     }
     auto body = parse_json(incoming.body);
     if (!body) {
-        co_await out.send(problem(body.error()));
+        (void)co_await out.send(problem(body.error()));
         co_return;
     }
     const auto path = http::target_path(incoming.target);
@@ -202,12 +202,13 @@
     } else if (path == "/v1/instances") {
         lists_.push_back({steady_clock::now(), json::serialize(body.value())});
     } else if (incoming.body.size() > largest_value) {
-        co_await out.send(problem(make_error(error_kind::too_large, "value over a megabyte")));
+        (void)co_await out.send(
+            problem(make_error(error_kind::too_large, "value over a megabyte")));
         co_return;
     } else {
         answer = revision_json(publish(key_of(incoming), std::move(body.value())));
     }
-    co_await out.send(http::make_json_response(200, answer));
+    (void)co_await out.send(http::make_json_response(200, answer));
 }
 
 http::awaitable<void> platform::handle(const http::request& incoming, http::responder& out) {
@@ -215,13 +216,14 @@
     const bool read = path == config_path || path == "/v1/instances";
     if (incoming.method == "GET" && path == "/stand_in/calls") {
         const json::object counts{{"calls", calls_}, {"refused", refused_}};
-        co_await out.send(http::make_json_response(200, json::serialize(counts)));
+        (void)co_await out.send(http::make_json_response(200, json::serialize(counts)));
     } else if (incoming.method == "GET" && read) {
         co_await answer_read(incoming, out);
     } else if (path == "/stand_in/faults" || path == "/v1/instances" || !key_of(incoming).empty()) {
         co_await answer_write(incoming, out);
     } else {
-        co_await out.send(problem(make_error(error_kind::bad_request, "no such call", "target")));
+        (void)co_await out.send(
+            problem(make_error(error_kind::bad_request, "no such call", "target")));
     }
 }
 
--- a/tests/stand_ins/src/relay.cpp
+++ b/tests/stand_ins/src/relay.cpp
@@ -75,7 +75,7 @@
 relay::relay(tcp::acceptor acceptor, tcp::endpoint target)
     : acceptor_{std::move(acceptor)}, target_{std::move(target)} {}
 
-result<std::unique_ptr<relay>> relay::listen(asio::any_io_executor executor,
+result<std::unique_ptr<relay>> relay::listen(const asio::any_io_executor& executor,
                                              const std::string& address,
                                              const std::string& target) {
     BOOST_OUTCOME_TRY(const auto own, parse_endpoint(address));
@@ -189,7 +189,7 @@
 http::awaitable<void> relay::handle(const http::request& incoming, http::responder& out) {
     const auto body = parse_json(incoming.body);
     if (!body || !body.value().is_object()) {
-        co_await out.send(http::make_json_response(400, "{}"));
+        (void)co_await out.send(http::make_json_response(400, "{}"));
         co_return;
     }
     const auto& wanted = body.value().get_object();
@@ -197,7 +197,7 @@
         set_mode(*mode);
     }
     answer_delay_ = milliseconds{integer_or(wanted, "answer_delay_ms", answer_delay_.count())};
-    co_await out.send(http::make_json_response(200, "{}"));
+    (void)co_await out.send(http::make_json_response(200, "{}"));
 }
 
 } // namespace boragefront::stand_ins
--- a/tests/stand_ins/src/run_ledger.cpp
+++ b/tests/stand_ins/src/run_ledger.cpp
@@ -1,6 +1,7 @@
 #include "stand_ins/run_ledger.hpp"
 
-#include <boost/json/object.hpp>
+#include "base/time.hpp"
+
 #include <boost/json/serialize.hpp>
 
 namespace boragefront::stand_ins {
@@ -19,7 +20,11 @@
 }
 
 std::size_t run_ledger::start(run_record started) {
-    append("start", started);
+    append({{"event", "start"},
+            {"identity", started.identity},
+            {"marker", started.marker},
+            {"running", started.running},
+            {"running_cold", started.running_cold}});
     runs_.push_back(std::move(started));
     return runs_.size() - 1;
 }
@@ -27,7 +32,11 @@
 void run_ledger::finish(std::size_t number) {
     auto& run = runs_.at(number);
     run.finished = true;
-    append("finish", run);
+    append({{"event", "finish"}, {"identity", run.identity}, {"marker", run.marker}});
+}
+
+void run_ledger::fall_over() {
+    append({{"event", "fall"}});
 }
 
 json::array run_ledger::to_json() const {
@@ -41,14 +50,11 @@
     return runs;
 }
 
-void run_ledger::append(std::string_view event, const run_record& run) {
+void run_ledger::append(json::object line) {
     if (!file_.is_open()) {
         return;
     }
-    const json::object line{{"event", event},
-                            {"identity", run.identity},
-                            {"marker", run.marker},
-                            {"body_hash", run.body_hash}};
+    line["at_ns"] = nanoseconds{steady_clock::now().time_since_epoch()}.count();
     // Flushed to the kernel at once, so that it outlives a kill.
     file_ << json::serialize(line) << '\n' << std::flush;
 }
--- a/tests/stand_ins/tests/relay_test.cpp
+++ b/tests/stand_ins/tests/relay_test.cpp
@@ -15,11 +15,10 @@
 
 class listening_relay {
 public:
-    static result<std::unique_ptr<listening_relay>> make(boost::asio::any_io_executor executor,
-                                                         const relay_options& options) {
+    static result<std::unique_ptr<listening_relay>>
+    make(const boost::asio::any_io_executor& executor, const relay_options& options) {
         auto made = std::make_unique<listening_relay>();
-        BOOST_OUTCOME_TRY(made->inner_,
-                          relay::listen(std::move(executor), "127.0.0.1:0", options.target));
+        BOOST_OUTCOME_TRY(made->inner_, relay::listen(executor, "127.0.0.1:0", options.target));
         last_port = made->inner_->port();
         return made;
     }
--- a/tests/stand_ins/tests/served.hpp
+++ b/tests/stand_ins/tests/served.hpp
@@ -57,8 +57,8 @@
     }
 
     http::response send(const std::string& method, const std::string& target,
-                        std::string body) const {
-        auto answer = support::send_json(address(), method, target, std::move(body), patience);
+                        const std::string& body) const {
+        auto answer = support::send_json(address(), method, target, body, patience);
         REQUIRE(answer);
         return answer.value();
     }
