boragefrontd: flags, settings, exit statuses, graceful shutdown on signal

A placeholder stands for the roles until both are merged. Process tests cover the command line and the statuses.

--- /dev/null
+++ b/boragefrontd/src/role.cpp
@@ -0,0 +1,53 @@
+#include "role.hpp"
+
+#include <boost/json.hpp>
+
+namespace boragefront::daemon {
+namespace {
+
+template <class Node>
+result<running_role> start_node(const settings::daemon_settings& settings,
+                                metrics_registry& metrics) {
+    BOOST_OUTCOME_TRY(auto node, Node::start(settings, metrics));
+    return running_role{std::move(node)};
+}
+
+struct role_starter {
+    const settings::daemon_settings& settings;
+    metrics_registry& metrics;
+
+    result<running_role> operator()(const settings::entry_settings& /*role*/) const {
+        return start_node<entry::entry_node>(settings, metrics);
+    }
+    result<running_role> operator()(const settings::sidecar_settings& /*role*/) const {
+        return start_node<sidecar::sidecar_node>(settings, metrics);
+    }
+};
+
+} // namespace
+
+result<running_role> start_role(const settings::daemon_settings& settings,
+                                metrics_registry& metrics) {
+    return std::visit(role_starter{settings, metrics}, settings.role);
+}
+
+void shut_down(running_role& role) {
+    std::visit(
+        [](auto& node) {
+            node->request_shutdown();
+            node->wait();
+        },
+        role);
+}
+
+std::string addresses_line(const running_role& role) {
+    return std::visit(
+        [](const auto& node) {
+            return boost::json::serialize(
+                boost::json::object{{"data_address", node->data_address()},
+                                    {"control_address", node->control_address()}});
+        },
+        role);
+}
+
+} // namespace boragefront::daemon
--- /dev/null
+++ b/boragefrontd/src/role.hpp
@@ -0,0 +1,37 @@
+/// \file
+/// The role that a daemon's settings name, started and running.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/metrics.hpp"
+#include "settings/settings.hpp"
+
+#include <memory>
+#include <string>
+#include <variant>
+
+#if __has_include("entry/entry_node.hpp") && __has_include("sidecar/sidecar_node.hpp")
+#include "entry/entry_node.hpp"
+#include "sidecar/sidecar_node.hpp"
+#else
+#include "absent_roles.hpp" // until both roles are merged
+#endif
+
+namespace boragefront::daemon {
+
+using running_role =
+    std::variant<std::unique_ptr<entry::entry_node>, std::unique_ptr<sidecar::sidecar_node>>;
+
+/// Starts the role that the settings name.
+/// \param metrics outlives the role.
+/// \returns the node's own error if it cannot bind its addresses.
+result<running_role> start_role(const settings::daemon_settings& settings,
+                                metrics_registry& metrics);
+
+/// Shuts the role down gracefully and blocks until that ended.
+void shut_down(running_role& role);
+
+/// The addresses that are really bound, as one line of JSON.
+std::string addresses_line(const running_role& role);
+
+} // namespace boragefront::daemon
--- /dev/null
+++ b/boragefrontd/tests/boragefrontd_test.cpp
@@ -0,0 +1,76 @@
+/// \file
+/// The daemon's command line and exit statuses, as a process.
+#include "run_program.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+using namespace boragefront::test;
+
+namespace {
+
+// A settings file that exists as long as this object.
+class settings_file {
+public:
+    explicit settings_file(const std::string& text) { std::ofstream{path_} << text; }
+    ~settings_file() { std::filesystem::remove(path_); }
+    settings_file(const settings_file&) = delete;
+    settings_file& operator=(const settings_file&) = delete;
+    std::string path() const { return path_.string(); }
+
+private:
+    std::filesystem::path path_{std::filesystem::temp_directory_path() /
+                                ("boragefrontd_test_" + std::to_string(::getpid()) + ".json")};
+};
+
+program_outcome run_daemon(const std::vector<std::string>& arguments) {
+    return run_program(BORAGEFRONTD, arguments);
+}
+
+const std::string good = R"({"role": "entry", "id": "e-1", "data_centre": "oaxaca-ctr",
+    "data_address": "127.0.0.1:0", "control_address": "127.0.0.1:0",
+    "platform_address": "127.0.0.1:7000"})";
+
+} // namespace
+
+TEST_CASE("--check accepts valid settings") {
+    const settings_file file{good};
+    const auto outcome = run_daemon({"--settings", file.path(), "--check"});
+    REQUIRE(outcome.status == 0);
+    REQUIRE(outcome.errors.empty());
+}
+
+TEST_CASE("bad settings are refused with status 2, naming file, path, found and allowed") {
+    const settings_file file{R"({"role": "entry", "drain_timeout_ms": "soon"})"};
+    const auto check = GENERATE(true, false);
+    std::vector<std::string> arguments{"--settings", file.path()};
+    if (check) {
+        arguments.emplace_back("--check");
+    }
+    const auto outcome = run_daemon(arguments);
+    REQUIRE(outcome.status == 2);
+    REQUIRE(outcome.output.empty());
+    for (const auto& part : {file.path(), std::string{"id: missing"},
+                             std::string{"drain_timeout_ms: found a string \"soon\""},
+                             std::string{"must be a whole number from 100 to 600000"}}) {
+        REQUIRE_THAT(outcome.errors, Catch::Contains(part));
+    }
+}
+
+TEST_CASE("a settings file that does not exist is refused") {
+    const auto outcome = run_daemon({"--settings", "no/such/file.json"});
+    REQUIRE(outcome.status == 2);
+    REQUIRE_THAT(outcome.errors, Catch::Contains("no/such/file.json"));
+}
+
+TEST_CASE("a wrong command line is refused and help is not") {
+    REQUIRE(run_daemon({}).status == 2);
+    REQUIRE(run_daemon({"--settings", "f", "extra"}).status == 2);
+    REQUIRE(run_daemon({"--nonsense"}).status != 0);
+    const auto help = run_daemon({"--help"});
+    REQUIRE(help.status == 0);
+    REQUIRE_THAT(help.output, Catch::Contains("--check"));
+}
--- a/libs/settings/include/settings/settings.hpp
+++ b/libs/settings/include/settings/settings.hpp
@@ -47,7 +47,7 @@
 result<daemon_settings> parse(std::string_view text);
 
 /// Reads settings from a file.
-/// \returns errors as `parse`; the detail begins with the file's name.
+/// \returns errors as `parse`; the detail begins with the file's name and the field's path.
 result<daemon_settings> load(const std::filesystem::path& file);
 
 } // namespace boragefront::settings
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -105,7 +105,8 @@
 }
 
 error in_file(const std::filesystem::path& file, error failure) {
-    failure.detail = file.string() + ": " + failure.detail;
+    const auto path = failure.field.empty() ? std::string{} : failure.field + ": ";
+    failure.detail = file.string() + ": " + path + failure.detail;
     return failure;
 }
 
