entry: the callers' protocol, thin and whole

Cause: nothing served callers yet. Change: entry_node (settings, control plane, traffic threads, graceful shutdown), callers' requests read against the configuration, pipelines walked under one deadline, idempotent stages with retries and hedges, other work at most once with outcomes asked for over fresh connections, streams checked token by token, state dump and counters. Pure decisions in execution (budgets, deadline plan, both stage machines, token order, workspace gate), routing (views, choice) and membership (evidence).

--- /dev/null
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -0,0 +1,166 @@
+/// \file
+/// A stage that is not idempotent: one sidecar at a time, outcomes learned over fresh connections.
+#include "dispatch.hpp"
+#include "execution/at_most_once.hpp"
+#include "execution/idempotent_stage.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace boragefront::entry {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int usual_multiple = 3; // an answer later than this many high quantiles is late
+constexpr milliseconds least_patience{250};
+constexpr milliseconds first_patience{1'000}; // while nothing was measured
+constexpr milliseconds least_question{100};
+constexpr milliseconds longest_question{2'000};
+constexpr milliseconds same_home_pause{50};
+constexpr seconds acknowledge_time{2};
+
+class at_most_once_run {
+public:
+    at_most_once_run(traffic_context& context, stage_plan plan)
+        : context_{context}, plan_{std::move(plan)}, machine_{{plan_.profile.retries.max_attempts,
+                                                               plan_.times.deadline}} {}
+
+    awaitable<result<stage_output>> run() {
+        for (;;) {
+            const auto step = machine_.next(steady_clock::now());
+            if (const auto* send = std::get_if<execution::send_work>(&step)) {
+                co_await send_attempt(send->attempt);
+            } else if (const auto* ask = std::get_if<execution::ask_outcome>(&step)) {
+                co_await pause_until(context_.executor, ask->at);
+                co_await ask_for_outcome(ask->attempt);
+            } else if (const auto* end = std::get_if<execution::report_failure>(&step)) {
+                co_return qualified(end->failure);
+            } else {
+                co_return std::move(output_);
+            }
+        }
+    }
+
+private:
+    awaitable<void> send_attempt(unsigned attempt) {
+        auto chosen = co_await endpoint_for(attempt);
+        if (!chosen) {
+            machine_.on_no_endpoint(chosen.error());
+            co_return;
+        }
+        const auto& endpoint = chosen.value().view;
+        endpoint_ = endpoint;
+        target_ = target_at(endpoint, plan_);
+        tried_.insert(endpoint.id);
+        const auto held = context_.core.control.configuration().load()->highest;
+        auto message = make_work_request(plan_.work, attempt, target_, held);
+        http::call_options options;
+        options.deadline = steady_clock::now() + patience();
+        sent_at_ = steady_clock::now();
+        co_await exchange_about(attempt, std::move(message), options);
+    }
+
+    awaitable<result<chosen_endpoint>> endpoint_for(unsigned attempt) {
+        if (plan_.work.key.empty()) {
+            co_return co_await choose_endpoint(context_, plan_, tried_);
+        }
+        if (attempt > 0) {
+            co_await pause_until(context_.executor, steady_clock::now() + same_home_pause);
+        }
+        co_return co_await home_endpoint(context_, plan_);
+    }
+
+    awaitable<void> ask_for_outcome(unsigned attempt) {
+        auto message = make_outcome_request(identity(attempt), target_);
+        const auto now = steady_clock::now();
+        const auto remaining = std::max(duration{0}, plan_.times.deadline - now);
+        http::call_options options;
+        options.deadline =
+            now + std::min(remaining,
+                           std::clamp<duration>(remaining / 3, least_question, longest_question));
+        options.fresh_connection = true;
+        co_await exchange_about(attempt, std::move(message), options);
+    }
+
+    awaitable<void> exchange_about(unsigned attempt, http::request message,
+                                   http::call_options options) {
+        auto outcome = co_await exchange(context_, target_.address, identity(attempt),
+                                         std::move(message), options);
+        const auto now = steady_clock::now();
+        if (auto* failed = std::get_if<work_failure>(&outcome)) {
+            note_evidence(context_, *endpoint_, *failed, now);
+            count_cost(context_, plan_.key, cost_use::retried, failed->service_time);
+            last_origin_ = failed->origin;
+            machine_.on_failure(std::move(failed->failure), failed->origin, now);
+            co_return;
+        }
+        auto& answer = std::get<work_answer>(outcome);
+        output_.body = std::move(answer.body);
+        context_.core.decisions.note_success(endpoint_->id);
+        context_.core.decisions.note_stage_done(plan_.key, now - sent_at_, now);
+        count_cost(context_, plan_.key, cost_use::useful, answer.service_time);
+        machine_.on_result();
+        acknowledge(attempt);
+    }
+
+    void acknowledge(unsigned attempt) {
+        asio::co_spawn(context_.executor,
+                       send_acknowledge(context_, target_.address,
+                                        make_acknowledge_request(identity(attempt), target_)),
+                       asio::detached);
+    }
+
+    static awaitable<void> send_acknowledge(traffic_context& context, std::string address,
+                                            http::request message) {
+        http::call_options options;
+        options.deadline = steady_clock::now() + acknowledge_time;
+        (void)co_await context.client->call(std::move(address), std::move(message), options);
+    }
+
+    // How long an answer is waited for before the outcome is asked for over a new connection.
+    duration patience() const {
+        const auto now = steady_clock::now();
+        const auto remaining = std::max(duration{0}, plan_.times.deadline - now);
+        const auto high = context_.core.decisions.estimate(plan_.key, now).high;
+        const duration usual = high > duration{0}
+                                   ? std::max<duration>(least_patience, usual_multiple * high)
+                                   : duration{first_patience};
+        return std::min(usual, remaining / 2);
+    }
+
+    // What this process says of keyed work tells only of this request: an earlier one with the
+    // same key may have run.
+    error qualified(error failure) const {
+        if (!plan_.work.key.empty() && last_origin_ == execution::failure_origin::exchange) {
+            failure.ran = execution::joined(failure.ran, work_ran::unknown);
+        }
+        return failure;
+    }
+
+    work_id identity(unsigned attempt) const {
+        return {plan_.work.request, plan_.work.stage, attempt};
+    }
+
+    traffic_context& context_;
+    stage_plan plan_;
+    execution::at_most_once machine_;
+    std::optional<routing::endpoint_view> endpoint_;
+    work_target target_;
+    time_point sent_at_{};
+    endpoint_ids tried_;
+    execution::failure_origin last_origin_{execution::failure_origin::exchange};
+    stage_output output_;
+};
+
+} // namespace
+
+awaitable<result<stage_output>> run_at_most_once(traffic_context& context, stage_plan plan) {
+    at_most_once_run run{context, std::move(plan)};
+    co_return co_await run.run();
+}
+
+} // namespace boragefront::entry
--- /dev/null
+++ b/libs/entry/src/decision_state.cpp
@@ -0,0 +1,174 @@
+/// \file
+#include "decision_state.hpp"
+
+#include <algorithm>
+
+namespace boragefront::entry {
+namespace {
+
+constexpr double budget_reserve = 10.0;
+constexpr double fastest_quantile = 0.05;
+constexpr double usual_quantile = 0.5;
+constexpr double high_quantile = 0.95;
+
+} // namespace
+
+result<void> decision_state::admit(const std::string& workspace,
+                                   const execution::workspace_limits& limits, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    return workspaces_[workspace].admit(limits, now);
+}
+
+void decision_state::release(const std::string& workspace) {
+    const std::scoped_lock lock{mutex_};
+    workspaces_[workspace].release();
+}
+
+std::optional<routing::endpoint_view>
+decision_state::begin_attempt(std::vector<routing::endpoint_view> views,
+                              const routing::choice_request& request, random_source& random,
+                              time_point now) {
+    const std::scoped_lock lock{mutex_};
+    for (auto& view : views) {
+        const auto found = in_flight_.find(view.id);
+        view.own_in_flight = found == in_flight_.end() ? 0 : found->second;
+        if (view.excluded == routing::exclusion::none && evidence_.is_suspected(view.id, now)) {
+            view.excluded = routing::exclusion::suspected;
+        }
+    }
+    const auto* chosen = routing::choose(views, request, policy_, random);
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    ++in_flight_[chosen->id];
+    return *chosen;
+}
+
+void decision_state::begin_attempt_at(const std::string& endpoint) {
+    const std::scoped_lock lock{mutex_};
+    ++in_flight_[endpoint];
+}
+
+void decision_state::end_attempt(const std::string& endpoint) {
+    const std::scoped_lock lock{mutex_};
+    const auto found = in_flight_.find(endpoint);
+    if (found != in_flight_.end() && --found->second == 0) {
+        in_flight_.erase(found);
+    }
+}
+
+void decision_state::note_success(const std::string& endpoint) {
+    const std::scoped_lock lock{mutex_};
+    evidence_.on_success(endpoint);
+}
+
+void decision_state::note_failure(const std::string& endpoint, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    evidence_.on_failure(endpoint, now);
+}
+
+void decision_state::note_silence(const std::string& endpoint, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    evidence_.on_silence(endpoint, now);
+}
+
+void decision_state::note_refusal(const std::string& endpoint, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    evidence_.on_refusal(endpoint, now);
+}
+
+bool decision_state::is_suspected(const std::string& endpoint, time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    return evidence_.is_suspected(endpoint, now);
+}
+
+execution::idempotent_step decision_state::step(execution::idempotent_stage& machine,
+                                                const stage_key& key,
+                                                const config::profile& profile, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    return machine.next(now, stage_of(key, &profile).budgets);
+}
+
+void decision_state::note_stage_done(const stage_key& key, duration latency, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    auto& stage = stage_of(key, nullptr);
+    stage.budgets.retries.earn();
+    stage.budgets.hedges.earn();
+    stage.latency.record(latency, now);
+}
+
+void decision_state::note_latency(const stage_key& key, duration latency, time_point now) {
+    const std::scoped_lock lock{mutex_};
+    stage_of(key, nullptr).latency.record(latency, now);
+}
+
+execution::stage_estimate decision_state::estimate(const stage_key& key, time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    const auto* stage = find_stage(key);
+    if (stage == nullptr) {
+        return {};
+    }
+    const auto at = [&](double quantile) {
+        return stage->latency.quantile(quantile, now).value_or(duration{0});
+    };
+    return {at(fastest_quantile), at(usual_quantile), at(high_quantile)};
+}
+
+std::optional<duration> decision_state::quantile(const stage_key& key, double quantile,
+                                                 time_point now) const {
+    const std::scoped_lock lock{mutex_};
+    const auto* stage = find_stage(key);
+    return stage == nullptr ? std::nullopt : stage->latency.quantile(quantile, now);
+}
+
+boost::json::object decision_state::dump() const {
+    const std::scoped_lock lock{mutex_};
+    boost::json::array stages;
+    for (const auto& [key, stage] : stages_) {
+        stages.push_back(boost::json::object{
+            {"service", key.service},
+            {"stage", key.stage},
+            {"retry_tokens", stage.budgets.retries.available()},
+            {"hedge_tokens", stage.budgets.hedges.available()},
+        });
+    }
+    boost::json::array workspaces;
+    for (const auto& [name, gate] : workspaces_) {
+        if (gate.in_flight() > 0) {
+            workspaces.push_back(
+                boost::json::object{{"workspace", name}, {"in_flight", gate.in_flight()}});
+        }
+    }
+    return {{"budgets", std::move(stages)}, {"workspaces", std::move(workspaces)}};
+}
+
+unsigned decision_state::own_in_flight(const std::string& endpoint) const {
+    const std::scoped_lock lock{mutex_};
+    const auto found = in_flight_.find(endpoint);
+    return found == in_flight_.end() ? 0 : found->second;
+}
+
+decision_state::stage_state& decision_state::stage_of(const stage_key& key,
+                                                      const config::profile* profile) {
+    const config::profile defaults;
+    const auto& wanted = profile != nullptr ? *profile : defaults;
+    const auto found = stages_.find(key);
+    if (found == stages_.end()) {
+        const execution::stage_budgets budgets{
+            execution::attempt_budget{wanted.retries.budget_ratio, budget_reserve},
+            execution::attempt_budget{wanted.hedging.budget_ratio, budget_reserve}};
+        return stages_.emplace(key, stage_state{budgets, {}}).first->second;
+    }
+    if (profile != nullptr) {
+        found->second.budgets.retries.set_ratio(profile->retries.budget_ratio);
+        found->second.budgets.hedges.set_ratio(profile->hedging.budget_ratio);
+    }
+    return found->second;
+}
+
+const decision_state::stage_state* decision_state::find_stage(const stage_key& key) const {
+    const auto found = stages_.find(key);
+    return found == stages_.end() ? nullptr : &found->second;
+}
+
+} // namespace boragefront::entry
--- /dev/null
+++ b/libs/entry/src/stage_run.hpp
@@ -0,0 +1,45 @@
+/// \file
+/// Runs one stage of one request at sidecars: idempotent work with retries and hedges, other work
+/// at most once.
+#pragma once
+
+#include "entry_core.hpp"
+#include "execution/deadline_plan.hpp"
+#include "http/client.hpp"
+#include "work_message.hpp"
+
+#include <memory>
+#include <string>
+
+namespace boragefront::entry {
+
+template <class T>
+using awaitable = http::awaitable<T>;
+
+/// One stage of a request, ready to run.
+struct stage_plan {
+    stage_work work;
+    stage_key key;
+    std::string pool;
+    config::profile profile;
+    execution::stage_times times;
+};
+
+/// What a stage produced: its whole output, or a stream whose first line is read.
+struct stage_output {
+    std::string body;            ///< the output as JSON, or the first line of the stream
+    std::shared_ptr<void> owner; ///< shared, because the stream needs its race to exist
+    std::unique_ptr<http::response_stream> stream;
+};
+
+/// Runs an idempotent stage; the first result wins.
+/// \param abandoned ends the run when the caller has gone; outlives the call.
+/// \returns an error whose `ran` covers all attempts of this stage.
+awaitable<result<stage_output>> run_idempotent(traffic_context& context, stage_plan plan,
+                                               http::cancel_source& abandoned);
+
+/// Runs a stage that is not idempotent, at most once.
+/// \returns an error whose `ran` is true; `outcome_unknown` if the outcome cannot be learned.
+awaitable<result<stage_output>> run_at_most_once(traffic_context& context, stage_plan plan);
+
+} // namespace boragefront::entry
--- /dev/null
+++ b/libs/entry/src/work_message.hpp
@@ -0,0 +1,80 @@
+/// \file
+/// The messages between an entry and a sidecar (docs/PROTOCOLS.md).
+#pragma once
+
+#include "base/error.hpp"
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "config/types.hpp"
+#include "execution/at_most_once.hpp"
+#include "http/message.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace boragefront::entry {
+
+/// What one stage of a request asks of a sidecar, the same for all attempts.
+struct stage_work {
+    std::string request;
+    std::uint32_t stage{0};
+    std::string workspace;
+    std::string service;
+    config::lane lane{config::lane::normal};
+    double share{1.0};
+    bool repeatable{false};
+    std::string key; ///< the caller's idempotency key, or empty
+    bool stream{false};
+    std::string body;
+};
+
+/// The incarnation of a sidecar that an attempt goes to, and until when it may begin there.
+struct work_target {
+    std::string address;
+    incarnation life{0};
+    remote_time expires_at;
+};
+
+http::request make_work_request(const stage_work& work, std::uint32_t attempt,
+                                const work_target& target, revision held);
+
+http::request make_outcome_request(const work_id& id, const work_target& target);
+
+http::request make_acknowledge_request(const work_id& id, const work_target& target);
+
+/// A failure and who told it.
+struct work_failure {
+    error failure;
+    execution::failure_origin origin{execution::failure_origin::exchange};
+    microseconds service_time{0}; ///< spent by the endpoint
+};
+
+/// Whether an answer is for this piece of work.
+bool is_answer_for(const http::response& head, const work_id& id);
+
+/// The endpoint's own time that an answer reports; zero if it reports none.
+microseconds service_time_of(const http::response& head);
+
+/// The revision that an answer carries, or 0.
+revision revision_of(const http::response& head);
+
+/// The failure that an answer other than 200 reports. One for other work, or without a readable
+/// problem document, tells nothing of this work.
+work_failure read_failure(const http::response& answer, const work_id& id);
+
+/// One line of a streamed answer.
+struct stream_line {
+    bool end{false};
+    std::uint64_t index{0}; ///< of a token
+    std::string text;       ///< of a token
+    std::uint64_t count{0}; ///< of the end
+};
+
+/// \returns `incomplete_answer` for a line that is neither a token nor the end.
+result<stream_line> read_stream_line(std::string_view line);
+
+/// \returns `stage_failed` if the text of an output is not JSON.
+result<void> check_output(std::string_view text);
+
+} // namespace boragefront::entry
--- /dev/null
+++ b/libs/execution/include/execution/workspace_gate.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// The limits of one workspace at one entry: rate and requests in flight.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/time.hpp"
+
+namespace boragefront::execution {
+
+/// What the published workspace allows; zero is unlimited.
+struct workspace_limits {
+    double rate{0.0}; ///< requests per second
+    unsigned max_in_flight{0};
+};
+
+/// Admits the requests of one workspace: a token bucket of one second's requests, and a bound on
+/// those in flight.
+class workspace_gate {
+public:
+    /// Admits one request. \returns `over_limit` with the reason.
+    result<void> admit(const workspace_limits& limits, time_point now);
+
+    /// A request that was admitted has ended.
+    void release();
+
+    unsigned in_flight() const { return in_flight_; }
+
+private:
+    double tokens_{0.0};
+    bool started_{false};
+    time_point refilled_at_{};
+    unsigned in_flight_{0};
+};
+
+} // namespace boragefront::execution
--- /dev/null
+++ b/libs/execution/src/deadline_plan.cpp
@@ -0,0 +1,44 @@
+/// \file
+#include "execution/deadline_plan.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace boragefront::execution {
+namespace {
+
+using fractional = std::chrono::duration<double>;
+
+duration sum_of(std::span<const stage_estimate> stages, duration stage_estimate::*part) {
+    duration sum{0};
+    for (const auto& stage : stages) {
+        sum += stage.*part;
+    }
+    return sum;
+}
+
+// The share in time of the first stage; even among stages of which nothing is known.
+double first_share(std::span<const stage_estimate> stages) {
+    const bool all_known = std::all_of(stages.begin(), stages.end(),
+                                       [](const auto& stage) { return stage.high > duration{0}; });
+    if (!all_known) {
+        return 1.0 / static_cast<double>(stages.size());
+    }
+    return fractional{stages.front().high} / fractional{sum_of(stages, &stage_estimate::high)};
+}
+
+} // namespace
+
+stage_times plan_stage(std::span<const stage_estimate> stages, time_point now,
+                       time_point deadline) {
+    const duration remaining = std::max(duration{0}, deadline - now);
+    const auto share = fractional{remaining} * first_share(stages);
+    const auto later = sum_of(stages.subspan(1), &stage_estimate::fastest);
+    return {deadline - later, std::chrono::duration_cast<duration>(share)};
+}
+
+bool is_hopeless(std::span<const stage_estimate> stages, time_point now, time_point deadline) {
+    return deadline - now <= sum_of(stages, &stage_estimate::fastest);
+}
+
+} // namespace boragefront::execution
--- /dev/null
+++ b/libs/execution/src/workspace_gate.cpp
@@ -0,0 +1,34 @@
+/// \file
+#include "execution/workspace_gate.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace boragefront::execution {
+
+result<void> workspace_gate::admit(const workspace_limits& limits, time_point now) {
+    if (limits.max_in_flight > 0 && in_flight_ >= limits.max_in_flight) {
+        return make_error(error_kind::over_limit, "the workspace has " +
+                                                      std::to_string(in_flight_) +
+                                                      " requests in flight here");
+    }
+    if (limits.rate > 0.0) {
+        const double most = std::max(1.0, limits.rate);
+        const std::chrono::duration<double> elapsed = now - refilled_at_;
+        tokens_ = started_ ? std::min(most, tokens_ + elapsed.count() * limits.rate) : most;
+        started_ = true;
+        refilled_at_ = now;
+        if (tokens_ < 1.0) {
+            return make_error(error_kind::over_limit, "the workspace's rate is used up here");
+        }
+        tokens_ -= 1.0;
+    }
+    ++in_flight_;
+    return success();
+}
+
+void workspace_gate::release() {
+    --in_flight_;
+}
+
+} // namespace boragefront::execution
--- /dev/null
+++ b/libs/routing/src/choice.cpp
@@ -0,0 +1,162 @@
+/// \file
+#include "routing/choice.hpp"
+
+#include "base/hash.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace boragefront::routing {
+namespace {
+
+using candidates = std::vector<const endpoint_view*>;
+
+template <class... Visitors>
+struct overloaded : Visitors... {
+    using Visitors::operator()...;
+};
+template <class... Visitors>
+overloaded(Visitors...) -> overloaded<Visitors...>;
+
+template <class Predicate>
+candidates those(const candidates& all, Predicate predicate) {
+    candidates kept;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(kept),
+                 [&](const auto* one) { return predicate(*one); });
+    return kept;
+}
+
+candidates excluded_by(std::span<const endpoint_view> endpoints, exclusion why) {
+    candidates found;
+    for (const auto& one : endpoints) {
+        if (one.excluded == why) {
+            found.push_back(&one);
+        }
+    }
+    return found;
+}
+
+// Suspicion is a guess: where it leaves nothing, the suspected ones are used.
+candidates eligible_of(std::span<const endpoint_view> endpoints) {
+    auto eligible = excluded_by(endpoints, exclusion::none);
+    return eligible.empty() ? excluded_by(endpoints, exclusion::suspected) : eligible;
+}
+
+// Work in progress and waiting at all of them, relative to all their limits.
+double joint_load(const candidates& all) {
+    double work = 0;
+    double limits = 0;
+    for (const auto* one : all) {
+        const double limit = std::max(1U, one->limit);
+        work += load_of(*one) * limit;
+        limits += limit;
+    }
+    return limits == 0 ? 0 : work / limits;
+}
+
+candidates prefer_untried(candidates all) {
+    auto untried = those(all, [](const auto& one) { return !one.tried; });
+    return untried.empty() ? std::move(all) : std::move(untried);
+}
+
+// The own data centre while its load is below the threshold; else all, unless the others are
+// loaded more.
+candidates prefer_local(candidates all, const choice_request& request) {
+    auto local =
+        those(all, [&](const auto& one) { return one.data_centre == request.data_centre; });
+    if (local.empty()) {
+        return all;
+    }
+    const bool has_room = joint_load(local) < request.spilling.load_threshold;
+    if (has_room || !request.spilling.enabled || joint_load(local) <= joint_load(all)) {
+        return local;
+    }
+    return all;
+}
+
+const endpoint_view* pick_uniformly(const candidates& all, random_source& random) {
+    std::uniform_int_distribution<std::size_t> index{0, all.size() - 1};
+    return all[index(random)];
+}
+
+const endpoint_view* less_loaded(const endpoint_view* left, const endpoint_view* right) {
+    return load_of(*right) < load_of(*left) ? right : left;
+}
+
+const endpoint_view* pick_of_two(const candidates& all, random_source& random) {
+    if (all.size() == 1) {
+        return all.front();
+    }
+    std::uniform_int_distribution<std::size_t> first{0, all.size() - 1};
+    std::uniform_int_distribution<std::size_t> step{1, all.size() - 1};
+    const auto one = first(random);
+    const auto other = (one + step(random)) % all.size();
+    return less_loaded(all[one], all[other]);
+}
+
+const endpoint_view* pick(const candidates& all, choice_policy& policy, random_source& random) {
+    return std::visit(overloaded{
+                          [&](power_of_two&) { return pick_of_two(all, random); },
+                          [&](round_robin& order) { return all[order.turn++ % all.size()]; },
+                          [&](least_in_flight&) {
+                              return *std::min_element(
+                                  all.begin(), all.end(), [](auto* left, auto* right) {
+                                      return left->own_in_flight < right->own_in_flight;
+                                  });
+                          },
+                          [&](any_at_random&) { return pick_uniformly(all, random); },
+                      },
+                      policy);
+}
+
+// The highest score for the prefix among those that are within the bound on load.
+const endpoint_view* pick_by_prefix(const candidates& all, const choice_request& request) {
+    const double mean = joint_load(all);
+    const endpoint_view* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (const auto* one : all) {
+        // One more than the bound, so that an idle pool has room for the first request.
+        const double limit = std::max(1U, one->limit);
+        const double bound = request.prefix_affinity.load_bound * mean + 1.0 / limit;
+        if (load_of(*one) > bound) {
+            continue;
+        }
+        const auto score = rendezvous_score(request.prefix, one->id);
+        if (best == nullptr || score > best_score) {
+            best = one;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+const endpoint_view* choose(std::span<const endpoint_view> endpoints, const choice_request& request,
+                            choice_policy& policy, random_source& random) {
+    auto eligible = prefer_untried(eligible_of(endpoints));
+    if (eligible.empty()) {
+        return nullptr;
+    }
+    eligible = prefer_local(std::move(eligible), request);
+    if (request.prefix_affinity.enabled && !request.prefix.empty()) {
+        if (const auto* chosen = pick_by_prefix(eligible, request)) {
+            return chosen;
+        }
+    }
+    return pick(eligible, policy, random);
+}
+
+std::string_view prompt_prefix(std::string_view body, unsigned bytes) {
+    constexpr std::string_view member = "\"prompt\"";
+    const auto name = body.find(member);
+    if (name != std::string_view::npos) {
+        const auto quote = body.find('"', name + member.size());
+        if (quote != std::string_view::npos) {
+            body.remove_prefix(quote + 1);
+        }
+    }
+    return body.substr(0, bytes);
+}
+
+} // namespace boragefront::routing
--- /dev/null
+++ b/libs/routing/src/endpoint_view.cpp
@@ -0,0 +1,49 @@
+/// \file
+#include "routing/endpoint_view.hpp"
+
+#include <algorithm>
+
+namespace boragefront::routing {
+
+std::string_view to_string(exclusion why) {
+    switch (why) {
+    case exclusion::none:
+        return "none";
+    case exclusion::stale:
+        return "stale";
+    case exclusion::not_serving:
+        return "not_serving";
+    case exclusion::leaving:
+        return "leaving";
+    case exclusion::out:
+        return "out";
+    case exclusion::suspected:
+        return "suspected";
+    }
+    return "none";
+}
+
+exclusion exclusion_of(const endpoint_facts& facts, time_point heard_at, time_point now) {
+    if (!facts.in) {
+        return exclusion::out;
+    }
+    if (facts.leaving) {
+        return exclusion::leaving;
+    }
+    if (now - heard_at > heartbeat_validity) {
+        return exclusion::stale;
+    }
+    return facts.serving ? exclusion::none : exclusion::not_serving;
+}
+
+double load_of(const endpoint_view& endpoint) {
+    const unsigned in_progress = std::max(endpoint.own_in_flight, endpoint.reported_in_flight);
+    const unsigned limit = std::max(1U, endpoint.limit);
+    return static_cast<double>(in_progress + endpoint.reported_queued) / limit;
+}
+
+remote_time expiry_on_remote_clock(const endpoint_view& endpoint, time_point deadline) {
+    return {endpoint.clock.since_epoch + (deadline - endpoint.heard_at)};
+}
+
+} // namespace boragefront::routing
