--- a/tools/boragefrontctl/tests/tree_commands_test.cpp
+++ b/tools/boragefrontctl/tests/tree_commands_test.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+const std::string cooperativa = EXAMPLES "/cooperativa";
+const std::string ramcharan = EXAMPLES "/ramcharan";
+
 program_outcome ctl(const std::vector<std::string>& arguments) {
     return run_program(BORAGEFRONTCTL, arguments);
 }
@@ -21,7 +24,7 @@
 // A copy of an example tree that exists as long as this object.
 class tree_copy {
 public:
-    tree_copy() { fs::copy(EXAMPLES "/cooperativa", root_, fs::copy_options::recursive); }
+    tree_copy() { fs::copy(cooperativa, root_, fs::copy_options::recursive); }
     ~tree_copy() { fs::remove_all(root_); }
     tree_copy(const tree_copy&) = delete;
     tree_copy& operator=(const tree_copy&) = delete;
@@ -40,7 +43,7 @@
 } // namespace
 
 TEST_CASE("the example trees are valid") {
-    for (const auto* tree : {EXAMPLES "/cooperativa", EXAMPLES "/ramcharan"}) {
+    for (const auto& tree : {cooperativa, ramcharan}) {
         const auto outcome = ctl({"validate", tree});
         CAPTURE(tree, outcome.errors);
         REQUIRE(outcome.status == 0);
@@ -73,16 +76,16 @@
 
 TEST_CASE("config diff shows the fields that differ, comments aside") {
     const tree_copy tree;
-    REQUIRE(ctl({"config", "diff", EXAMPLES "/cooperativa", tree.path()}).status == 0);
+    REQUIRE(ctl({"config", "diff", cooperativa, tree.path()}).status == 0);
     tree.put("data_centres/oaxaca-ctr.json", "// closed for repairs\n{\"state\": \"out\"}");
     tree.put("endpoints/engines-1.json", R"({"state": "out"})");
     tree.remove("services/stock.json");
-    const auto outcome = ctl({"config", "diff", EXAMPLES "/cooperativa", tree.path()});
+    const auto outcome = ctl({"config", "diff", cooperativa, tree.path()});
     REQUIRE(outcome.status == 1);
     REQUIRE(outcome.output == "~ data_centres/oaxaca-ctr: state: \"in\" -> \"out\"\n"
                               "+ endpoints/engines-1\n"
                               "- services/stock\n");
-    const auto as_json = ctl({"config", "diff", EXAMPLES "/cooperativa", tree.path(), "--json"});
+    const auto as_json = ctl({"config", "diff", cooperativa, tree.path(), "--json"});
     REQUIRE(boost::json::parse(as_json.output).at("differences").as_array().size() == 3);
     REQUIRE(ctl({"config", "diff", tree.path(), "no/such/folder"}).status == 2);
 }
