boragefrontd: both roles; sidecar: one to_string for service_phase

wire and sidecar each defined to_string(service_phase); since control's phase became an alias of wire's, the call was ambiguous and main did not build. The sidecar's copy is gone.

--- a/boragefrontd/src/role.hpp
+++ b/boragefrontd/src/role.hpp
@@ -4,19 +4,14 @@
 
 #include "base/error.hpp"
 #include "base/metrics.hpp"
+#include "entry/entry_node.hpp"
 #include "settings/settings.hpp"
+#include "sidecar/sidecar_node.hpp"
 
 #include <memory>
 #include <string>
 #include <variant>
 
-#if __has_include("entry/entry_node.hpp") && __has_include("sidecar/sidecar_node.hpp")
-#include "entry/entry_node.hpp"
-#include "sidecar/sidecar_node.hpp"
-#else
-#include "absent_roles.hpp" // until both roles are merged
-#endif
-
 namespace boragefront::daemon {
 
 using running_role =
--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -24,20 +24,6 @@
 
 } // namespace
 
-std::string_view to_string(service_phase phase) {
-    switch (phase) {
-    case service_phase::starting:
-        return "starting";
-    case service_phase::serving:
-        return "serving";
-    case service_phase::draining:
-        return "draining";
-    case service_phase::out:
-        break;
-    }
-    return "out";
-}
-
 work_scheduler::work_scheduler(scheduler_policy policy, incarnation life, clock_reading now)
     : policy_{policy}, life_{life}, ledger_{policy.ledger, now.wall},
       queue_{policy.limits.queue, policy.mechanisms.queue}, ramp_{policy.limits, policy.ramp,
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -21,8 +21,6 @@
 using control::service_phase;
 using ledger::clock_reading;
 
-std::string_view to_string(service_phase phase);
-
 /// Work as an entry offers it.
 struct offered_work {
     ledger::work_arrival record;
