--- a/libs/entry/src/decision_state.hpp
+++ b/libs/entry/src/decision_state.hpp
@@ -35,6 +35,10 @@
 /// Any thread may call; each call is short and does no I/O.
 class decision_state {
 public:
+    /// \param policy how one is chosen among equally eligible endpoints.
+    explicit decision_state(routing::choice_policy policy = routing::power_of_two{})
+        : policy_{policy} {}
+
     /// \copydoc execution::workspace_gate::admit
     result<void> admit(const std::string& workspace, const execution::workspace_limits& limits,
                        time_point now);
@@ -91,7 +95,7 @@
     std::map<std::string, unsigned, std::less<>> in_flight_;
     membership::health_evidence evidence_;
     std::map<stage_key, stage_state> stages_;
-    routing::choice_policy policy_{routing::power_of_two{}};
+    routing::choice_policy policy_;
 };
 
 } // namespace boragefront::entry
