--- a/libs/config/src/parse.cpp
+++ b/libs/config/src/parse.cpp
@@ -124,8 +124,8 @@
         read.stages.push_back(read_stage((*array)[i], path, fields.faults()));
         if (!names.insert(read.stages.back().name).second) {
             fields.faults().report(path + ".name",
-                                   "found \"" + read.stages.back().name +
-                                       "\" a second time; allowed: a name for each stage");
+                                   "found " + read.stages.back().name +
+                                       " a second time; allowed: a name for each stage");
         }
     }
     return read;
@@ -146,7 +146,7 @@
     service read;
     read.name = std::move(name);
     auto kind = shape_kind::plain;
-    fields.require("kind", "\"pipeline\" or \"plain\"");
+    fields.require("kind", "pipeline or plain");
     fields.read_choice("kind", kind, shapes);
     if (kind == shape_kind::pipeline) {
         read.shape = read_pipeline(fields);
@@ -214,7 +214,7 @@
 
 service_state read_state(field_reader& fields) {
     auto state = service_state::in;
-    fields.require("state", "\"in\" or \"out\"");
+    fields.require("state", "in or out");
     fields.read_choice("state", state, states);
     return state;
 }
--- /dev/null
+++ b/libs/control/src/control_node.hpp
@@ -0,0 +1,132 @@
+/// \file
+/// What the control thread of one process does next; no I/O, no clock.
+#pragma once
+
+#include "base/random.hpp"
+#include "base/time.hpp"
+#include "control/control_plane.hpp"
+#include "control_core.hpp"
+#include "exchange.hpp"
+#include "schedules.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace boragefront::control {
+
+/// Read the platform's configuration service.
+struct read_config_action {
+    revision since{0};
+    milliseconds wait{0}; ///< how long the service may wait for a newer revision
+    revision highest{0};  ///< held when it was asked
+    time_point asked_at;
+};
+
+/// Read the platform's instance list.
+struct read_list_action {
+    time_point asked_at;
+};
+
+/// Talk to a peer until the conversation has nothing more to ask.
+struct converse_action {
+    std::string address;
+    exchange conversation;
+    bool gossip{true}; ///< with a random peer, not with one that is known to differ
+};
+
+/// Send a heartbeat.
+struct beat_action {
+    membership::instance sidecar;
+};
+
+using action = std::variant<read_config_action, read_list_action, converse_action, beat_action>;
+
+/// An answer to a read of the instance list.
+struct list_reading {
+    std::vector<membership::instance> instances;
+    bool unchanged{false}; ///< the platform said that it equals the one read before
+    std::size_t bytes{0};  ///< of the answer
+};
+
+/// What a node needs to know of itself.
+struct node_options {
+    membership::instance self;
+    std::vector<std::string> seed_peers;
+    bool heartbeats_to_sidecars{false};
+    std::function<std::vector<membership::instance>(const membership::instance_list&)>
+        heartbeat_targets; ///< all sidecars if empty
+};
+
+/// The decisions of one control thread. The owner calls `due` often, carries out what it returns
+/// and reports each end; conversations and answers to peers work on `core`.
+class control_node {
+public:
+    control_node(node_options options, random_source random);
+
+    /// What to do now.
+    std::vector<action> due(time_point now);
+
+    void end_config_read(const read_config_action& ended, result<platform_config> answer,
+                         time_point now);
+    void end_list_read(const read_list_action& ended, result<list_reading> answer, time_point now);
+    void end_conversation(const converse_action& ended, bool succeeded, time_point now);
+
+    /// Takes the answer to a heartbeat.
+    void end_beat(const beat_action& ended, const wire::heartbeat_answer& answer, time_point now);
+
+    /// Notes that the core may have changed, after an answer to a peer or a step of a conversation.
+    void note_changes(time_point now);
+
+    /// Somebody holds a higher revision: catch up soon.
+    void hasten(time_point now);
+
+    /// Drops instances that vanished long ago. \returns whether the believed instances may have
+    /// changed since the last call.
+    bool refresh_instances(time_point now);
+
+    /// Whether enough is known to decide; never turns false again.
+    bool ready() const { return ready_; }
+
+    bool reader() const { return reader_; }
+    const heard_sidecars& heard() const { return heard_; }
+    const membership::instance_list& believed() const { return believed_; }
+    control_core& core() { return core_; }
+    const control_core& core() const { return core_; }
+
+private:
+    void add_reads(time_point now, std::vector<action>& out);
+    void add_gossip(time_point now, std::vector<action>& out);
+    void update_readiness();
+    void set_heartbeat_targets(time_point now);
+    read_situation situation(time_point now) const;
+    void collect_peers();
+
+    node_options options_;
+    random_source random_;
+    control_core core_;
+    read_schedule reads_;
+    list_schedule lists_;
+    gossip_schedule gossips_;
+    peer_picker picker_;
+    heartbeat_schedule heartbeats_;
+    heard_sidecars heard_;
+    membership::instance_list believed_;
+    std::vector<std::string> peers_;
+    std::vector<action> pending_;
+    std::set<std::string> catching_up_;
+    std::uint64_t noted_version_{0};
+    std::size_t peers_tried_{0};
+    time_point hastened_at_{};
+    bool reader_{true};
+    bool reading_config_{false};
+    bool reading_list_{false};
+    bool gossiping_{false};
+    bool config_tried_{false};
+    bool list_tried_{false};
+    bool ready_{false};
+};
+
+} // namespace boragefront::control
--- a/libs/control/src/exchange.cpp
+++ b/libs/control/src/exchange.cpp
@@ -61,12 +61,11 @@
 
 void exchange::on_digest(control_core& core, const wire::digest_answer& answer, time_point now) {
     core.take_knowledge(answer.held, asked_at_);
-    if (!core.differs(peer_)) {
+    const bool compared = step_ == step::compare;
+    if (!core.differs(peer_) || (!compared && answer.differing_buckets.empty())) {
         after_config(core, now);
-    } else if (step_ == step::compare) {
+    } else if (compared) {
         step_ = step::digest;
-    } else if (answer.differing_buckets.empty()) {
-        after_config(core, now);
     } else {
         buckets_ = answer.differing_buckets;
         step_ = step::delta;
--- a/libs/control/src/instance_table.cpp
+++ b/libs/control/src/instance_table.cpp
@@ -100,12 +100,16 @@
 }
 
 bool instance_table::refresh(time_point now) {
+    if (missing_ == 0) {
+        return std::exchange(changed_, false);
+    }
     const auto wait = grace();
     const auto removed = std::erase_if(believed_, [&](const auto& one) {
         const auto& [id, entry] = one;
         return entry.missing_since && now - *entry.missing_since > wait &&
                now - entry.heard_at > heard_lately;
     });
+    missing_ -= removed;
     return std::exchange(changed_, false) || removed != 0;
 }
 
@@ -125,12 +129,13 @@
 
 void instance_table::replace(instance_map list, time_point read_at) {
     read_at_ = read_at;
+    missing_ = 0;
     for (auto& [id, entry] : believed_) {
-        const bool missing = !list.contains(id);
-        if (missing && !entry.missing_since) {
-            entry.missing_since = read_at;
-        } else if (!missing) {
+        if (list.contains(id)) {
             entry.missing_since.reset();
+        } else {
+            entry.missing_since = entry.missing_since.value_or(read_at);
+            ++missing_;
         }
     }
     for (const auto& [id, one] : list) {
@@ -143,10 +148,7 @@
 }
 
 milliseconds instance_table::grace() const {
-    const auto missing = std::count_if(believed_.begin(), believed_.end(), [](const auto& one) {
-        return one.second.missing_since.has_value();
-    });
-    const bool many = static_cast<double>(missing) >
+    const bool many = static_cast<double>(missing_) >
                       std::max(1.0, doubted_share * static_cast<double>(believed_.size()));
     return many ? grace_of_many : grace_of_few;
 }
--- a/libs/control/src/instance_table.hpp
+++ b/libs/control/src/instance_table.hpp
@@ -65,6 +65,7 @@
     std::map<std::string, believed_instance> believed_;
     std::optional<time_point> read_at_;
     std::uint64_t hash_{0};
+    std::size_t missing_{0}; // believed instances that the list lacks
     bool changed_{false};
 };
 
--- a/libs/control/src/plane.cpp
+++ b/libs/control/src/plane.cpp
@@ -1,7 +1,6 @@
 #include "plane.hpp"
 
 #include "base/logging.hpp"
-#include "dump.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -9,8 +8,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <algorithm>
-
 namespace boragefront::control {
 namespace {
 
@@ -18,8 +15,6 @@
 
 constexpr milliseconds tick_interval{50};
 constexpr milliseconds gauge_interval{1'000};
-constexpr milliseconds note_interval{200};
-constexpr std::size_t peers_before_ready = 3;
 
 } // namespace
 
@@ -44,8 +39,7 @@
 
 plane::plane(control_options options, role_hooks hooks, metrics_registry& metrics)
     : guard_{io_.get_executor()}, options_{std::move(options)}, hooks_{std::move(hooks)},
-      metrics_{metrics}, random_{make_random_source()}, reads_{random_}, lists_{random_},
-      platform_{io_.get_executor(), options_.platform_address},
+      metrics_{metrics}, platform_{io_.get_executor(), options_.platform_address},
       peers_{
           wire::client::make(io_.get_executor(), {metrics_.bytes_sent, metrics_.bytes_received})} {}
 
@@ -58,6 +52,10 @@
         server_, wire::server::listen(io_.get_executor(), options_.self.control_address,
                                       [this](const wire::request& asked) { return answer(asked); },
                                       {metrics_.bytes_sent, metrics_.bytes_received}));
+    options_.self.control_address = server_->address();
+    node_.emplace(node_options{options_.self, options_.seed_peers, options_.heartbeats_to_sidecars,
+                               options_.heartbeat_targets},
+                  make_random_source());
     asio::co_spawn(io_, tick_forever(), asio::detached);
     thread_ = std::thread{[this] { io_.run(); }};
     return success();
@@ -69,12 +67,7 @@
     }
     asio::post(io_, [this] {
         noted_ = false;
-        const auto now = steady_clock::now();
-        if (now - noted_at_ >= note_interval) {
-            noted_at_ = now;
-            gossips_.on_change(now);
-            reads_.hasten(now);
-        }
+        node_->hasten(steady_clock::now());
     });
 }
 
@@ -96,10 +89,12 @@
 
 void plane::tick(time_point now) {
     publish_changes(now);
-    update_readiness(now);
-    begin_reads(now);
-    begin_gossip(now);
-    begin_heartbeats(now);
+    for (auto& wanted : node_->due(now)) {
+        std::visit(
+            [this](auto& one) { asio::co_spawn(io_, carry_out(std::move(one)), asio::detached); },
+            wanted);
+    }
+    publish_readiness();
     if (now >= gauges_at_) {
         gauges_at_ = now + gauge_interval;
         update_gauges(now);
@@ -107,20 +102,27 @@
 }
 
 void plane::publish_changes(time_point now) {
-    if (published_version_ != core_.version()) {
+    if (published_version_ != node_->core().version()) {
         publish_configuration();
     }
-    if (core_.instances().refresh(now)) {
-        publish_instances(now);
+    if (node_->refresh_instances(now)) {
+        heard_changed_ = true;
+        metrics_.instances.set(static_cast<double>(node_->believed().instances.size()));
+        instances_.publish(node_->believed());
     }
     if (std::exchange(heard_changed_, false)) {
-        sidecars_.publish(heard_);
+        sidecars_.publish(node_->heard());
+    }
+    const bool stale = node_->core().knowledge().platform_is_stale();
+    if (std::exchange(platform_was_stale_, stale) != stale) {
+        log_warning("config", stale ? "platform_is_stale" : "platform_is_current",
+                    {{"held", std::to_string(node_->core().store().highest())}});
     }
 }
 
 void plane::publish_configuration() {
-    published_version_ = core_.version();
-    auto built = core_.store().build_snapshot();
+    published_version_ = node_->core().version();
+    auto built = node_->core().store().build_snapshot();
     log_change("config", "revision_in_force",
                {{"revision", std::to_string(built.highest)},
                 {"refused", std::to_string(built.refused.size())}});
@@ -129,64 +131,20 @@
     configuration_.publish(std::move(built));
 }
 
-void plane::publish_instances(time_point now) {
-    auto believed = core_.instances().believed();
-    reader_ = is_reader(believed, options_.self);
-    if (options_.heartbeats_to_sidecars) {
-        auto targets =
-            options_.heartbeat_targets ? options_.heartbeat_targets(believed) : believed.instances;
-        std::erase_if(targets, [](const auto& one) {
-            return one.role != membership::instance_role::sidecar || one.control_address.empty();
-        });
-        heartbeats_.set_targets(std::move(targets), now, random_);
-    }
-    std::set<std::string> ids;
-    for (const auto& one : believed.instances) {
-        ids.insert(one.id);
-    }
-    std::erase_if(heard_.by_id, [&](const auto& one) { return !ids.contains(one.first); });
-    heard_changed_ = true;
-    metrics_.instances.set(static_cast<double>(believed.instances.size()));
-    instances_.publish(std::move(believed));
-}
-
-void plane::update_readiness(time_point /*now*/) {
-    if (ready_ || !config_tried_ || !list_tried_ || !core_.knowledge().confirmed()) {
-        return;
-    }
-    if (peers_tried_ >= std::min(peers_before_ready, peer_addresses().size())) {
-        ready_ = true;
-        log_change("control", "ready", {{"revision", std::to_string(core_.store().highest())}});
+// A process is ready only after the snapshot that made it so was published.
+void plane::publish_readiness() {
+    if (!ready_ && node_->ready()) {
+        ready_.store(true, std::memory_order_release);
+        log_change("control", "ready", {{"revision", std::to_string(highest_.load())}});
     }
 }
 
 void plane::update_gauges(time_point now) {
-    const auto& knowledge = core_.knowledge();
-    metrics_.revision_held.set(static_cast<double>(core_.store().highest()));
+    const auto& knowledge = node_->core().knowledge();
+    metrics_.revision_held.set(static_cast<double>(node_->core().store().highest()));
     metrics_.knowledge_age.set(std::chrono::duration<double>(knowledge.age(now)).count());
     metrics_.platform_stale.set(knowledge.platform_is_stale() ? 1 : 0);
-    metrics_.reader.set(reader_ ? 1 : 0);
-}
-
-read_situation plane::situation(time_point now) const {
-    return {reader_, core_.knowledge().age(now), core_.instances().list_size()};
-}
-
-std::vector<std::string> plane::peer_addresses() const {
-    std::vector<std::string> addresses;
-    const auto believed = instances_.load();
-    for (const auto& one : believed->instances) {
-        if (one.id != options_.self.id && !one.control_address.empty()) {
-            addresses.push_back(one.control_address);
-        }
-    }
-    for (const auto& seed : options_.seed_peers) {
-        const bool known = std::find(addresses.begin(), addresses.end(), seed) != addresses.end();
-        if (!known && seed != control_address()) {
-            addresses.push_back(seed);
-        }
-    }
-    return addresses;
+    metrics_.reader.set(node_->reader() ? 1 : 0);
 }
 
 result<std::unique_ptr<control_plane>>
--- a/libs/control/src/plane.hpp
+++ b/libs/control/src/plane.hpp
@@ -3,10 +3,8 @@
 #pragma once
 
 #include "control/control_plane.hpp"
-#include "control_core.hpp"
-#include "exchange.hpp"
+#include "control_node.hpp"
 #include "platform_reader.hpp"
-#include "schedules.hpp"
 #include "wire/client.hpp"
 #include "wire/server.hpp"
 
@@ -14,7 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
-#include <set>
+#include <optional>
 #include <thread>
 
 namespace boragefront::control {
@@ -40,7 +38,7 @@
     gauge& reader;
 };
 
-/// Everything but `start`, `stop` and the queries runs on the control thread.
+/// Everything but `run`, `stop` and the queries happens on the control thread.
 class plane final : public control_plane {
 public:
     plane(control_options options, role_hooks hooks, metrics_registry& metrics);
@@ -62,65 +60,36 @@
 private:
     using awaitable = boost::asio::awaitable<void>;
 
-    // The periodic work.
     awaitable tick_forever();
     void tick(time_point now);
     void publish_changes(time_point now);
     void publish_configuration();
-    void publish_instances(time_point now);
-    void update_readiness(time_point now);
+    void publish_readiness();
     void update_gauges(time_point now);
-    void begin_reads(time_point now);
-    void begin_gossip(time_point now);
-    void begin_heartbeats(time_point now);
-
-    // Conversations.
-    awaitable read_config(read_action action);
-    awaitable read_list();
-    awaitable gossip(std::string address);
-    awaitable catch_up(std::string address, wire::knowledge peer, time_point heard_at);
-    awaitable beat(membership::instance sidecar);
-    boost::asio::awaitable<bool> converse(std::string address, exchange conversation);
-    void take_heartbeat(const membership::instance& sidecar, const wire::heartbeat_answer& answer,
-                        time_point now);
-    void on_version(std::uint64_t before);
-
-    // Answers.
+
+    // What carries out the node's actions.
+    awaitable carry_out(read_config_action wanted);
+    awaitable carry_out(read_list_action wanted);
+    awaitable carry_out(converse_action wanted);
+    awaitable carry_out(beat_action wanted);
+    boost::asio::awaitable<bool> converse(converse_action& wanted);
+
     wire::answer answer(const wire::request& asked);
     wire::heartbeat_answer answer_heartbeat(const wire::heartbeat_request& asked, time_point now);
-    wire::status_answer answer_status(time_point now);
-    std::string dump(time_point now);
-
-    read_situation situation(time_point now) const;
-    std::vector<std::string> peer_addresses() const;
+    wire::status_answer answer_status(time_point now) const;
+    std::string dump(time_point now) const;
 
     boost::asio::io_context io_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
     control_options options_;
     role_hooks hooks_;
     plane_metrics metrics_;
-    random_source random_;
-
-    control_core core_;
-    read_schedule reads_;
-    list_schedule lists_;
-    gossip_schedule gossips_;
-    peer_picker picker_;
-    heartbeat_schedule heartbeats_;
-    heard_sidecars heard_;
-
-    bool reader_{true};
-    bool reading_config_{false};
-    bool reading_list_{false};
-    bool gossiping_{false};
-    bool heard_changed_{false};
-    bool config_tried_{false};
-    bool list_tried_{false};
-    std::size_t peers_tried_{0};
-    std::set<std::string> catching_up_;
+    std::optional<control_node> node_; // made once the control address is known
+
     std::uint64_t published_version_{0};
+    bool heard_changed_{false};
+    bool platform_was_stale_{false};
     time_point gauges_at_{};
-    time_point noted_at_{};
 
     snapshot_box<config::snapshot> configuration_;
     snapshot_box<membership::instance_list> instances_;
--- a/libs/control/src/platform_codec.cpp
+++ b/libs/control/src/platform_codec.cpp
@@ -67,7 +67,7 @@
     entry.deleted = deleted != nullptr && deleted->is_bool() && deleted->get_bool();
     const auto* published = object.if_contains("value");
     if (!entry.deleted && published == nullptr) {
-        return fault_at(path + ".value", "a value, or \"deleted\": true");
+        return fault_at(path + ".value", "a value, or deleted");
     }
     if (!entry.deleted) {
         entry.value = json::serialize(*published);
@@ -77,7 +77,7 @@
 
 result<membership::instance_role> read_role(const std::string& name, const std::string& path) {
     if (name != "entry" && name != "sidecar") {
-        return fault_at(path + ".role", "\"entry\" or \"sidecar\"");
+        return fault_at(path + ".role", "entry or sidecar");
     }
     return name == "entry" ? membership::instance_role::entry : membership::instance_role::sidecar;
 }
--- a/libs/control/src/platform_reader.hpp
+++ b/libs/control/src/platform_reader.hpp
@@ -5,22 +5,14 @@
 #include "base/error.hpp"
 #include "base/ids.hpp"
 #include "base/time.hpp"
-#include "control_core.hpp"
+#include "control_node.hpp"
 #include "http/client.hpp"
 
 #include <memory>
 #include <string>
-#include <vector>
 
 namespace boragefront::control {
 
-/// An answer to a read of the instance list.
-struct list_reading {
-    std::vector<membership::instance> instances;
-    bool unchanged{false}; ///< the platform said that it equals the one read before
-    std::size_t bytes{0};  ///< of the answer
-};
-
 /// The one adapter to the platform's wire format.
 class platform_reader {
 public:
