--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -9,6 +9,7 @@
 constexpr milliseconds hasten_interval{200};
 constexpr std::size_t peers_before_ready = 3;
 constexpr std::size_t most_catch_ups = 4;
+constexpr std::size_t most_introduced = 8;
 
 } // namespace
 
@@ -87,6 +88,68 @@
     }
 }
 
+wire::answer control_node::answer(const wire::digest_request& asked, time_point now) {
+    introduce(asked.from_address);
+    return core_.answer(asked, now);
+}
+
+wire::answer control_node::answer(const wire::delta_request& asked, time_point now) {
+    auto made = core_.answer(asked);
+    note_changes(now);
+    return made;
+}
+
+wire::answer control_node::answer(const wire::instances_request& asked, time_point now) {
+    return core_.answer(asked, now);
+}
+
+wire::heartbeat_request control_node::make_beat(time_point now) const {
+    return {options_.self.id, core_.describe(now)};
+}
+
+wire::answer control_node::answer(const wire::heartbeat_request& asked,
+                                  const sidecar_report& report, time_point now) {
+    core_.instances().note_heard(asked.from, now);
+    core_.take_knowledge(asked.held, now);
+    wire::heartbeat_answer made;
+    made.life = report.life;
+    made.phase = report.phase;
+    made.concurrency_limit = report.concurrency_limit;
+    made.in_flight = report.in_flight;
+    made.queued = report.queued;
+    made.service_time = report.service_time;
+    made.clock = remote_time{now.time_since_epoch()};
+    made.held = core_.describe(now);
+    return made;
+}
+
+std::optional<wire::request> control_node::next(converse_action& conversation,
+                                                time_point now) const {
+    auto request = conversation.conversation.next(core_, now);
+    if (request) {
+        if (auto* digest = std::get_if<wire::digest_request>(&*request)) {
+            digest->from_address = options_.self.control_address;
+        }
+    }
+    return request;
+}
+
+void control_node::take(converse_action& conversation, const wire::answer& answer, time_point now) {
+    conversation.conversation.take(core_, answer, now);
+    note_changes(now);
+}
+
+void control_node::introduce(const std::string& address) {
+    const bool known =
+        std::find(introduced_.begin(), introduced_.end(), address) != introduced_.end();
+    if (core_.instances().known() || address.empty() || known ||
+        introduced_.size() >= most_introduced) {
+        return;
+    }
+    introduced_.push_back(address);
+    collect_peers();
+}
+
 void control_node::note_changes(time_point now) {
     if (std::exchange(noted_version_, core_.version()) != core_.version()) {
         gossips_.on_change(now);
@@ -171,10 +234,15 @@
             peers_.push_back(one.control_address);
         }
     }
-    for (const auto& seed : options_.seed_peers) {
-        const bool known = std::find(peers_.begin(), peers_.end(), seed) != peers_.end();
-        if (!known && seed != options_.self.control_address) {
-            peers_.push_back(seed);
+    if (core_.instances().known()) {
+        introduced_.clear();
+    }
+    for (const auto* addresses : {&options_.seed_peers, &introduced_}) {
+        for (const auto& address : *addresses) {
+            const bool known = std::find(peers_.begin(), peers_.end(), address) != peers_.end();
+            if (!known && address != options_.self.control_address) {
+                peers_.push_back(address);
+            }
         }
     }
 }
--- a/libs/control/src/control_node.hpp
+++ b/libs/control/src/control_node.hpp
@@ -77,8 +77,23 @@
     /// Takes the answer to a heartbeat.
     void end_beat(const beat_action& ended, const wire::heartbeat_answer& answer, time_point now);
 
-    /// Notes that the core may have changed, after an answer to a peer or a step of a conversation.
-    void note_changes(time_point now);
+    /// Answers a peer's part of a conversation.
+    wire::answer answer(const wire::digest_request& asked, time_point now);
+    wire::answer answer(const wire::delta_request& asked, time_point now);
+    wire::answer answer(const wire::instances_request& asked, time_point now);
+
+    /// The heartbeat to send now.
+    wire::heartbeat_request make_beat(time_point now) const;
+
+    /// Answers a heartbeat with what the role reports.
+    wire::answer answer(const wire::heartbeat_request& asked, const sidecar_report& report,
+                        time_point now);
+
+    /// The next request of a conversation, or nothing at its end.
+    std::optional<wire::request> next(converse_action& conversation, time_point now) const;
+
+    /// Takes the answer to the last request of a conversation.
+    void take(converse_action& conversation, const wire::answer& answer, time_point now);
 
     /// Somebody holds a higher revision: catch up soon.
     void hasten(time_point now);
@@ -93,10 +108,11 @@
     bool reader() const { return reader_; }
     const heard_sidecars& heard() const { return heard_; }
     const membership::instance_list& believed() const { return believed_; }
-    control_core& core() { return core_; }
     const control_core& core() const { return core_; }
 
 private:
+    void note_changes(time_point now);
+    void introduce(const std::string& address);
     void add_reads(time_point now, std::vector<action>& out);
     void add_gossip(time_point now, std::vector<action>& out);
     void update_readiness();
@@ -115,6 +131,7 @@
     heard_sidecars heard_;
     membership::instance_list believed_;
     std::vector<std::string> peers_;
+    std::vector<std::string> introduced_; // peers that asked before any list was known
     std::vector<action> pending_;
     std::set<std::string> catching_up_;
     std::uint64_t noted_version_{0};
--- a/libs/control/src/plane.hpp
+++ b/libs/control/src/plane.hpp
@@ -75,7 +75,6 @@
     boost::asio::awaitable<bool> converse(converse_action& wanted);
 
     wire::answer answer(const wire::request& asked);
-    wire::heartbeat_answer answer_heartbeat(const wire::heartbeat_request& asked, time_point now);
     wire::status_answer answer_status(time_point now) const;
     std::string dump(time_point now) const;
 
--- a/libs/control/src/plane_answers.cpp
+++ b/libs/control/src/plane_answers.cpp
@@ -19,47 +19,21 @@
     const auto now = steady_clock::now();
     auto made = std::visit(
         overloaded{
-            [&](const wire::digest_request& one) -> wire::answer {
-                return node_->core().answer(one, now);
-            },
-            [&](const wire::delta_request& one) -> wire::answer {
-                return node_->core().answer(one);
-            },
             [&](const wire::heartbeat_request& one) -> wire::answer {
-                return answer_heartbeat(one, now);
+                return node_->answer(one, hooks_.report ? hooks_.report() : sidecar_report{}, now);
             },
             [&](const wire::status_request&) -> wire::answer { return answer_status(now); },
             [&](const wire::dump_request&) -> wire::answer { return wire::dump_answer{dump(now)}; },
             [&](const wire::metrics_request&) -> wire::answer {
                 return wire::metrics_answer{metrics_.all.exposition()};
             },
-            [&](const wire::instances_request& one) -> wire::answer {
-                return node_->core().answer(one, now);
-            },
+            [&](const auto& one) -> wire::answer { return node_->answer(one, now); },
         },
         asked);
-    node_->note_changes(now);
     publish_changes(now);
     return made;
 }
 
-wire::heartbeat_answer plane::answer_heartbeat(const wire::heartbeat_request& asked,
-                                               time_point now) {
-    node_->core().instances().note_heard(asked.from, now);
-    node_->core().take_knowledge(asked.held, now);
-    const auto report = hooks_.report ? hooks_.report() : sidecar_report{};
-    wire::heartbeat_answer made;
-    made.life = report.life;
-    made.phase = report.phase;
-    made.concurrency_limit = report.concurrency_limit;
-    made.in_flight = report.in_flight;
-    made.queued = report.queued;
-    made.service_time = report.service_time;
-    made.clock = remote_time{now.time_since_epoch()};
-    made.held = node_->core().describe(now);
-    return made;
-}
-
 wire::status_answer plane::answer_status(time_point now) const {
     const auto status = hooks_.status ? hooks_.status() : process_status{};
     wire::status_answer made;
--- a/libs/control/src/plane_conversations.cpp
+++ b/libs/control/src/plane_conversations.cpp
@@ -34,22 +34,21 @@
 }
 
 boost::asio::awaitable<bool> plane::converse(converse_action& wanted) {
-    auto next = wanted.conversation.next(node_->core(), steady_clock::now());
+    auto next = node_->next(wanted, steady_clock::now());
     while (next) {
         auto answer = co_await peers_->call(wanted.address, std::move(*next), peer_timeout);
         if (!answer) {
             co_return false;
         }
         const auto now = steady_clock::now();
-        wanted.conversation.take(node_->core(), answer.value(), now);
-        next = wanted.conversation.next(node_->core(), now);
+        node_->take(wanted, answer.value(), now);
+        next = node_->next(wanted, now);
     }
     co_return true;
 }
 
 plane::awaitable plane::carry_out(beat_action wanted) {
-    wire::request message{
-        wire::heartbeat_request{options_.self.id, node_->core().describe(steady_clock::now())}};
+    wire::request message{node_->make_beat(steady_clock::now())};
     auto answer =
         co_await peers_->call(wanted.sidecar.control_address, std::move(message), peer_timeout);
     const auto* heard = answer ? std::get_if<wire::heartbeat_answer>(&answer.value()) : nullptr;
--- a/libs/control/src/schedules.cpp
+++ b/libs/control/src/schedules.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t reads_per_second = 400;
 constexpr milliseconds list_period_least{2'000};
 constexpr milliseconds list_retry{2'000};
-constexpr std::size_t list_bytes_per_second = 6'000;
+constexpr std::size_t list_bytes_per_second = 4'000;
 constexpr int list_patience_periods = 3;
 constexpr milliseconds gossip_period{1'500};
 constexpr milliseconds gossip_period_starting{100};
@@ -27,7 +27,7 @@
 constexpr seconds peer_failure_memory{10};
 constexpr milliseconds heartbeat_least{1'000};
 constexpr milliseconds heartbeat_most{5'000};
-constexpr std::size_t heartbeat_bytes = 190;
+constexpr std::size_t heartbeat_bytes = 280;
 constexpr std::size_t heartbeat_bytes_per_second = 7'000;
 
 // `value` times a factor between 0.5 and 1.5.
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -37,6 +37,7 @@
 struct digest_request {
     knowledge held;
     std::vector<std::uint64_t> bucket_hashes{};
+    std::string from_address{}; ///< the asker's control address
 };
 struct digest_answer {
     std::vector<std::uint32_t> differing_buckets;
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -134,6 +134,7 @@
         body.mutable_bucket_hashes()->Add(message.bucket_hashes.begin(),
                                           message.bucket_hashes.end());
         write_knowledge(message.held, *body.mutable_held());
+        body.set_from_address(message.from_address);
     }
     void operator()(const delta_request& message) const {
         auto& body = *out.mutable_delta();
@@ -327,7 +328,8 @@
     switch (in.body_case()) {
     case pb::control_request::kDigest: {
         BOOST_OUTCOME_TRY(auto hashes, read_hashes(in.digest().bucket_hashes()));
-        return request{digest_request{read_knowledge(in.digest().held()), std::move(hashes)}};
+        return request{digest_request{read_knowledge(in.digest().held()), std::move(hashes),
+                                      in.digest().from_address()}};
     }
     case pb::control_request::kDelta:
         return read_delta(in.delta());
