--- a/libs/ledger/include/ledger/key_record.hpp
+++ b/libs/ledger/include/ledger/key_record.hpp
@@ -15,7 +15,7 @@
 namespace boragefront::ledger {
 
 struct key_policy {
-    milliseconds clock_skew{2'000}; ///< between the clocks of callers and instances
+    milliseconds clock_skew{1'000}; ///< between the clocks of callers and instances
     std::size_t keys{20'000};       ///< held, after which the oldest are forgotten
     seconds retention{3'600};
     bool remember{true};  ///< false only in tests
@@ -56,9 +56,6 @@
     /// Makes a key unused again, as its work never ran.
     void remove(const std::string& key);
 
-    /// From now on some keys come here that went elsewhere before `now`.
-    void raise_horizon(wall_time now);
-
     /// Forgets the oldest beyond the bounds; the horizon rises over them.
     void forget_expired(wall_time now);
 
--- a/libs/ledger/include/ledger/work_ledger.hpp
+++ b/libs/ledger/include/ledger/work_ledger.hpp
@@ -49,6 +49,7 @@
     std::string key;            ///< idempotency key with its scope; empty if there is none
     std::string key_id;         ///< the caller's part of `key`, a UUIDv7
     std::uint64_t body_hash{0}; ///< of everything that a retry must repeat
+    bool key_vouched{true};     ///< no other record can hold the key
     time_point expires_at{};
 };
 
--- a/libs/ledger/src/key_record.cpp
+++ b/libs/ledger/src/key_record.cpp
@@ -44,10 +44,6 @@
     }
 }
 
-void key_record::raise_horizon(wall_time now) {
-    horizon_ = std::max(horizon_, now + policy_.clock_skew);
-}
-
 void key_record::forget_expired(wall_time now) {
     while (!by_time_.empty() && by_time_.begin()->first + policy_.retention <= now) {
         forget_oldest();
--- a/libs/ledger/src/work_ledger.cpp
+++ b/libs/ledger/src/work_ledger.cpp
@@ -26,8 +26,9 @@
         used != nullptr && used->body_hash != work.body_hash) {
         return make_error(error_kind::conflict, "the key was used with another request");
     }
-    if (std::holds_alternative<unvouched_key>(state)) {
-        return make_error(error_kind::outcome_unknown, "the key is older than the record of keys");
+    const bool unseen = std::holds_alternative<unused_key>(state);
+    if (std::holds_alternative<unvouched_key>(state) || (unseen && !work.key_vouched)) {
+        return make_error(error_kind::outcome_unknown, "the key may have been used elsewhere");
     }
     if (std::holds_alternative<early_key>(state)) {
         return make_error(error_kind::bad_request, "the time in the key lies in the future",
--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -62,11 +62,11 @@
       pool_{std::get<settings::sidecar_settings>(settings.role).pool}, metrics_{metrics},
       life_{new_incarnation()}, client_{http::client::make(executor_)},
       endpoint_{*client_, std::get<settings::sidecar_settings>(settings.role).endpoint_address},
-      scheduler_{scheduler_policy{}, life_, now()} {}
+      scheduler_{scheduler_policy{}, life_, now()}, homes_{home_policy{}, id_, pool_} {}
 
 void traffic::start(control::control_plane& control) {
     control_ = &control;
-    refresh_configuration();
+    refresh_knowledge();
     publish_state();
     asio::co_spawn(executor_, tick_loop(), asio::detached);
     asio::co_spawn(executor_, load_loop(), asio::detached);
@@ -74,7 +74,7 @@
 
 void traffic::begin_drain() {
     draining_ = true;
-    refresh_configuration();
+    refresh_knowledge();
     dispatch_and_wake();
     publish_state();
 }
@@ -98,7 +98,7 @@
 http::awaitable<void> traffic::tick_loop() {
     while (!stopped_) {
         co_await pause_for(tick_interval);
-        refresh_configuration();
+        refresh_knowledge();
         scheduler_.tick(now());
         dispatch_and_wake();
         publish_state();
@@ -111,9 +111,7 @@
         if (report) {
             scheduler_.on_load_report(report.value(), now());
         } else {
-            const auto kind = report.error().kind;
-            const bool refused =
-                kind == error_kind::connect_failed || kind == error_kind::connection_lost;
+            const bool refused = report.error().kind == error_kind::connect_failed;
             scheduler_.on_load_failure(refused, now());
         }
         dispatch_and_wake();
@@ -181,7 +179,12 @@
     dispatch_and_wake();
 }
 
-void traffic::refresh_configuration() {
+void traffic::refresh_knowledge() {
+    const auto instances = control_->instances().load();
+    if (instances != listed_) {
+        listed_ = instances;
+        homes_.note_list(*instances, now().wall);
+    }
     const auto configuration = control_->configuration().load();
     if (configuration != obeyed_) {
         obeyed_ = configuration;
@@ -230,7 +233,7 @@
         control_->note_revision(wanted);
         co_await pause_for(step);
     }
-    refresh_configuration();
+    refresh_knowledge();
     co_return true;
 }
 
--- a/libs/sidecar/src/traffic.hpp
+++ b/libs/sidecar/src/traffic.hpp
@@ -5,6 +5,7 @@
 #include "base/metrics.hpp"
 #include "control/control_plane.hpp"
 #include "endpoint_adapter.hpp"
+#include "home_history.hpp"
 #include "http/server.hpp"
 #include "live_work.hpp"
 #include "settings/settings.hpp"
@@ -59,6 +60,7 @@
     http::awaitable<void> send_outcome(work_id asked, ledger::outcome what, http::responder& out);
     http::awaitable<void> send_problem(work_id asked, error reason, http::responder& out);
     http::awaitable<bool> catch_up(revision wanted);
+    void vouch_for_key(ledger::work_arrival& work) const;
 
     http::awaitable<void> run_work(shared_work live);
     http::awaitable<void> tick_loop();
@@ -67,7 +69,7 @@
     clock_reading now() const;
     void dispatch_and_wake();
     void peer_left(const shared_work& live);
-    void refresh_configuration();
+    void refresh_knowledge();
     service_phase wanted_phase(const config::snapshot& configuration) const;
     void count_end(const endpoint_result& ended, duration took);
     void publish_state();
@@ -82,9 +84,11 @@
     std::unique_ptr<http::client> client_;
     endpoint_adapter endpoint_;
     work_scheduler scheduler_;
+    home_history homes_;
     std::unordered_map<work_id, shared_work> live_;
     control::control_plane* control_{nullptr}; ///< not owned
     std::shared_ptr<const config::snapshot> obeyed_;
+    std::shared_ptr<const membership::instance_list> listed_;
     bool draining_{false};
     bool stopped_{false};
     snapshot_box<published_state> published_;
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -70,6 +70,7 @@
     const bool caught_up = co_await catch_up(work.sender_revision);
     ledger::arrival arrived;
     if (caught_up) {
+        vouch_for_key(work.offered.record);
         arrived = scheduler_.offer(work.offered, now());
     } else {
         auto reason = make_error(error_kind::not_ready, "the configuration held here is behind");
@@ -82,6 +83,11 @@
     co_await answer(std::move(arrived), id, stream, out);
 }
 
+void traffic::vouch_for_key(ledger::work_arrival& work) const {
+    const auto made = uuid7_time(work.key_id);
+    work.key_vouched = !made || homes_.vouches_for(work.key_id, *made);
+}
+
 http::awaitable<void> traffic::handle_outcome(const http::request& message, http::responder& out) {
     auto reference = read_reference(message);
     if (!reference) {
--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -24,20 +24,6 @@
 
 } // namespace
 
-std::string_view to_string(service_phase phase) {
-    switch (phase) {
-    case service_phase::starting:
-        return "starting";
-    case service_phase::serving:
-        return "serving";
-    case service_phase::draining:
-        return "draining";
-    case service_phase::out:
-        break;
-    }
-    return "out";
-}
-
 work_scheduler::work_scheduler(scheduler_policy policy, incarnation life, clock_reading now)
     : policy_{policy}, life_{life}, ledger_{policy.ledger, now.wall},
       queue_{policy.limits.queue, policy.mechanisms.queue}, ramp_{policy.limits, policy.ramp,
@@ -228,7 +214,9 @@
     case call_end::answered:
         ++completed_;
         last_contact_ = now;
-        times_.record(now - ended.started);
+        if (ended.pauses == pauses_) {
+            times_.record(now - ended.started);
+        }
         ramp_.on_completed(ended.warm_up);
         break;
     case call_end::failed:
@@ -238,8 +226,10 @@
     case call_end::overloaded:
         last_contact_ = now;
         fall_back(cold_cause::overloaded);
+        held_until_ = std::max(held_until_, now + policy_.overload_hold);
         break;
     case call_end::not_connected:
+        endpoint_known_ = false;
         fall_back(cold_cause::connection_failed);
         break;
     case call_end::lost:
@@ -296,12 +286,12 @@
     const auto usual = times_.quantile(slow_quantile).value_or(duration::zero());
     const auto slow = std::max(duration_cast<duration>(usual * policy_.ramp.slow_factor),
                                duration{policy_.least_slow_time});
-    for (auto& [id, work] : running_) {
-        const bool counts = work.warm_up == ramp_.current() && !work.found_slow;
-        if (counts && now - work.started > slow) {
-            work.found_slow = true;
-            fall_back(cold_cause::slow);
-        }
+    const bool found = std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+        const auto& work = entry.second;
+        return work.warm_up == ramp_.current() && now - work.started > slow;
+    });
+    if (found) {
+        fall_back(cold_cause::slow);
     }
 }
 
@@ -327,11 +317,9 @@
 
 void work_scheduler::on_load_failure(bool refused, clock_reading now) {
     ++load_failures_;
-    if (refused && load_failures_ == 1) {
-        fall_back(cold_cause::connection_failed);
-    }
-    const bool silent = now.steady - last_contact_ > policy_.contact_timeout;
-    if (load_failures_ >= load_failures_to_doubt && silent && endpoint_known_) {
+    const bool silent = load_failures_ >= load_failures_to_doubt &&
+                        now.steady - last_contact_ > policy_.contact_timeout;
+    if ((refused || silent) && endpoint_known_) {
         endpoint_known_ = false;
         fall_back(cold_cause::connection_failed);
     }
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -13,7 +13,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace boragefront::sidecar {
@@ -21,8 +20,6 @@
 using control::service_phase;
 using ledger::clock_reading;
 
-std::string_view to_string(service_phase phase);
-
 /// Work as an entry offers it.
 struct offered_work {
     ledger::work_arrival record;
@@ -69,6 +66,7 @@
     seconds urgent_memory{60};           ///< a slot is kept for urgent work this long after some
     milliseconds pause_threshold{1'000}; ///< a gap between decisions that shows a paused process
     milliseconds wake_hold{500};         ///< after a pause, for the control plane to catch up
+    milliseconds overload_hold{100};     ///< after the endpoint refused work as overloaded
     milliseconds least_slow_time{100};   ///< a shorter service time is never slow
     milliseconds drain_grace{1'000};     ///< a draining sidecar still serves its queue this long
     milliseconds contact_age{500};       ///< not heard from this long, an endpoint may be cold
@@ -84,7 +82,7 @@
     time_point expires_at;
     admission::warm_up warm_up{0};
     bool idempotent{false};
-    bool found_slow{false};
+    std::uint64_t pauses{0}; ///< of this process, up to the start
 };
 
 /// Everything that the dump and the heartbeat show.
@@ -142,7 +140,7 @@
     void on_load_report(const load_report& report, clock_reading now);
 
     /// A request for the load failed.
-    /// \param refused whether the endpoint's connection was refused or closed.
+    /// \param refused whether the endpoint refuses connections, as one that is restarting.
     void on_load_failure(bool refused, clock_reading now);
 
     /// An answer named the endpoint's life.
