--- a/libs/admission/src/queue.cpp
+++ b/libs/admission/src/queue.cpp
@@ -50,7 +50,7 @@
     }
     const auto longest = candidate.longest_workspace();
     const double own_backlog = candidate.backlog(added.workspace, added.share) + 1 / added.share;
-    return longest != added.workspace &&
+    return mechanisms_.fair && longest != added.workspace &&
            candidate.backlog(longest, candidate.share_of(longest)) > own_backlog;
 }
 
--- /dev/null
+++ b/libs/admission/tests/admission_test.cpp
@@ -0,0 +1,203 @@
+/// \file
+/// The ramp, the queue and the account of abandoned work on a virtual clock.
+#include "admission/abandoned_work.hpp"
+#include "admission/queue.hpp"
+#include "admission/ramp.hpp"
+#include "admission/service_times.hpp"
+#include "base/random.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace boragefront;
+using namespace boragefront::admission;
+using config::lane;
+
+namespace {
+
+constexpr time_point start{seconds{1'000}};
+
+waiting_work work_of(const std::string& workspace, unsigned number, lane which = lane::normal,
+                     double share = 1.0) {
+    waiting_work work;
+    work.id = {workspace, number, 0};
+    work.lane = which;
+    work.workspace = workspace;
+    work.share = share;
+    work.expires_at = start;
+    return work;
+}
+
+// Keeps three workspaces of shares 1, 2 and 4 waiting, one with many more requests, and counts
+// whose turn it is.
+std::map<std::string, int> turns_by_workspace(std::uint64_t seed, queue_mechanisms mechanisms) {
+    random_source random{seed};
+    std::uniform_int_distribution<unsigned> kind{0, 9};
+    admission_queue queue{60, mechanisms};
+    std::map<std::string, int> turns;
+    unsigned number = 0;
+    for (int turn = 0; turn < 700; ++turn) {
+        for (int i = 0; i < 8; ++i) {
+            const auto chosen = kind(random);
+            const std::string name = chosen < 8 ? "one" : (chosen == 8 ? "two" : "four");
+            const double share = chosen < 8 ? 1.0 : (chosen == 8 ? 2.0 : 4.0);
+            (void)queue.push(work_of(name, ++number, lane::normal, share));
+        }
+        if (turn >= 100) {
+            ++turns[queue.pop()->workspace];
+        }
+    }
+    return turns;
+}
+
+bool follows_shares(std::map<std::string, int> turns) {
+    return turns["four"] > turns["two"] && turns["two"] > turns["one"] && turns["one"] > 0;
+}
+
+} // namespace
+
+TEST_CASE("the ramp starts cold, earns by completions and falls back at once") {
+    concurrency_ramp ramp{{8, 64}, {1, 2, 4.0}};
+    REQUIRE(ramp.limit() == 1);
+    for (int i = 0; i < 14; ++i) {
+        REQUIRE(ramp.limit() == 1U + static_cast<unsigned>(i) / 2);
+        ramp.on_completed(ramp.current());
+    }
+    REQUIRE(ramp.is_full());
+    const auto before = ramp.current();
+    ramp.fall_back(cold_cause::slow);
+    REQUIRE(ramp.limit() == 1);
+    for (int i = 0; i < 10; ++i) {
+        ramp.on_completed(before);
+    }
+    REQUIRE(ramp.limit() == 1);
+}
+
+TEST_CASE("nothing is earned while the endpoint reports itself cold") {
+    concurrency_ramp ramp{{8, 64}, {2, 1, 4.0}};
+    ramp.on_completed(ramp.current());
+    REQUIRE(ramp.set_reported_cold(true));
+    REQUIRE_FALSE(ramp.set_reported_cold(true));
+    ramp.on_completed(ramp.current());
+    REQUIRE(ramp.limit() == 2);
+    ramp.set_reported_cold(false);
+    ramp.on_completed(ramp.current());
+    REQUIRE(ramp.limit() == 3);
+}
+
+TEST_CASE("the limit never passes the full one, whatever the order of events") {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        random_source random{seed};
+        std::uniform_int_distribution<unsigned> pick{0, 9};
+        concurrency_ramp ramp{{6, 10}, {2, 2, 4.0}};
+        unsigned full = 6;
+        for (int i = 0; i < 500; ++i) {
+            const auto event = pick(random);
+            if (event == 0) {
+                ramp.fall_back(cold_cause::slow);
+                REQUIRE(ramp.limit() <= 2);
+            } else if (event == 1) {
+                full = 1 + pick(random);
+                ramp.set_policy({full, 10}, {2, 2, 4.0});
+            } else {
+                ramp.on_completed(ramp.current());
+            }
+            REQUIRE(ramp.limit() <= full);
+        }
+    }
+}
+
+TEST_CASE("quantiles are of the latest service times") {
+    service_times times;
+    REQUIRE_FALSE(times.quantile(0.5));
+    for (int i = 1; i <= 100; ++i) {
+        times.record(milliseconds{i <= 36 ? 1'000 : i});
+    }
+    REQUIRE(times.quantile(0.0) == milliseconds{37});
+    REQUIRE(times.quantile(1.0) == milliseconds{100});
+    REQUIRE(times.usual() == milliseconds{68});
+}
+
+TEST_CASE("lanes are served in order, and not without the mechanism") {
+    const auto first_served = [](queue_mechanisms mechanisms) {
+        admission_queue queue{10, mechanisms};
+        (void)queue.push(work_of("a", 1, lane::background));
+        (void)queue.push(work_of("a", 2, lane::normal));
+        (void)queue.push(work_of("a", 3, lane::urgent));
+        return queue.pop()->id.stage;
+    };
+    REQUIRE(first_served({}) == 3);
+    REQUIRE(first_served({.lanes_in_order = false}) == 1);
+}
+
+TEST_CASE("workspaces are served by their shares, and not without the mechanism") {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const auto turns = turns_by_workspace(seed, {});
+        CAPTURE(seed, turns.at("one"), turns.at("two"), turns.at("four"));
+        REQUIRE(follows_shares(turns));
+        REQUIRE_FALSE(follows_shares(turns_by_workspace(seed, {.fair = false})));
+    }
+}
+
+TEST_CASE("a full queue drops the least valuable, never urgent work for other work") {
+    admission_queue queue{2};
+    (void)queue.push(work_of("a", 1, lane::background));
+    (void)queue.push(work_of("a", 2, lane::normal));
+    auto pushed = queue.push(work_of("a", 3, lane::urgent));
+    REQUIRE(std::get<queued>(pushed).displaced->id.stage == 1);
+    pushed = queue.push(work_of("b", 4, lane::urgent));
+    REQUIRE(std::get<queued>(pushed).displaced->id.stage == 2);
+    REQUIRE(std::holds_alternative<queue_full>(queue.push(work_of("c", 5, lane::normal))));
+    REQUIRE(std::holds_alternative<queue_full>(queue.push(work_of("a", 6, lane::urgent))));
+    REQUIRE(queue.size(lane::urgent) == 2);
+}
+
+TEST_CASE("in a full lane the longest workspace makes room for another") {
+    admission_queue queue{4};
+    for (unsigned i = 1; i <= 4; ++i) {
+        (void)queue.push(work_of("large", i));
+    }
+    const auto pushed = queue.push(work_of("small", 5));
+    REQUIRE(std::get<queued>(pushed).displaced->id.stage == 4);
+    REQUIRE(queue.size() == 4);
+}
+
+TEST_CASE("abandoned work holds its slot until reports that can show it free agree") {
+    abandoned_work abandoned;
+    abandoned.assume_predecessor(4, start);
+    // A report from before the lag has passed may not show the predecessor's last work yet.
+    for (int i = 0; i < 10; ++i) {
+        abandoned.on_report(0, start + milliseconds{i * 50});
+    }
+    REQUIRE(abandoned.held(start + milliseconds{500}) == 4);
+    const auto later = start + milliseconds{1'200};
+    abandoned.on_report(1, later);
+    abandoned.on_report(0, later);
+    REQUIRE(abandoned.held(later) == 4);
+    abandoned.on_report(0, later);
+    REQUIRE(abandoned.held(later) == 1);
+    for (int i = 0; i < 3; ++i) {
+        abandoned.on_report(0, later);
+    }
+    REQUIRE(abandoned.held(later) == 0);
+}
+
+TEST_CASE("own work in progress is not taken for abandoned work") {
+    abandoned_work abandoned;
+    abandoned.note_own_running(3, start);
+    abandoned.add(start);
+    const auto later = start + milliseconds{1'500};
+    for (int i = 0; i < 3; ++i) {
+        abandoned.on_report(3, later);
+    }
+    REQUIRE(abandoned.held(later) == 0);
+}
+
+TEST_CASE("a cancelled call holds its slot until the endpoint has noticed") {
+    abandoned_work abandoned;
+    abandoned.add_cancelled(start);
+    REQUIRE(abandoned.held(start + milliseconds{49}) == 1);
+    REQUIRE(abandoned.held(start + milliseconds{50}) == 0);
+}
