--- a/libs/admission/include/admission/abandoned_work.hpp
+++ b/libs/admission/include/admission/abandoned_work.hpp
@@ -48,7 +48,7 @@
 private:
     struct own_sample {
         time_point at;
-        std::size_t running;
+        std::size_t running{0};
     };
     std::size_t least_own_since(time_point since) const;
 
--- a/libs/admission/include/admission/fair_lane.hpp
+++ b/libs/admission/include/admission/fair_lane.hpp
@@ -64,7 +64,7 @@
 private:
     struct tagged {
         waiting_work work;
-        double start; ///< virtual time at which its turn begins
+        double start{0}; ///< virtual time at which its turn begins
     };
     struct flow {
         std::deque<tagged> waiting;
