--- /dev/null
+++ b/libs/routing/tests/routing_test.cpp
@@ -0,0 +1,201 @@
+/// \file
+/// Properties of the choice of an endpoint.
+#include "routing/choice.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <vector>
+
+using namespace boragefront;
+using namespace boragefront::routing;
+
+namespace {
+
+const std::vector<std::uint64_t> seeds{1, 2, 3, 5, 8, 13, 21, 34};
+const time_point now{seconds{100}};
+
+std::vector<endpoint_view> make_pool(unsigned size, unsigned limit = 8) {
+    std::vector<endpoint_view> pool(size);
+    for (unsigned i = 0; i < size; ++i) {
+        pool[i].id = "engine-" + std::to_string(i);
+        pool[i].data_centre = i % 2 == 0 ? "here" : "there";
+        pool[i].limit = limit;
+    }
+    return pool;
+}
+
+choice_request from_here() {
+    choice_request request;
+    request.data_centre = "here";
+    return request;
+}
+
+// Sends requests with the given prefixes; each stays in flight for `depth` further requests.
+double worst_load_ratio(std::uint64_t seed, bool bounded) {
+    constexpr unsigned depth = 60;
+    random_source random{seed};
+    auto pool = make_pool(12);
+    choice_policy policy{power_of_two{}};
+    auto request = from_here();
+    request.data_centre = "elsewhere";
+    request.prefix_affinity.enabled = true;
+    request.prefix_affinity.load_bound = bounded ? 1.25 : 1e9;
+    std::vector<std::string> in_flight;
+    double worst = 0;
+    for (unsigned i = 0; i < 2'000; ++i) {
+        // Half of the requests share one prefix, as those of one large workspace do.
+        const auto prefix = random() % 2 == 0 ? std::string{"hot"} : std::to_string(random() % 50);
+        request.prefix = prefix;
+        const auto* chosen = choose(pool, request, policy, random);
+        const auto index = static_cast<std::size_t>(chosen - pool.data());
+        ++pool[index].own_in_flight;
+        in_flight.push_back(pool[index].id);
+        if (i >= depth) {
+            const auto done = in_flight[i - depth];
+            --std::find_if(pool.begin(), pool.end(), [&](auto& one) {
+                  return one.id == done;
+              })->own_in_flight;
+            // The bound allows one request more than the multiple of the mean.
+            const double mean = static_cast<double>(depth) / pool.size();
+            for (const auto& one : pool) {
+                worst = std::max(worst, one.own_in_flight / (1.25 * mean + 2));
+            }
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+TEST_CASE("an excluded endpoint is never chosen", "[property]") {
+    const std::vector<choice_policy> policies{power_of_two{}, round_robin{}, least_in_flight{},
+                                              any_at_random{}};
+    constexpr std::array reasons{exclusion::stale, exclusion::not_serving, exclusion::leaving,
+                                 exclusion::out};
+    for (const auto seed : seeds) {
+        random_source random{seed};
+        for (auto policy : policies) {
+            auto pool = make_pool(9);
+            for (auto& one : pool) {
+                if (random() % 2 == 0) {
+                    one.excluded = reasons.at(random() % reasons.size());
+                }
+            }
+            auto request = from_here();
+            request.prefix_affinity.enabled = random() % 2 == 0;
+            request.prefix = "prefix";
+            const auto* chosen = choose(pool, request, policy, random);
+            CAPTURE(seed, policy.index());
+            if (chosen != nullptr) {
+                REQUIRE(chosen->excluded == exclusion::none);
+            } else {
+                REQUIRE(std::none_of(pool.begin(), pool.end(), [](const auto& one) {
+                    return one.excluded == exclusion::none;
+                }));
+            }
+        }
+    }
+}
+
+TEST_CASE("suspected endpoints are the last resort") {
+    random_source random{1};
+    choice_policy policy{power_of_two{}};
+    auto pool = make_pool(2);
+    pool[0].excluded = exclusion::suspected;
+    pool[1].excluded = exclusion::out;
+    REQUIRE(choose(pool, from_here(), policy, random)->id == "engine-0");
+    pool[1].excluded = exclusion::none;
+    REQUIRE(choose(pool, from_here(), policy, random)->id == "engine-1");
+}
+
+TEST_CASE("the own data centre comes first until it is loaded past the threshold") {
+    random_source random{1};
+    choice_policy policy{power_of_two{}};
+    auto pool = make_pool(8);
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE(choose(pool, from_here(), policy, random)->data_centre == "here");
+    }
+    for (auto& one : pool) {
+        one.own_in_flight = one.data_centre == "here" ? 8 : 0;
+    }
+    std::set<std::string> seen;
+    for (int i = 0; i < 50; ++i) {
+        seen.insert(choose(pool, from_here(), policy, random)->data_centre);
+    }
+    REQUIRE(seen.contains("there"));
+    auto no_spill = from_here();
+    no_spill.spilling.enabled = false;
+    REQUIRE(choose(pool, no_spill, policy, random)->data_centre == "here");
+}
+
+TEST_CASE("an endpoint that was tried is passed over while there is another") {
+    random_source random{1};
+    choice_policy policy{power_of_two{}};
+    auto pool = make_pool(2);
+    pool[0].tried = true;
+    REQUIRE(choose(pool, from_here(), policy, random)->id == "engine-1");
+    pool[1].tried = true;
+    REQUIRE(choose(pool, from_here(), policy, random) != nullptr);
+}
+
+TEST_CASE("equal prefixes meet at one endpoint while it has room") {
+    random_source random{1};
+    choice_policy policy{power_of_two{}};
+    const auto pool = make_pool(12);
+    auto request = from_here();
+    request.prefix_affinity.enabled = true;
+    request.prefix = "a draft for the same workshop";
+    const auto home = choose(pool, request, policy, random)->id;
+    for (int i = 0; i < 20; ++i) {
+        REQUIRE(choose(pool, request, policy, random)->id == home);
+    }
+}
+
+TEST_CASE("affinity keeps every endpoint within the bound on load", "[property]") {
+    for (const auto seed : seeds) {
+        CAPTURE(seed);
+        REQUIRE(worst_load_ratio(seed, true) <= 1.0);
+    }
+}
+
+TEST_CASE("without its bound, affinity is seen to overload an endpoint", "[property]") {
+    REQUIRE(worst_load_ratio(seeds.front(), false) > 1.0);
+}
+
+TEST_CASE("the expiry on the sidecar's clock is never later than the deadline", "[property]") {
+    for (const auto seed : seeds) {
+        random_source random{seed};
+        for (int i = 0; i < 1'000; ++i) {
+            const nanoseconds offset{static_cast<std::int64_t>(random() % 1'000'000'000'000)};
+            const nanoseconds travel{static_cast<std::int64_t>(random() % 1'000'000'000)};
+            // The sidecar read its clock `travel` before this process heard of it.
+            endpoint_view view;
+            view.heard_at = now;
+            view.clock = {now.time_since_epoch() - travel + offset};
+            const auto deadline = now + milliseconds{random() % 11'000};
+            const auto expiry = expiry_on_remote_clock(view, deadline);
+            CAPTURE(seed, i);
+            REQUIRE(expiry.since_epoch <= deadline.time_since_epoch() + offset);
+            REQUIRE(expiry.since_epoch + travel == deadline.time_since_epoch() + offset);
+        }
+    }
+}
+
+TEST_CASE("what was heard too long ago is unknown, whatever it said") {
+    const endpoint_facts serving{true, false, true};
+    REQUIRE(exclusion_of(serving, now, now + heartbeat_validity) == exclusion::none);
+    REQUIRE(exclusion_of(serving, now, now + heartbeat_validity + nanoseconds{1}) ==
+            exclusion::stale);
+    REQUIRE(exclusion_of({true, false, false}, now, now) == exclusion::out);
+    REQUIRE(exclusion_of({true, true, true}, now, now) == exclusion::leaving);
+    REQUIRE(exclusion_of({false, false, true}, now, now) == exclusion::not_serving);
+}
+
+TEST_CASE("the prompt prefix is that of the prompt, or of the body") {
+    REQUIRE(prompt_prefix(R"({"prompt":"satchels in red"})", 8) == "satchels");
+    REQUIRE(prompt_prefix(R"(["no prompt"])", 5) == R"(["no )");
+    REQUIRE(prompt_prefix("", 8).empty());
+}
