--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace boragefront::sidecar {
