--- a/libs/entry/src/at_most_once_run.cpp
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -15,9 +15,6 @@
 
 namespace asio = boost::asio;
 
-constexpr int usual_multiple = 3; // an answer later than this many high quantiles is late
-constexpr milliseconds least_patience{250};
-constexpr milliseconds first_patience{1'000}; // while nothing was measured
 constexpr milliseconds least_question{100};
 constexpr milliseconds longest_question{2'000};
 constexpr milliseconds same_home_pause{50};
@@ -125,11 +122,7 @@
     duration patience() const {
         const auto now = steady_clock::now();
         const auto remaining = std::max(duration{0}, plan_.times.deadline - now);
-        const auto high = context_.core.decisions.estimate(plan_.key, now).high;
-        const duration usual = high > duration{0}
-                                   ? std::max<duration>(least_patience, usual_multiple * high)
-                                   : duration{first_patience};
-        return std::min(usual, remaining / 2);
+        return execution::patience_for(context_.core.decisions.estimate(plan_.key, now), remaining);
     }
 
     // What this process says of keyed work tells only of this request: an earlier one with the
--- a/libs/entry/src/stage_race.cpp
+++ b/libs/entry/src/stage_race.cpp
@@ -53,11 +53,13 @@
                                                   const stage_plan& plan) {
         execution::idempotent_limits limits;
         limits.max_attempts = plan.profile.retries.max_attempts;
-        limits.stall_after = plan.times.share;
+        const auto now = steady_clock::now();
+        limits.stall_after = execution::patience_for(
+            context.core.decisions.estimate(plan.key, now), plan.times.share);
         limits.deadline = plan.times.deadline;
         if (plan.profile.hedging.enabled) {
             limits.hedge_after = context.core.decisions.quantile(
-                plan.key, plan.profile.hedging.quantile, steady_clock::now());
+                plan.key, plan.profile.hedging.quantile, now);
         }
         return limits;
     }
@@ -103,6 +105,7 @@
         auto& endpoint = chosen.value().view;
         self->tried_.insert(endpoint.id);
         record.endpoint = endpoint;
+        self->machine_.on_sent(number);
         if (self->plan_.work.stream) {
             co_await self->attempt_stream(number);
         } else {
--- a/libs/execution/include/execution/deadline_plan.hpp
+++ b/libs/execution/include/execution/deadline_plan.hpp
@@ -19,8 +19,7 @@
 struct stage_times {
     /// Past this the rest cannot be done in time: the deadline less what the later stages take.
     time_point deadline;
-    /// The stage's share, in proportion to the high quantiles. An attempt that takes longer has
-    /// stalled.
+    /// The stage's share of the time, in proportion to the high quantiles.
     duration share{0};
 };
 
@@ -28,6 +27,11 @@
 /// \pre `stages` is not empty.
 stage_times plan_stage(std::span<const stage_estimate> stages, time_point now, time_point deadline);
 
+/// How long an answer is waited for before something is done about its absence: well past the
+/// usual, and early enough that as much time again is left.
+/// \param available the time that there is for the stage.
+duration patience_for(const stage_estimate& stage, duration available);
+
 /// Whether the remaining stages cannot be done in time even if each is as fast as ever.
 bool is_hopeless(std::span<const stage_estimate> stages, time_point now, time_point deadline);
 
--- a/libs/execution/include/execution/idempotent_stage.hpp
+++ b/libs/execution/include/execution/idempotent_stage.hpp
@@ -60,6 +60,9 @@
     /// \param budgets grants extra attempts; spent from by this call.
     idempotent_step next(time_point now, stage_budgets& budgets);
 
+    /// The attempt is about to be sent; from now on it may run.
+    void on_sent(unsigned attempt);
+
     /// The attempt has its whole result, or the first token of its stream.
     /// \returns whether it is the winner; a result that is not is dropped.
     bool on_success(unsigned attempt);
@@ -76,7 +79,7 @@
         attempt_reason reason{attempt_reason::first};
         time_point launched_at;
         bool stall_handled{false};
-        work_ran ran{work_ran::unknown}; ///< of one that failed
+        work_ran ran{work_ran::no};
     };
 
     unsigned running() const;
--- a/libs/execution/src/deadline_plan.cpp
+++ b/libs/execution/src/deadline_plan.cpp
@@ -7,6 +7,10 @@
 namespace boragefront::execution {
 namespace {
 
+constexpr int patient_multiple = 3; // of the high quantile
+constexpr milliseconds least_patience{250};
+constexpr milliseconds first_patience{1'000}; // while nothing is known
+
 using fractional = std::chrono::duration<double>;
 
 duration sum_of(std::span<const stage_estimate> stages, duration stage_estimate::*part) {
@@ -37,6 +41,13 @@
     return {deadline - later, std::chrono::duration_cast<duration>(share)};
 }
 
+duration patience_for(const stage_estimate& stage, duration available) {
+    const bool known = stage.high > duration{0};
+    const duration usual = known ? std::max<duration>(least_patience, patient_multiple * stage.high)
+                                 : duration{first_patience};
+    return std::min(usual, available / 2);
+}
+
 bool is_hopeless(std::span<const stage_estimate> stages, time_point now, time_point deadline) {
     return deadline - now <= sum_of(stages, &stage_estimate::fastest);
 }
--- a/libs/execution/src/idempotent_stage.cpp
+++ b/libs/execution/src/idempotent_stage.cpp
@@ -52,8 +52,11 @@
         return use_result{*winner_};
     }
     if (now >= limits_.deadline) {
-        const auto kind = attempts_.empty() ? error_kind::expired : error_kind::deadline_exceeded;
-        return give_up_with(make_error(kind, work_ran::no, "no result within the deadline"));
+        auto end = give_up_with(make_error(error_kind::expired, "no result within the deadline"));
+        if (end.failure.ran != work_ran::no) {
+            end.failure.kind = error_kind::deadline_exceeded;
+        }
+        return end;
     }
     if (attempts_.empty()) {
         return launch(attempt_reason::first, now);
@@ -70,6 +73,10 @@
     return wait_until{next_event()};
 }
 
+void idempotent_stage::on_sent(unsigned attempt) {
+    attempts_.at(attempt).ran = work_ran::unknown;
+}
+
 bool idempotent_stage::on_success(unsigned attempt) {
     auto& record = attempts_.at(attempt);
     if (winner_ || record.state != attempt_state::running) {
@@ -110,7 +117,7 @@
 
 launch_attempt idempotent_stage::launch(attempt_reason reason, time_point now) {
     const auto number = static_cast<unsigned>(attempts_.size());
-    attempts_.push_back({attempt_state::running, reason, now, false, work_ran::unknown});
+    attempts_.push_back({attempt_state::running, reason, now, false, work_ran::no});
     return {number, reason};
 }
 
--- a/libs/execution/tests/idempotent_stage_test.cpp
+++ b/libs/execution/tests/idempotent_stage_test.cpp
@@ -216,6 +216,20 @@
     REQUIRE(joined(work_ran::no, work_ran::no) == work_ran::no);
 }
 
+TEST_CASE("a deadline that passes before anything was sent is a refusal that did not run") {
+    auto budgets = usual_budgets();
+    const time_point now{seconds{100}};
+    idempotent_stage machine{usual_limits(now)};
+    (void)machine.next(now, budgets);
+    const auto unsent = std::get<give_up>(machine.next(now + seconds{1}, budgets));
+    REQUIRE(unsent.failure.kind == error_kind::expired);
+    REQUIRE(unsent.failure.ran == work_ran::no);
+    machine.on_sent(0);
+    const auto sent = std::get<give_up>(machine.next(now + seconds{1}, budgets));
+    REQUIRE(sent.failure.kind == error_kind::deadline_exceeded);
+    REQUIRE(sent.failure.ran == work_ran::unknown);
+}
+
 TEST_CASE("a stalled attempt is overtaken and may still win") {
     auto budgets = usual_budgets();
     time_point now{seconds{100}};
--- a/libs/execution/tests/parts_test.cpp
+++ b/libs/execution/tests/parts_test.cpp
@@ -44,6 +44,14 @@
     REQUIRE(is_hopeless(unknown, start, start));
 }
 
+TEST_CASE("patience leaves as much time again") {
+    REQUIRE(patience_for({}, milliseconds{600}) == milliseconds{300});
+    REQUIRE(patience_for({}, seconds{10}) == seconds{1});
+    REQUIRE(patience_for(estimate(1, 20), seconds{10}) == milliseconds{250});
+    REQUIRE(patience_for(estimate(1, 500), seconds{10}) == milliseconds{1'500});
+    REQUIRE(patience_for(estimate(1, 500), seconds{2}) == seconds{1});
+}
+
 TEST_CASE("latencies are forgotten, so that estimates recover") {
     recent_latency latency;
     REQUIRE_FALSE(latency.quantile(0.5, start));
