entry: the home of a key follows what operators take out

Change: membership::in_service (published list and configuration only, so that all processes agree) gives the current home; one that cannot vouch for a key leaves the last word to the home before it, which answers for what it ran. Ruled out: going on by own evidence of health, since entries would disagree. The sidecar's record of homes must follow in_service too.

--- a/libs/entry/src/at_most_once_run.cpp
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -35,7 +35,7 @@
                 co_await pause_until(context_.executor, ask->at);
                 co_await ask_for_outcome(ask->attempt);
             } else if (const auto* end = std::get_if<execution::report_failure>(&step)) {
-                co_return qualified(end->failure);
+                co_return co_await last_word(end->failure);
             } else {
                 co_return std::move(output_);
             }
@@ -49,18 +49,49 @@
             machine_.on_no_endpoint(chosen.error());
             co_return;
         }
-        const auto& endpoint = chosen.value().view;
-        endpoint_ = endpoint;
-        target_ = target_at(endpoint, plan_);
-        tried_.insert(endpoint.id);
-        const auto held = context_.core.control.configuration().load()->highest;
-        auto message = make_work_request(plan_.work, attempt, target_, held);
+        aim_at(chosen.value().view);
+        auto message = make_work_request(plan_.work, attempt, target_, held_revision());
         http::call_options options;
         options.deadline = steady_clock::now() + patience();
         sent_at_ = steady_clock::now();
         co_await exchange_about(attempt, std::move(message), options);
     }
 
+    // A home that cannot vouch for a key did not run it; the home before it may have, and has the
+    // answer then. Each sidecar runs a key only if no other can have been given it.
+    awaitable<result<stage_output>> last_word(error failure) {
+        const bool unvouched = failure.kind == error_kind::outcome_unknown &&
+                               last_origin_ == execution::failure_origin::sidecar;
+        if (plan_.work.key.empty() || !unvouched) {
+            co_return qualified(std::move(failure));
+        }
+        auto previous = previous_home_endpoint(context_, plan_);
+        if (!previous) {
+            co_return failure;
+        }
+        const auto attempt = plan_.profile.retries.max_attempts;
+        aim_at(previous->view);
+        auto message = make_work_request(plan_.work, attempt, target_, held_revision());
+        http::call_options options;
+        options.deadline = plan_.times.deadline;
+        auto outcome = co_await exchange(context_, target_.address, identity(attempt),
+                                         std::move(message), options);
+        if (auto* answer = std::get_if<work_answer>(&outcome)) {
+            output_.body = std::move(answer->body);
+            co_return std::move(output_);
+        }
+        const auto& told = std::get<work_failure>(outcome).failure;
+        co_return told.ran == work_ran::yes ? told : failure;
+    }
+
+    void aim_at(const routing::endpoint_view& endpoint) {
+        endpoint_ = endpoint;
+        target_ = target_at(endpoint, plan_);
+        tried_.insert(endpoint.id);
+    }
+
+    revision held_revision() const { return context_.core.control.configuration().load()->highest; }
+
     awaitable<result<chosen_endpoint>> endpoint_for(unsigned attempt) {
         if (plan_.work.key.empty()) {
             co_return co_await choose_endpoint(context_, plan_, tried_);
--- a/libs/entry/src/dispatch.cpp
+++ b/libs/entry/src/dispatch.cpp
@@ -58,6 +58,13 @@
     return "abandoned";
 }
 
+// The slot of an attempt at an endpoint that was not chosen by load.
+chosen_endpoint take(entry_core& core, routing::endpoint_view view) {
+    core.decisions.begin_attempt_at(view.id);
+    auto slot = in_flight_slot{core.decisions, view.id};
+    return {std::move(view), std::move(slot)};
+}
+
 } // namespace
 
 awaitable<void> pause_until(asio::any_io_executor executor, time_point until) {
@@ -100,16 +107,15 @@
     const auto look_until = std::min(steady_clock::now() + longest_look, plan.times.deadline);
     for (;;) {
         const auto now = steady_clock::now();
-        const auto list = core.control.instances().load();
-        const auto* home = membership::home_of(*list, plan.pool, plan.work.key);
+        const auto serving = membership::in_service(*core.control.instances().load(),
+                                                    *core.control.configuration().load());
+        const auto* home = membership::home_of(serving, plan.pool, plan.work.key);
         if (home == nullptr) {
-            co_return make_error(error_kind::no_endpoint, "the service has no worker");
+            co_return make_error(error_kind::no_endpoint, "the service has no worker in service");
         }
         auto view = endpoint_named(core, home->id, now);
         if (view && view->excluded == routing::exclusion::none) {
-            core.decisions.begin_attempt_at(view->id);
-            auto slot = in_flight_slot{core.decisions, view->id};
-            co_return chosen_endpoint{std::move(*view), std::move(slot)};
+            co_return take(core, std::move(*view));
         }
         if (now >= look_until || (view && !may_return(*view))) {
             co_return make_error(error_kind::no_endpoint,
@@ -119,6 +125,23 @@
     }
 }
 
+std::optional<chosen_endpoint> previous_home_endpoint(traffic_context& context,
+                                                      const stage_plan& plan) {
+    auto& core = context.core;
+    const auto list = core.control.instances().load();
+    const auto serving = membership::in_service(*list, *core.control.configuration().load());
+    const auto* previous = membership::home_of(*list, plan.pool, plan.work.key);
+    const auto* current = membership::home_of(serving, plan.pool, plan.work.key);
+    if (previous == nullptr || (current != nullptr && current->id == previous->id)) {
+        return std::nullopt;
+    }
+    auto view = endpoint_named(core, previous->id, steady_clock::now());
+    if (!view || view->excluded == routing::exclusion::stale) {
+        return std::nullopt;
+    }
+    return take(core, std::move(*view));
+}
+
 work_target target_at(const routing::endpoint_view& endpoint, const stage_plan& plan) {
     return {endpoint.data_address, endpoint.life,
             routing::expiry_on_remote_clock(endpoint, plan.times.deadline)};
--- a/libs/entry/src/dispatch.hpp
+++ b/libs/entry/src/dispatch.hpp
@@ -5,6 +5,7 @@
 
 #include "stage_run.hpp"
 
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -47,11 +48,16 @@
 awaitable<result<chosen_endpoint>> choose_endpoint(traffic_context& context, const stage_plan& plan,
                                                    const endpoint_ids& tried);
 
-/// The endpoint whose sidecar is the home of the plan's idempotency key; waits for it within the
-/// deadline.
-/// \returns `no_endpoint` if it takes no work.
+/// The endpoint whose sidecar is the home of the plan's idempotency key. The current home is waited
+/// for within the deadline while it may return.
+/// \returns `no_endpoint` if it cannot be reached or takes no work.
 awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan);
 
+/// The endpoint that was the key's home before the current one, if it is still heard from. It takes
+/// no new work, but answers for what it ran.
+std::optional<chosen_endpoint> previous_home_endpoint(traffic_context& context,
+                                                      const stage_plan& plan);
+
 /// Where an attempt at this endpoint goes, and until when it may begin there.
 work_target target_at(const routing::endpoint_view& endpoint, const stage_plan& plan);
 
--- a/libs/entry/src/stage_race.cpp
+++ b/libs/entry/src/stage_race.cpp
@@ -54,12 +54,12 @@
         execution::idempotent_limits limits;
         limits.max_attempts = plan.profile.retries.max_attempts;
         const auto now = steady_clock::now();
-        limits.stall_after = execution::patience_for(
-            context.core.decisions.estimate(plan.key, now), plan.times.share);
+        limits.stall_after = execution::patience_for(context.core.decisions.estimate(plan.key, now),
+                                                     plan.times.share);
         limits.deadline = plan.times.deadline;
         if (plan.profile.hedging.enabled) {
-            limits.hedge_after = context.core.decisions.quantile(
-                plan.key, plan.profile.hedging.quantile, now);
+            limits.hedge_after =
+                context.core.decisions.quantile(plan.key, plan.profile.hedging.quantile, now);
         }
         return limits;
     }
--- a/libs/entry/tests/attempts_test.cpp
+++ b/libs/entry/tests/attempts_test.cpp
@@ -1,12 +1,12 @@
 /// \file
 /// Retries, hedges, identities and work that is not idempotent, at the level of messages.
 #include "harness.hpp"
-
 #include "membership/subset.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <map>
 
 using namespace boragefront;
 using namespace boragefront::entry::testing;
@@ -66,19 +66,18 @@
 TEST_CASE("an answer for another identity is never given to a caller") {
     harness peers;
     std::atomic<int> swapped{0};
-    peers.add_sidecar("worker-1", "workers",
-                      [&](const http::request& message,
-                          http::responder& out) -> http::awaitable<void> {
-                          auto answer = answer_to(message, 200, R"("of another request")");
-                          const bool swap = ++swapped <= 2;
-                          if (swap) {
-                              answer.headers.set("Boragefront-Work",
-                                                 "01890a5d-ac96-774b-bcce-b302099a8057/0/0");
-                          } else {
-                              answer.body = R"("own")";
-                          }
-                          (void)co_await out.send(std::move(answer));
-                      });
+    peers.add_sidecar(
+        "worker-1", "workers",
+        [&](const http::request& message, http::responder& out) -> http::awaitable<void> {
+            auto answer = answer_to(message, 200, R"("of another request")");
+            const bool swap = ++swapped <= 2;
+            if (swap) {
+                answer.headers.set("Boragefront-Work", "01890a5d-ac96-774b-bcce-b302099a8057/0/0");
+            } else {
+                answer.body = R"("own")";
+            }
+            (void)co_await out.send(std::move(answer));
+        });
     const auto answer = peers.post("stock", "{}");
     INFO(answer.body);
     REQUIRE(answer.body.find("of another request") == std::string::npos);
@@ -87,7 +86,9 @@
 
 TEST_CASE("a silent sidecar is overtaken, and its answer is not waited for") {
     harness peers;
-    const auto silent = [](const http::request&, http::responder&) { return sleep_for(long_enough); };
+    const auto silent = [](const http::request&, http::responder&) {
+        return sleep_for(long_enough);
+    };
     peers.add_sidecar("worker-1", "workers", silent);
     peers.add_sidecar("worker-2", "workers");
     for (int i = 0; i < 6; ++i) {
@@ -138,9 +139,9 @@
 TEST_CASE("a question that nobody hears does not make lost work not run") {
     harness peers;
     // Neither the work nor any question is answered.
-    auto& first = peers.add_sidecar("worker-1", "workers", losing_work([](auto&, auto&) {
-                                        return sleep_for(milliseconds{1});
-                                    }));
+    auto& first =
+        peers.add_sidecar("worker-1", "workers",
+                          losing_work([](auto&, auto&) { return sleep_for(milliseconds{1}); }));
     const auto problem = harness::problem_of(peers.post("orders", "{}", within(milliseconds{400})));
     REQUIRE(problem.kind == error_kind::outcome_unknown);
     REQUIRE(problem.ran == work_ran::unknown);
@@ -180,20 +181,47 @@
     }
 }
 
-TEST_CASE("a keyed order whose home takes no work is not said to have never run") {
+TEST_CASE("a keyed order whose home is unknown is not said to have never run") {
+    harness peers;
+    auto& worker = peers.add_sidecar("worker-1", "workers");
+    worker.phase = control::service_phase::draining;
+    peers.control.hear(worker.heard());
+    const auto problem = harness::problem_of(peers.post("orders", "{}", keyed()));
+    REQUIRE(problem.kind == error_kind::no_endpoint);
+    REQUIRE(problem.ran == work_ran::unknown);
+    REQUIRE(work_sent({&worker}) == 0);
+}
+
+TEST_CASE("a home that is out is followed by the next, and still asked for what it ran") {
     harness peers;
-    for (int i = 0; i < 3; ++i) {
-        peers.add_sidecar("worker-" + std::to_string(i), "workers");
+    // As sidecars do: a home that became one after the key was made does not vouch for it.
+    std::atomic<bool> vouches{true};
+    std::map<std::string, fake_sidecar*> workers;
+    for (const auto* id : {"worker-0", "worker-1", "worker-2"}) {
+        workers[id] = &peers.add_sidecar(
+            id, "workers", [&](const http::request& message, http::responder& out) {
+                return vouches ? echo(message, out)
+                               : refuse(message, out,
+                                        make_error(error_kind::outcome_unknown, "not vouched"));
+            });
     }
     const auto list = peers.control.instances().load();
-    const auto home = membership::home_of(*list, "workers", order_key)->id;
+    auto* first = workers.at(membership::home_of(*list, "workers", order_key)->id);
     auto configuration = peers.configuration;
-    configuration.endpoints[home] = config::service_state::out;
+    configuration.endpoints[first->id()] = config::service_state::out;
     peers.control.publish(configuration);
+    const auto serving = membership::in_service(*list, configuration);
+    auto* second = workers.at(membership::home_of(serving, "workers", order_key)->id);
+
+    REQUIRE(peers.post("orders", "{}", keyed()).status == 200);
+    REQUIRE(work_sent({second}) == 1);
+    REQUIRE(work_sent({first}) == 0);
+
+    vouches = false;
     const auto problem = harness::problem_of(peers.post("orders", "{}", keyed()));
-    REQUIRE(problem.kind == error_kind::no_endpoint);
-    REQUIRE(problem.ran == work_ran::unknown);
-    REQUIRE(peers.post("orders", "{}").status == 200);
+    REQUIRE(problem.kind == error_kind::outcome_unknown);
+    REQUIRE(work_sent({second}) == 2);
+    REQUIRE(work_sent({first}) == 1);
 }
 
 TEST_CASE("nothing is sent to a sidecar that was not heard from lately") {
@@ -202,8 +230,7 @@
     auto stale = worker.heard();
     stale.heard_at -= seconds{4};
     peers.control.hear(stale);
-    const auto problem =
-        harness::problem_of(peers.post("stock", "{}", within(milliseconds{300})));
+    const auto problem = harness::problem_of(peers.post("stock", "{}", within(milliseconds{300})));
     REQUIRE(problem.ran == work_ran::no);
     REQUIRE(work_sent({&worker}) == 0);
     peers.control.hear(worker.heard());
--- a/libs/membership/include/membership/subset.hpp
+++ b/libs/membership/include/membership/subset.hpp
@@ -3,6 +3,7 @@
 /// sidecars that an entry keeps in touch with, and the home of an idempotency key.
 #pragma once
 
+#include "config/types.hpp"
 #include "membership/instance.hpp"
 
 #include <functional>
@@ -39,7 +40,11 @@
 /// The sidecars of one pool, leaving ones included, ordered by id.
 std::vector<instance> sidecars_of_pool(const instance_list& all, std::string_view pool);
 
-/// The home of an idempotency key: the sidecar of the pool, live or leaving, that scores highest.
+/// The sidecars that may be the home of a new key: those that neither the platform says to leave
+/// nor operators took out. Published knowledge only, so that all processes come to agree.
+instance_list in_service(const instance_list& all, const config::snapshot& configuration);
+
+/// The home of an idempotency key: the sidecar of the pool that scores highest, live or leaving.
 /// Own evidence of health has no part in it, so that all entries with the same list agree.
 /// \returns null if the pool has no sidecar; else a pointer into `all`.
 const instance* home_of(const instance_list& all, std::string_view pool, std::string_view key);
--- a/libs/membership/src/subset.cpp
+++ b/libs/membership/src/subset.cpp
@@ -96,6 +96,18 @@
     return members;
 }
 
+instance_list in_service(const instance_list& all, const config::snapshot& configuration) {
+    instance_list serving;
+    for (const auto& candidate : all.instances) {
+        const bool live = candidate.state == instance_state::live;
+        const bool in = configuration.is_in(candidate.data_centre, candidate.id);
+        if (candidate.role == instance_role::sidecar && live && in) {
+            serving.instances.push_back(candidate);
+        }
+    }
+    return serving;
+}
+
 const instance* home_of(const instance_list& all, std::string_view pool, std::string_view key) {
     const instance* home = nullptr;
     std::uint64_t best = 0;
--- a/libs/membership/tests/subset_test.cpp
+++ b/libs/membership/tests/subset_test.cpp
@@ -123,3 +123,19 @@
         }
     }
 }
+
+TEST_CASE("what is out or leaving is no home for new keys") {
+    auto all = make_pool(12);
+    all.instances[1].state = instance_state::leaving;
+    config::snapshot configuration;
+    configuration.data_centres["dc-0"] = config::service_state::out;
+    configuration.endpoints["engines-2"] = config::service_state::out;
+    const auto serving = in_service(all, configuration);
+    REQUIRE(serving.instances.size() == 8);
+    for (unsigned i = 0; i < 100; ++i) {
+        const auto home = *home_of(serving, "engines", "key-" + std::to_string(i));
+        REQUIRE(home.data_centre != "dc-0");
+        REQUIRE(home.id != "engines-1");
+        REQUIRE(home.id != "engines-2");
+    }
+}
