--- /dev/null
+++ b/tests/faults/rolling_restart_test.cpp
@@ -0,0 +1,49 @@
+/// \file
+/// Every planned stop is a graceful shutdown that cuts no request.
+#include "src/deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace boragefront;
+using namespace boragefront::faults;
+
+namespace {
+
+void restart_gracefully(daemon_node& node, running_load& load) {
+    INFO(node.id());
+    node.terminate();
+    const auto status = node.wait_exit(patience);
+    REQUIRE(status);
+    REQUIRE(*status == 0);
+    REQUIRE(node.start());
+    load.wait_whole(20);
+}
+
+} // namespace
+
+TEST_CASE("a rolling restart of all entries and sidecars under load cuts no request",
+          "[invariant]") {
+    const auto deployment = start_deployment({.order_service_ms = 20, .engines = 2});
+    running_load load{
+        *deployment,
+        {.mix = {order_request(), stock_request(), draft_request(false), draft_request(true)},
+         .callers = 4,
+         .seed = 9}};
+    load.wait_whole(40);
+    for (auto& entry : deployment->entries()) {
+        restart_gracefully(*entry.daemon, load);
+        REQUIRE(deployment->wait_ready(patience));
+    }
+    for (auto& slot : deployment->slots()) {
+        restart_gracefully(*slot.sidecar, load);
+    }
+    const auto answers = load.stop();
+    const auto judged = judge(*deployment, answers);
+    WARN(to_string(judged));
+    REQUIRE(judged.faults.empty());
+    for (const auto& answer : answers) {
+        INFO(answer.asked.service << ' ' << answer.status << ' ' << answer.kind << ' '
+                                  << answer.detail);
+        REQUIRE(answer.whole);
+    }
+}
--- a/tests/support/include/support/cluster.hpp
+++ b/tests/support/include/support/cluster.hpp
@@ -139,6 +139,9 @@
     /// Publishes a value. \param value JSON
     result<revision> publish(const std::string& key, const std::string& value);
 
+    /// Deletes a value.
+    result<revision> remove(const std::string& key);
+
     /// Publishes the instance list as it is now.
     result<void> publish_instances();
 
--- a/tests/support/src/cluster.cpp
+++ b/tests/support/src/cluster.cpp
@@ -261,6 +261,13 @@
     return json::parse(body).at("revision").to_number<revision>();
 }
 
+result<revision> cluster::remove(const std::string& key) {
+    BOOST_OUTCOME_TRY(const auto body,
+                      expect_ok(send_json(platform_->address(), "DELETE", "/v1/config/" + key, "",
+                                          call_patience)));
+    return json::parse(body).at("revision").to_number<revision>();
+}
+
 result<void> cluster::publish_instances() {
     json::array list;
     for (const auto& one : slots_) {
