--- a/tests/faults/rolling_restart_test.cpp
+++ b/tests/faults/rolling_restart_test.cpp
@@ -23,7 +23,7 @@
 
 TEST_CASE("a rolling restart of all entries and sidecars under load cuts no request",
           "[invariant]") {
-    const auto deployment = start_deployment({.order_service_ms = 20, .engines = 2});
+    const auto deployment = start_deployment({.engines = 2, .order_service_ms = 20});
     running_load load{
         *deployment,
         {.mix = {order_request(), stock_request(), draft_request(false), draft_request(true)},
