--- a/tests/support/include/support/cluster.hpp
+++ b/tests/support/include/support/cluster.hpp
@@ -59,6 +59,8 @@
     std::optional<int> wait_exit(milliseconds patience);
 
 protected:
+    /// Starts the program. Where it ran before, its address may be in use for a moment by another
+    /// process's connection: that is tried again.
     result<void> launch(const std::vector<std::string>& command);
     std::string first_line(std::string_view member) const;
     const std::filesystem::path& folder() const { return folder_; }
@@ -67,6 +69,7 @@
     std::string id_;
     std::filesystem::path folder_;
     std::optional<process> process_;
+    bool ran_before_{false};
 };
 
 /// A stand-in for an endpoint, or the platform, or a relay.
--- a/tests/support/src/cluster.cpp
+++ b/tests/support/src/cluster.cpp
@@ -74,15 +74,15 @@
 
 result<void> node::launch(const std::vector<std::string>& command) {
     process_.reset();
-    // The address of an earlier life may be in use for a moment by a connection of another process.
     const auto until = steady_clock::now() + start_patience;
     for (;;) {
         auto started = process::start(command, folder_ / (id_ + ".log"), start_patience);
         if (started) {
             process_.emplace(std::move(started.value()));
+            ran_before_ = true;
             return success();
         }
-        if (steady_clock::now() > until) {
+        if (!ran_before_ || steady_clock::now() > until) {
             return make_error(error_kind::unavailable,
                               id_ + ": " + to_string(started.error()) + "; see its log");
         }
