--- a/boragefrontd/tests/boragefrontd_test.cpp
+++ b/boragefrontd/tests/boragefrontd_test.cpp
@@ -1,14 +1,17 @@
 /// \file
 /// The daemon's command line and exit statuses, as a process.
-#include "run_program.hpp"
+#include "support/process.hpp"
+#include "support/run_program.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <unistd.h>
 
-using namespace boragefront::test;
+using namespace boragefront;
+using namespace boragefront::support;
 
 namespace {
 
@@ -22,8 +25,13 @@
     std::string path() const { return path_.string(); }
 
 private:
-    std::filesystem::path path_{std::filesystem::temp_directory_path() /
-                                ("boragefrontd_test_" + std::to_string(::getpid()) + ".json")};
+    static std::filesystem::path unused_path() {
+        static int made = 0;
+        return std::filesystem::temp_directory_path() /
+               ("boragefrontd_test_" + std::to_string(::getpid()) + "_" + std::to_string(++made));
+    }
+
+    std::filesystem::path path_{unused_path()};
 };
 
 program_outcome run_daemon(const std::vector<std::string>& arguments) {
@@ -74,3 +82,35 @@
     REQUIRE(help.status == 0);
     REQUIRE_THAT(help.output, Catch::Contains("--check"));
 }
+
+TEST_CASE("a daemon prints its addresses once bound and ends gracefully on a signal") {
+    const auto signal_number = GENERATE(SIGTERM, SIGINT);
+    const settings_file file{good};
+    auto daemon = process::start({BORAGEFRONTD, "--settings", file.path()}, file.path() + ".log",
+                                 seconds{20});
+    REQUIRE(daemon);
+    for (const auto* field : {"data_address", "control_address"}) {
+        const std::string address{daemon.value().first_line().at(field).as_string()};
+        CAPTURE(field, address);
+        REQUIRE_THAT(address, Catch::StartsWith("127.0.0.1:") && !Catch::EndsWith(":0"));
+    }
+    daemon.value().send_signal(signal_number);
+    REQUIRE(daemon.value().wait_exit(seconds{20}) == 0);
+    std::filesystem::remove(file.path() + ".log");
+}
+
+TEST_CASE("a daemon whose address is taken says so and ends with status 1") {
+    const settings_file file{good};
+    auto first = process::start({BORAGEFRONTD, "--settings", file.path()}, file.path() + ".log",
+                                seconds{20});
+    REQUIRE(first);
+    const std::string taken{first.value().first_line().at("data_address").as_string()};
+    std::filesystem::remove(file.path() + ".log");
+    auto text = good;
+    text.erase(text.find("127.0.0.1:0"), std::string_view{"127.0.0.1:0"}.size());
+    text.insert(text.find(R"("data_address": ")") + 17, taken);
+    const settings_file second{text};
+    const auto outcome = run_daemon({"--settings", second.path()});
+    REQUIRE(outcome.status == 1);
+    REQUIRE_THAT(outcome.errors, Catch::Contains(taken));
+}
--- a/tests/support/run_program.hpp
+++ b/tests/support/include/support/run_program.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace boragefront::test {
+namespace boragefront::support {
 
 /// How a program ended.
 struct program_outcome {
@@ -17,4 +17,4 @@
 /// Runs `program` with `arguments` and waits for its end.
 program_outcome run_program(const std::string& program, const std::vector<std::string>& arguments);
 
-} // namespace boragefront::test
+} // namespace boragefront::support
--- a/tests/support/run_program.cpp
+++ b/tests/support/src/run_program.cpp
@@ -1,11 +1,11 @@
-#include "run_program.hpp"
+#include "support/run_program.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/process.hpp>
 
 #include <future>
 
-namespace boragefront::test {
+namespace boragefront::support {
 
 program_outcome run_program(const std::string& program, const std::vector<std::string>& arguments) {
     namespace process = boost::process;
@@ -20,4 +20,4 @@
     return {child.exit_code(), output.get(), errors.get()};
 }
 
-} // namespace boragefront::test
+} // namespace boragefront::support
--- a/tools/boragefront_replay/tests/replay_program_test.cpp
+++ b/tools/boragefront_replay/tests/replay_program_test.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// The program against an entry whose answers are known.
 #include "http/server.hpp"
-#include "run_program.hpp"
+#include "support/run_program.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
@@ -15,7 +15,7 @@
 #include <unistd.h>
 
 using namespace boragefront;
-using namespace boragefront::test;
+using namespace boragefront::support;
 namespace asio = boost::asio;
 
 namespace {
--- a/tools/boragefrontctl/tests/peer_commands_test.cpp
+++ b/tools/boragefrontctl/tests/peer_commands_test.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// The commands that ask running processes, against control servers whose answers are known.
 #include "base/metrics.hpp"
-#include "run_program.hpp"
+#include "support/run_program.hpp"
 #include "wire/server.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -11,7 +11,7 @@
 #include <thread>
 
 using namespace boragefront;
-using namespace boragefront::test;
+using namespace boragefront::support;
 namespace asio = boost::asio;
 
 namespace {
--- a/tools/boragefrontctl/tests/tree_commands_test.cpp
+++ b/tools/boragefrontctl/tests/tree_commands_test.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// The commands on configuration trees, as a process.
-#include "run_program.hpp"
+#include "support/run_program.hpp"
 
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
@@ -9,7 +9,7 @@
 #include <fstream>
 #include <unistd.h>
 
-using namespace boragefront::test;
+using namespace boragefront::support;
 namespace fs = std::filesystem;
 
 namespace {
