--- a/tools/boragefront_replay/src/caller.cpp
+++ b/tools/boragefront_replay/src/caller.cpp
@@ -99,17 +99,15 @@
     return ended.kind == "answer" && ended.latency <= entry.deadline;
 }
 
-http::awaitable<outcome> call(http::client& http, const std::vector<std::string>& entries,
-                              const trace_entry& entry, std::string idempotency_key,
-                              std::size_t first_entry) {
+http::awaitable<outcome> call(http::client& http, std::vector<std::string> entries,
+                              const trace_entry& entry, std::string idempotency_key) {
     const auto sent = steady_clock::now();
     const auto deadline = sent + entry.deadline + lateness_allowance;
     const auto message = request_for(entry, std::move(idempotency_key));
     http::call_options options;
     options.deadline = deadline;
     outcome ended;
-    for (std::size_t tried = 0; tried < entries.size(); ++tried) {
-        const auto& address = entries.at((first_entry + tried) % entries.size());
+    for (const auto& address : entries) {
         auto stream = co_await http.open(address, message, options);
         if (stream) {
             ended = co_await read_answer(*stream.value(), entry, sent, deadline);
--- a/tools/boragefront_replay/src/caller.hpp
+++ b/tools/boragefront_replay/src/caller.hpp
@@ -25,12 +25,11 @@
 /// Whether the request was answered whole, with its own answer, within its deadline.
 bool attained(const trace_entry& entry, const outcome& ended);
 
-/// Sends `entry` to one of the entries in turn and reads its answer to the end. An entry that
-/// cannot be reached is passed over, as the balancer would. \param http, `entries` and `entry`
-/// outlive the call. \param idempotency_key sent unless empty. \param first_entry index of the
-/// entry to begin with.
-http::awaitable<outcome> call(http::client& http, const std::vector<std::string>& entries,
-                              const trace_entry& entry, std::string idempotency_key,
-                              std::size_t first_entry);
+/// Sends `entry` to the first of the entries that can be reached and reads the answer to its end.
+/// \param http and `entry` outlive the call.
+/// \param entries data addresses, tried in this order. \pre not empty.
+/// \param idempotency_key sent unless empty.
+http::awaitable<outcome> call(http::client& http, std::vector<std::string> entries,
+                              const trace_entry& entry, std::string idempotency_key);
 
 } // namespace boragefront::replay
--- a/tools/boragefront_replay/src/main.cpp
+++ b/tools/boragefront_replay/src/main.cpp
@@ -39,7 +39,8 @@
 idempotent carry an Idempotency-Key.
 
   --trace FILE      the trace, JSON lines (traces/)
-  --entries A,...   data addresses of the entries, ip:port
+  --entries A,...   data addresses of the entries, ip:port; requests are dealt to
+                    those whose readiness probe succeeds
   --peers A,...     control addresses of the same entries; their metrics give
                     the endpoint time by stage
   --speed X         arrivals come X times as fast, 0.01 to 1000 (default 1);
--- a/tools/boragefront_replay/src/player.cpp
+++ b/tools/boragefront_replay/src/player.cpp
@@ -1,5 +1,6 @@
 #include "player.hpp"
 
+#include "balancer.hpp"
 #include "base/ids.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,7 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds progress_interval{200};
+constexpr milliseconds probe_interval{250};
 
 wall_time wall_now() {
     return std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
@@ -31,6 +33,7 @@
     std::vector<outcome> run() {
         asio::co_spawn(io_, send_all(), asio::detached);
         asio::co_spawn(io_, tell_progress(), asio::detached);
+        asio::co_spawn(io_, probe_entries(), asio::detached);
         io_.run();
         return std::move(outcomes_);
     }
@@ -53,7 +56,7 @@
         if (!entry.repeatable) {
             key = make_uuid7(wall_now(), random_);
         }
-        outcomes_[index] = co_await call(*http_, options_.entries, entry, std::move(key), index);
+        outcomes_[index] = co_await call(*http_, balancer_.next(), entry, std::move(key));
         ++done_.ended;
         done_.attained += attained(entry, outcomes_[index]) ? 1 : 0;
     }
@@ -70,6 +73,15 @@
         }
     }
 
+    http::awaitable<void> probe_entries() {
+        asio::steady_timer timer{io_};
+        while (done_.ended < done_.total) {
+            co_await balancer_.probe_all();
+            timer.expires_after(probe_interval);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
     duration scaled(milliseconds arrival) const {
         return std::chrono::duration_cast<duration>(
             std::chrono::duration<double, std::milli>{static_cast<double>(arrival.count())} /
@@ -81,6 +93,7 @@
     asio::io_context io_{1};
     random_source random_{make_random_source()};
     std::unique_ptr<http::client> http_{http::client::make(io_.get_executor())};
+    balancer balancer_{options_.entries, *http_};
     std::vector<outcome> outcomes_;
     progress done_;
 };
--- a/tools/boragefront_replay/src/player.hpp
+++ b/tools/boragefront_replay/src/player.hpp
@@ -22,8 +22,9 @@
 };
 
 struct play_options {
-    std::vector<std::string> entries; ///< "ip:port" of each; callers are dealt to them in turn
-    double speed{1.0};                ///< arrivals come this many times as fast
+    std::vector<std::string>
+        entries;       ///< "ip:port" of each; requests are dealt to the ready ones in turn
+    double speed{1.0}; ///< arrivals come this many times as fast
     std::function<void(const progress&)> on_progress; ///< called now and then; may be empty
 };
 
--- a/tools/boragefront_replay/tests/replay_program_test.cpp
+++ b/tools/boragefront_replay/tests/replay_program_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <mutex>
@@ -24,7 +25,7 @@
 // "stream" by tokens, and everything else as unknown.
 class fake_entry {
 public:
-    fake_entry() {
+    explicit fake_entry(bool ready = true) : ready_{ready} {
         auto made = http::server::listen(
             {io_.get_executor()}, "127.0.0.1:0", {},
             [this](const http::request& incoming, http::responder& out) -> http::awaitable<void> {
@@ -43,6 +44,8 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
 
+    unsigned requests() const { return requests_; }
+
     std::set<std::string> keys() {
         const std::scoped_lock lock{mutex_};
         return keys_;
@@ -50,6 +53,10 @@
 
 private:
     http::awaitable<void> answer(const http::request& incoming, http::responder& out) {
+        if (incoming.target == "/readyz") {
+            return answer_probe(ready_, out);
+        }
+        ++requests_;
         if (incoming.headers.has("Idempotency-Key")) {
             const std::scoped_lock lock{mutex_};
             keys_.emplace(incoming.headers.get("Idempotency-Key"));
@@ -61,6 +68,11 @@
         return answer_whole(service, incoming.body, out);
     }
 
+    static http::awaitable<void> answer_probe(bool ready, http::responder& out) {
+        const auto answer = http::make_json_response(ready ? 200 : 503, "{}");
+        (void)co_await out.send(answer);
+    }
+
     static http::awaitable<void> answer_whole(std::string service, std::string body,
                                               http::responder& out) {
         http::response whole = http::make_json_response(200, R"({"result": )" + body + "}");
@@ -82,6 +94,8 @@
         (void)co_await out.finish();
     }
 
+    bool ready_;
+    std::atomic<unsigned> requests_{0};
     asio::io_context io_{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard_{io_.get_executor()};
     std::unique_ptr<http::server> server_;
@@ -90,9 +104,9 @@
     std::thread thread_;
 };
 
-std::string line_for(const std::string& service, bool repeatable) {
+std::string line_for(const std::string& service, bool repeatable, int arrival_ms = 0) {
     boost::json::object line{
-        {"arrival_ms", 0},
+        {"arrival_ms", arrival_ms},
         {"workspace", "w"},
         {"service", service},
         {"body", {{"marker", "m-1"}}},
@@ -145,6 +159,18 @@
     REQUIRE(outcome.status == 0);
 }
 
+TEST_CASE("an entry that is not ready gets no requests once it was probed") {
+    fake_entry ready;
+    fake_entry draining{false};
+    constexpr int well_after_the_first_probe_ms = 10'000; // a second at the speed of the test
+    const trace_file trace{line_for("own", true, well_after_the_first_probe_ms) +
+                           line_for("own", true, well_after_the_first_probe_ms)};
+    const auto outcome = replay_trace(trace.path(), draining.address() + "," + ready.address());
+    REQUIRE(outcome.status == 0);
+    REQUIRE(ready.requests() == 2);
+    REQUIRE(draining.requests() == 0);
+}
+
 TEST_CASE("an answer that is not the caller's own, or an error, is not attained") {
     fake_entry entry;
     const trace_file trace{line_for("foreign", true) + line_for("other", true)};
