--- a/benchmarks/policy/endpoint_model.cpp
+++ b/benchmarks/policy/endpoint_model.cpp
@@ -22,6 +22,7 @@
         return call;
     }
     if (failing_) {
+        busy_ += failure_time;
         clock_.after(failure_time, [done] { done(run_end::failed, failure_time); });
         return call;
     }
@@ -29,7 +30,7 @@
         clock_.after(duration{0}, [done] { done(run_end::overloaded, duration{0}); });
         return call;
     }
-    running_.emplace(call, std::move(done));
+    running_.emplace(call, running_call{std::move(done), clock_.now()});
     if (!warm_) {
         peak_while_cold_ = std::max(peak_while_cold_, running_.size());
         if (running_.size() > traits_.cold_limit) {
@@ -42,13 +43,22 @@
     return call;
 }
 
+void endpoint_model::cancel(std::uint64_t call) {
+    const auto found = running_.find(call);
+    if (found != running_.end()) {
+        busy_ += clock_.now() - found->second.started;
+        running_.erase(found);
+    }
+}
+
 void endpoint_model::finish(std::uint64_t call, duration took) {
     const auto found = running_.find(call);
     if (found == running_.end()) {
         return; // cancelled, or lost when it fell over
     }
-    const auto done = std::move(found->second);
+    const auto done = std::move(found->second.done);
     running_.erase(found);
+    busy_ += took;
     warm_ = warm_ || ++completed_ >= warm_after;
     done(run_end::answered, took);
 }
@@ -59,8 +69,9 @@
     completed_ = 0;
     down_until_ = clock_.now() + down_time;
     const auto lost = std::exchange(running_, {});
-    for (const auto& [call, done] : lost) {
-        clock_.after(duration{0}, [done = done] { done(run_end::lost, duration{0}); });
+    for (const auto& [call, record] : lost) {
+        busy_ += clock_.now() - record.started;
+        clock_.after(duration{0}, [done = record.done] { done(run_end::lost, duration{0}); });
     }
 }
 
--- a/benchmarks/policy/endpoint_model.hpp
+++ b/benchmarks/policy/endpoint_model.hpp
@@ -31,7 +31,7 @@
 
     /// Takes a call. \returns its number, by which it can be cancelled.
     std::uint64_t run(on_end done);
-    void cancel(std::uint64_t call) { running_.erase(call); }
+    void cancel(std::uint64_t call);
 
     void set_slow_factor(double factor) { slow_factor_ = factor; }
     void set_failing(bool failing) { failing_ = failing; }
@@ -44,6 +44,9 @@
     std::string instance() const { return std::to_string(life_); }
     std::uint64_t falls() const { return falls_; }
 
+    /// Time spent on calls, whatever became of them.
+    duration busy() const { return busy_; }
+
     /// The most that was in progress while it was cold, of what arrived since it turned cold.
     std::size_t peak_while_cold() const { return peak_while_cold_; }
 
@@ -55,7 +58,12 @@
     virtual_clock& clock_;
     endpoint_traits traits_;
     random_source random_;
-    std::map<std::uint64_t, on_end> running_;
+    struct running_call {
+        on_end done;
+        time_point started;
+    };
+    std::map<std::uint64_t, running_call> running_;
+    duration busy_{0};
     std::uint64_t calls_{0};
     std::uint64_t life_{1};
     std::uint64_t falls_{0};
--- a/benchmarks/policy/main.cpp
+++ b/benchmarks/policy/main.cpp
@@ -74,8 +74,9 @@
     }
     measures.plain = share(plain.attained, plain.offered);
     measures.early = share(all.refused_early, all.refused);
-    const auto spent = result.cost.useful + result.cost.wasted;
-    measures.wasted = spent == 0 ? 0 : result.cost.wasted / spent;
+    if (result.cost.busy > 0) {
+        measures.wasted = 1 - result.cost.useful / result.cost.busy;
+    }
     measures.sent_per_stage = share(result.cost.attempts, result.cost.stages);
     measures.falls = result.cost.falls;
     return measures;
--- a/benchmarks/policy/virtual_request.cpp
+++ b/benchmarks/policy/virtual_request.cpp
@@ -30,12 +30,12 @@
     return policy;
 }
 
+} // namespace
+
 double milliseconds_of(duration time) {
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
-} // namespace
-
 virtual_node::virtual_node(virtual_clock& clock, std::string pool_name, std::string name,
                            std::string place, endpoint_traits traits,
                            sidecar::scheduler_mechanisms mechanisms, std::uint64_t seed)
@@ -216,8 +216,8 @@
     home_.decisions().end_attempt(record.node->id);
     home_.decisions().note_success(record.node->id);
     const bool won = !running->over && running->machine.on_success(number);
-    (won ? cost.useful : cost.wasted) += milliseconds_of(service_time);
     if (won) {
+        cost.useful += milliseconds_of(service_time);
         home_.decisions().note_stage_done(key_of(running->stage), now - record.launched_at, now);
     }
 }
@@ -254,7 +254,6 @@
         record.ended = true;
         home_.decisions().end_attempt(record.node->id);
         const auto elapsed = now - record.launched_at;
-        all.result.cost.wasted += milliseconds_of(elapsed);
         if (running->machine.winner()) {
             home_.decisions().note_latency(key_of(running->stage), elapsed, now);
             const auto usual =
@@ -279,7 +278,11 @@
         return;
     }
     auto& tally = home_.all().result.services[service_.name];
-    ++(home_.all().clock.now() <= deadline_ ? tally.attained : tally.late);
+    const auto now = home_.all().clock.now();
+    ++(now <= deadline_ ? tally.attained : tally.late);
+    if (now <= std::min(deadline_, home_.all().arrivals_end)) {
+        ++tally.attained_meanwhile;
+    }
 }
 
 void virtual_request::answer_error() {
--- a/benchmarks/policy/virtual_request.hpp
+++ b/benchmarks/policy/virtual_request.hpp
@@ -11,6 +11,8 @@
 
 namespace boragefront::bench {
 
+double milliseconds_of(duration time);
+
 /// An endpoint and its sidecar.
 struct virtual_node {
     virtual_node(virtual_clock& clock, std::string pool_name, std::string name, std::string place,
@@ -27,6 +29,7 @@
 /// What all entries and requests share.
 struct fleet {
     virtual_clock clock;
+    time_point arrivals_end{};
     std::vector<std::unique_ptr<virtual_node>> nodes;
     row_result result;
 };
--- a/benchmarks/policy/world.cpp
+++ b/benchmarks/policy/world.cpp
@@ -31,6 +31,7 @@
     row_result run() {
         const auto start = fleet_.clock.now() + warm_up_time;
         end_ = start + row_.length;
+        fleet_.arrivals_end = end_;
         for (const auto& service : deployment_.services) {
             fleet_.clock.at(start, [this, &service] { arrive(service); });
         }
@@ -39,6 +40,7 @@
         fleet_.clock.run_until(end_ + longest);
         for (const auto& node : fleet_.nodes) {
             fleet_.result.cost.falls += node->endpoint.falls();
+            fleet_.result.cost.busy += milliseconds_of(node->endpoint.busy());
         }
         return fleet_.result;
     }
--- a/benchmarks/policy/world.hpp
+++ b/benchmarks/policy/world.hpp
@@ -69,15 +69,16 @@
 struct service_tally {
     std::uint64_t offered{0};
     std::uint64_t attained{0};
-    std::uint64_t refused{0};       ///< answered with an error
-    std::uint64_t refused_early{0}; ///< ... within 50 ms of their arrival
+    std::uint64_t attained_meanwhile{0}; ///< ... before the arrivals ended
+    std::uint64_t refused{0};            ///< answered with an error
+    std::uint64_t refused_early{0};      ///< ... within 50 ms of their arrival
     std::uint64_t late{0};
 };
 
 /// Endpoint time by its use, in milliseconds of virtual time.
 struct cost_tally {
-    double useful{0};
-    double wasted{0};
+    double useful{0};          ///< of results that were used
+    double busy{0};            ///< in all
     std::uint64_t stages{0};   ///< stages begun
     std::uint64_t attempts{0}; ///< attempts sent for them
     std::uint64_t falls{0};    ///< endpoints that fell over
