--- a/libs/control/tests/fleet.cpp
+++ b/libs/control/tests/fleet.cpp
@@ -157,7 +157,7 @@
     schedule(tick_interval, [this, index, life] { tick(index, life); });
 }
 
-void fleet::carry_out(std::size_t index, read_config_action wanted) {
+void fleet::carry_out(std::size_t index, const read_config_action& wanted) {
     ++platform.calls;
     if (!arrives(index, platform_index)) {
         schedule(platform_timeout, if_alive(index, [this, index, wanted] {
@@ -183,7 +183,7 @@
              }));
 }
 
-void fleet::carry_out(std::size_t index, read_list_action wanted) {
+void fleet::carry_out(std::size_t index, const read_list_action& wanted) {
     ++platform.calls;
     const bool lost = platform.down || !arrives(index, platform_index);
     list_reading reading{platform.instances, false, platform.instances.size() * 150 + 20};
@@ -199,7 +199,7 @@
     step(index, std::make_shared<converse_action>(std::move(wanted)));
 }
 
-void fleet::step(std::size_t index, std::shared_ptr<converse_action> wanted) {
+void fleet::step(std::size_t index, const std::shared_ptr<converse_action>& wanted) {
     auto& node = *nodes_[index].node;
     auto next = node.next(*wanted, now_);
     if (!next) {
@@ -229,7 +229,7 @@
 }
 
 void fleet::call(std::size_t from, const std::string& address, wire::request asked,
-                 std::function<void(std::optional<wire::answer>)> done) {
+                 const std::function<void(std::optional<wire::answer>)>& done) {
     const auto to = by_address_.at(address);
     const bool lost = !arrives(from, to);
     const bool answer_lost = !arrives(to, from);
--- a/libs/control/tests/fleet.hpp
+++ b/libs/control/tests/fleet.hpp
@@ -95,16 +95,16 @@
     void start_node(std::size_t index);
     void schedule(milliseconds delay, std::function<void()> act);
     void tick(std::size_t index, std::uint64_t life);
-    void carry_out(std::size_t index, read_config_action wanted);
-    void carry_out(std::size_t index, read_list_action wanted);
+    void carry_out(std::size_t index, const read_config_action& wanted);
+    void carry_out(std::size_t index, const read_list_action& wanted);
     void carry_out(std::size_t index, converse_action wanted);
     void carry_out(std::size_t index, const beat_action& wanted);
     void watch(std::size_t index, const read_config_action& wanted, time_point until);
-    void step(std::size_t index, std::shared_ptr<converse_action> wanted);
+    void step(std::size_t index, const std::shared_ptr<converse_action>& wanted);
 
     /// Sends a request; `done` gets the answer, or nothing after a time-out.
     void call(std::size_t from, const std::string& address, wire::request asked,
-              std::function<void(std::optional<wire::answer>)> done);
+              const std::function<void(std::optional<wire::answer>)>& done);
     wire::answer answer(std::size_t index, const wire::request& asked);
     bool arrives(std::size_t from, std::size_t to);
     milliseconds latency();
