sidecar: the record of homes follows what is in service

Cause: entries choose the home of a key among the sidecars in service; a sidecar that counted the whole list would vouch for keys that another ran. Change: note_list gets membership::in_service, also when the configuration changes, and again after catching up with a sender's revision.

--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -3,6 +3,7 @@
 #include "traffic.hpp"
 
 #include "base/logging.hpp"
+#include "membership/subset.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -181,11 +182,11 @@
 
 void traffic::refresh_knowledge() {
     const auto instances = control_->instances().load();
-    if (instances != listed_) {
+    const auto configuration = control_->configuration().load();
+    if (instances != listed_ || configuration != obeyed_) {
         listed_ = instances;
-        homes_.note_list(*instances, now().wall);
+        homes_.note_list(membership::in_service(*instances, *configuration), now().wall);
     }
-    const auto configuration = control_->configuration().load();
     if (configuration != obeyed_) {
         obeyed_ = configuration;
         const auto* pool = configuration->find_pool(pool_);
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -70,6 +70,7 @@
     const bool caught_up = co_await catch_up(work.sender_revision);
     ledger::arrival arrived;
     if (caught_up) {
+        refresh_knowledge();
         vouch_for_key(work.offered.record);
         arrived = scheduler_.offer(work.offered, now());
     } else {
