--- /dev/null
+++ b/tests/faults/src/deployment.cpp
@@ -0,0 +1,48 @@
+#include "deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace boragefront::faults {
+
+std::unique_ptr<cluster> start_deployment(const deployment_options& options) {
+    auto started = cluster::start(make_spec(options));
+    if (!started) {
+        FAIL(to_string(started.error()));
+    }
+    auto deployment = std::move(started.value());
+    const auto ready = deployment->wait_ready(patience);
+    if (!ready) {
+        FAIL(to_string(ready.error()));
+    }
+    // Ready entries may not have heard from the sidecars yet.
+    blocking_client client;
+    for (const auto& entry : deployment->entry_addresses()) {
+        auto asked = options.engines > 0 ? draft_request(false) : stock_request();
+        asked.marker = "probe " + entry;
+        REQUIRE(wait_until(patience, [&] { return make_call(client, entry, asked).whole; }));
+    }
+    return deployment;
+}
+
+void running_load::wait_whole(std::size_t count) {
+    const auto wanted = load_.whole() + count;
+    INFO("whole answers " << load_.whole() << " of " << load_.ended() << ", wanted " << wanted);
+    REQUIRE(wait_until(patience, [&] { return load_.whole() >= wanted; }));
+}
+
+void publish(cluster& deployment, const std::string& key, const std::string& value) {
+    const auto published = deployment.publish(key, value);
+    INFO(key);
+    REQUIRE(published);
+}
+
+std::size_t starts_after(cluster& deployment, std::string_view endpoint, time_point after) {
+    const auto runs = read_ledgers({deployment.slot(endpoint).ledger});
+    std::size_t count = 0;
+    for (const auto& start : runs.starts) {
+        count += start.at > after ? 1 : 0;
+    }
+    return count;
+}
+
+} // namespace boragefront::faults
