Keys follow their home at once: release by the home before

Change: POST /v1/release gives a key up for good or answers for what it ran; the current home takes the former one's word (Boragefront-Released-By); a record of homes that begins after the key was made does not vouch without it. Ruled out: a shorter lag, which only shortens the gap; waiting, since a key's own time decides.

--- a/libs/entry/src/at_most_once_run.cpp
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -30,12 +30,16 @@
         for (;;) {
             const auto step = machine_.next(steady_clock::now());
             if (const auto* send = std::get_if<execution::send_work>(&step)) {
-                co_await send_attempt(send->attempt);
+                co_await send_attempt(first_attempt_ + send->attempt);
             } else if (const auto* ask = std::get_if<execution::ask_outcome>(&step)) {
                 co_await pause_until(context_.executor, ask->at);
-                co_await ask_for_outcome(ask->attempt);
+                co_await ask_for_outcome(first_attempt_ + ask->attempt);
             } else if (const auto* end = std::get_if<execution::report_failure>(&step)) {
-                co_return co_await last_word(end->failure);
+                const auto failure = end->failure;
+                const bool goes_on = co_await ask_previous_home(failure);
+                if (!goes_on) {
+                    co_return qualified(failure);
+                }
             } else {
                 co_return std::move(output_);
             }
@@ -43,7 +47,7 @@
     }
 
 private:
-    awaitable<void> send_attempt(unsigned attempt) {
+    awaitable<void> send_attempt(std::uint32_t attempt) {
         auto chosen = co_await endpoint_for(attempt);
         if (!chosen) {
             machine_.on_no_endpoint(chosen.error());
@@ -57,31 +61,46 @@
         co_await exchange_about(attempt, std::move(message), options);
     }
 
-    // A home that cannot vouch for a key did not run it; the home before it may have, and has the
-    // answer then. Each sidecar runs a key only if no other can have been given it.
-    awaitable<result<stage_output>> last_word(error failure) {
+    // A home that cannot vouch for a key did not run it, and the home before it may have. That one
+    // answers for what it ran, or gives the key up for good, and the work may be sent again.
+    // Returns whether it may.
+    awaitable<bool> ask_previous_home(const error& failure) {
         const bool unvouched = failure.kind == error_kind::outcome_unknown &&
                                last_origin_ == execution::failure_origin::sidecar;
-        if (plan_.work.key.empty() || !unvouched) {
-            co_return qualified(std::move(failure));
+        if (plan_.work.key.empty() || !unvouched || !plan_.work.released_by.empty()) {
+            co_return false;
         }
         auto previous = previous_home_endpoint(context_, plan_);
         if (!previous) {
-            co_return failure;
+            co_return false;
         }
-        const auto attempt = plan_.profile.retries.max_attempts;
+        const auto question = first_attempt_ + plan_.profile.retries.max_attempts;
         aim_at(previous->view);
-        auto message = make_work_request(plan_.work, attempt, target_, held_revision());
+        auto message = make_release_request(plan_.work, question, target_, held_revision());
         http::call_options options;
         options.deadline = plan_.times.deadline;
-        auto outcome = co_await exchange(context_, target_.address, identity(attempt),
+        auto outcome = co_await exchange(context_, target_.address, identity(question),
                                          std::move(message), options);
         if (auto* answer = std::get_if<work_answer>(&outcome)) {
             output_.body = std::move(answer->body);
-            co_return std::move(output_);
+            machine_.on_result();
+            co_return true;
+        }
+        const auto& told = std::get<work_failure>(outcome);
+        const bool released = told.origin == execution::failure_origin::sidecar &&
+                              told.failure.kind == error_kind::not_run &&
+                              told.failure.ran == work_ran::no;
+        if (!released) {
+            co_return false;
         }
-        const auto& told = std::get<work_failure>(outcome).failure;
-        co_return told.ran == work_ran::yes ? told : failure;
+        plan_.work.released_by = previous->view.id;
+        first_attempt_ = question + 1;
+        machine_ = execution::at_most_once{limits()};
+        co_return true;
+    }
+
+    execution::at_most_once_limits limits() const {
+        return {plan_.profile.retries.max_attempts, plan_.times.deadline};
     }
 
     void aim_at(const routing::endpoint_view& endpoint) {
@@ -96,7 +115,7 @@
         if (plan_.work.key.empty()) {
             co_return co_await choose_endpoint(context_, plan_, tried_);
         }
-        if (attempt > 0) {
+        if (attempt > first_attempt_) {
             co_await pause_until(context_.executor, steady_clock::now() + same_home_pause);
         }
         co_return co_await home_endpoint(context_, plan_);
@@ -176,6 +195,7 @@
     work_target target_;
     time_point sent_at_{};
     endpoint_ids tried_;
+    std::uint32_t first_attempt_{0}; // of the machine's count
     execution::failure_origin last_origin_{execution::failure_origin::exchange};
     stage_output output_;
 };
--- a/libs/entry/src/dispatch.cpp
+++ b/libs/entry/src/dispatch.cpp
@@ -129,10 +129,18 @@
                                                       const stage_plan& plan) {
     auto& core = context.core;
     const auto list = core.control.instances().load();
-    const auto serving = membership::in_service(*list, *core.control.configuration().load());
-    const auto* previous = membership::home_of(*list, plan.pool, plan.work.key);
+    auto serving = membership::in_service(*list, *core.control.configuration().load());
     const auto* current = membership::home_of(serving, plan.pool, plan.work.key);
-    if (previous == nullptr || (current != nullptr && current->id == previous->id)) {
+    const auto* previous = membership::home_of(*list, plan.pool, plan.work.key);
+    if (current == nullptr || previous == nullptr) {
+        return std::nullopt;
+    }
+    if (current->id == previous->id) {
+        std::erase_if(serving.instances,
+                      [id = current->id](const auto& one) { return one.id == id; });
+        previous = membership::home_of(serving, plan.pool, plan.work.key);
+    }
+    if (previous == nullptr) {
         return std::nullopt;
     }
     auto view = endpoint_named(core, previous->id, steady_clock::now());
--- a/libs/entry/src/dispatch.hpp
+++ b/libs/entry/src/dispatch.hpp
@@ -53,8 +53,9 @@
 /// \returns `no_endpoint` if it cannot be reached or takes no work.
 awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan);
 
-/// The endpoint that was the key's home before the current one, if it is still heard from. It takes
-/// no new work, but answers for what it ran.
+/// The endpoint that was the key's home before the current one became it, if it is still heard
+/// from: the one that is out or leaving now, or the one that was next while the current home was.
+/// It need not take new work, but answers for what it ran.
 std::optional<chosen_endpoint> previous_home_endpoint(traffic_context& context,
                                                       const stage_plan& plan);
 
--- a/libs/entry/src/work_message.cpp
+++ b/libs/entry/src/work_message.cpp
@@ -55,6 +55,9 @@
     if (!work.key.empty()) {
         headers.set("Boragefront-Idempotency-Key", work.key);
     }
+    if (!work.released_by.empty()) {
+        headers.set("Boragefront-Released-By", work.released_by);
+    }
     if (work.stream) {
         headers.set("Boragefront-Stream", "1");
     }
@@ -62,6 +65,13 @@
     return message;
 }
 
+http::request make_release_request(const stage_work& work, std::uint32_t attempt,
+                                   const work_target& target, revision held) {
+    auto message = make_work_request(work, attempt, target, held);
+    message.target = "/v1/release";
+    return message;
+}
+
 http::request make_outcome_request(const work_id& id, const work_target& target) {
     return make_post("/v1/outcome", to_string(id), target);
 }
--- a/libs/entry/src/work_message.hpp
+++ b/libs/entry/src/work_message.hpp
@@ -24,7 +24,8 @@
     config::lane lane{config::lane::normal};
     double share{1.0};
     bool repeatable{false};
-    std::string key; ///< the caller's idempotency key, or empty
+    std::string key;         ///< the caller's idempotency key, or empty
+    std::string released_by; ///< the sidecar that gave the key up, or empty
     bool stream{false};
     std::string body;
 };
@@ -39,6 +40,10 @@
 http::request make_work_request(const stage_work& work, std::uint32_t attempt,
                                 const work_target& target, revision held);
 
+/// Asks a sidecar to give the work's key up, or to answer for what it ran.
+http::request make_release_request(const stage_work& work, std::uint32_t attempt,
+                                   const work_target& target, revision held);
+
 http::request make_outcome_request(const work_id& id, const work_target& target);
 
 http::request make_acknowledge_request(const work_id& id, const work_target& target);
--- a/libs/ledger/include/ledger/key_record.hpp
+++ b/libs/ledger/include/ledger/key_record.hpp
@@ -29,6 +29,7 @@
 struct used_key {
     work_id first;
     std::uint64_t body_hash{0};
+    bool released{false}; ///< never ran here and never will; another home may run it
 };
 
 /// The key may have been used before this record begins.
--- a/libs/ledger/include/ledger/work_ledger.hpp
+++ b/libs/ledger/include/ledger/work_ledger.hpp
@@ -94,6 +94,11 @@
     /// Records an arrival, or finds what is already known of it.
     arrival arrive(const work_arrival& work, clock_reading now);
 
+    /// Gives a key up to another home: finds what is known of it, or records that it never runs
+    /// here and answers `not_run`. Keys from before this record stay unknown.
+    /// \pre the work has a key.
+    arrival release(const work_arrival& work, clock_reading now);
+
     /// What is known of an identity; records a refusal of `not_run` if it never arrived.
     arrival ask(const work_id& id, clock_reading now);
 
--- a/libs/ledger/src/work_ledger.cpp
+++ b/libs/ledger/src/work_ledger.cpp
@@ -21,9 +21,16 @@
     return make_error(error_kind::outcome_unknown, "the identity is older than the record");
 }
 
+error released_key() {
+    return make_error(error_kind::outcome_unknown, "the key was given up to another home");
+}
+
 std::optional<error> key_problem(const key_state& state, const work_arrival& work) {
-    if (const auto* used = std::get_if<used_key>(&state);
-        used != nullptr && used->body_hash != work.body_hash) {
+    const auto* used = std::get_if<used_key>(&state);
+    if (used != nullptr && used->released) {
+        return released_key();
+    }
+    if (used != nullptr && used->body_hash != work.body_hash) {
         return make_error(error_kind::conflict, "the key was used with another request");
     }
     const bool unseen = std::holds_alternative<unused_key>(state);
@@ -74,6 +81,24 @@
     return admitted{};
 }
 
+arrival work_ledger::release(const work_arrival& work, clock_reading now) {
+    const auto found = entries_.find(work.id);
+    if (found != entries_.end()) {
+        return known(work.id, found->second);
+    }
+    auto given_up = make_error(error_kind::not_run, "the key never ran here and never will");
+    const auto state = keys_.find(work.key, work.key_id, now.wall);
+    if (const auto* used = std::get_if<used_key>(&state)) {
+        return used->released ? refused_unseen(work.id, std::move(given_up), work.expires_at, now)
+                              : arrive(work, now);
+    }
+    if (!std::holds_alternative<unused_key>(state) || may_have_forgotten(work.id)) {
+        return arrive(work, now);
+    }
+    keys_.add(work.key, work.key_id, {work.id, work.body_hash, true});
+    return refused_unseen(work.id, std::move(given_up), work.expires_at, now);
+}
+
 arrival work_ledger::ask(const work_id& id, clock_reading now) {
     const auto found = entries_.find(id);
     if (found != entries_.end()) {
--- a/libs/sidecar/src/home_history.hpp
+++ b/libs/sidecar/src/home_history.hpp
@@ -26,15 +26,19 @@
     /// The instance list as it is known from now on.
     void note_list(const membership::instance_list& list, wall_time now);
 
-    /// Whether no other sidecar can have been given a key since `made`.
-    bool vouches_for(const std::string& key_id, wall_time made) const;
+    /// Whether no other sidecar can have been given a key since `made`, or will run it.
+    /// \param released_by another sidecar that gave the key up; may be empty.
+    bool vouches_for(const std::string& key_id, wall_time made,
+                     const std::string& released_by = {}) const;
 
 private:
     struct period {
         wall_time since;
         membership::instance_list members; ///< of the pool, ordered by id
     };
-    bool is_home_in(const membership::instance_list& members, const std::string& key_id) const;
+    bool begins_after(wall_time when) const;
+    bool is_home_in(const membership::instance_list& members, const std::string& key_id,
+                    const std::string& released_by) const;
 
     home_policy policy_;
     std::string self_;
--- a/libs/sidecar/src/traffic.hpp
+++ b/libs/sidecar/src/traffic.hpp
@@ -50,6 +50,7 @@
 
 private:
     http::awaitable<void> handle_work(const http::request& message, http::responder& out);
+    http::awaitable<void> handle_release(const http::request& message, http::responder& out);
     http::awaitable<void> handle_outcome(const http::request& message, http::responder& out);
     http::awaitable<void> handle_acknowledge(const http::request& message, http::responder& out);
     http::awaitable<void> handle_probe(bool ready, http::responder& out);
@@ -60,7 +61,7 @@
     http::awaitable<void> send_outcome(work_id asked, ledger::outcome what, http::responder& out);
     http::awaitable<void> send_problem(work_id asked, error reason, http::responder& out);
     http::awaitable<bool> catch_up(revision wanted);
-    void vouch_for_key(ledger::work_arrival& work) const;
+    void vouch_for_key(work_message& work) const;
 
     http::awaitable<void> run_work(shared_work live);
     http::awaitable<void> tick_loop();
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -27,6 +27,8 @@
     const auto path = http::target_path(message.target);
     if (message.method == "POST" && path == "/v1/work") {
         co_await handle_work(message, out);
+    } else if (message.method == "POST" && path == "/v1/release") {
+        co_await handle_release(message, out);
     } else if (message.method == "POST" && path == "/v1/outcome") {
         co_await handle_outcome(message, out);
     } else if (message.method == "POST" && path == "/v1/acknowledge") {
@@ -71,7 +73,7 @@
     ledger::arrival arrived;
     if (caught_up) {
         refresh_knowledge();
-        vouch_for_key(work.offered.record);
+        vouch_for_key(work);
         arrived = scheduler_.offer(work.offered, now());
     } else {
         auto reason = make_error(error_kind::not_ready, "the configuration held here is behind");
@@ -84,9 +86,25 @@
     co_await answer(std::move(arrived), id, stream, out);
 }
 
-void traffic::vouch_for_key(ledger::work_arrival& work) const {
-    const auto made = uuid7_time(work.key_id);
-    work.key_vouched = !made || homes_.vouches_for(work.key_id, *made);
+void traffic::vouch_for_key(work_message& work) const {
+    auto& record = work.offered.record;
+    const auto made = uuid7_time(record.key_id);
+    record.key_vouched = !made || homes_.vouches_for(record.key_id, *made, work.released_by);
+}
+
+http::awaitable<void> traffic::handle_release(const http::request& message, http::responder& out) {
+    auto read = read_work(message);
+    if (!read || read.value().offered.record.key.empty()) {
+        const work_id none;
+        auto reason = read ? make_error(error_kind::bad_request, "a key is needed",
+                                        "Boragefront-Idempotency-Key")
+                           : std::move(read.error());
+        co_await send_problem(none, std::move(reason), out);
+        co_return;
+    }
+    const auto id = read.value().offered.record.id;
+    auto arrived = scheduler_.release(read.value().offered, now());
+    co_await answer(std::move(arrived), id, false, out);
 }
 
 http::awaitable<void> traffic::handle_outcome(const http::request& message, http::responder& out) {
--- a/libs/sidecar/src/work_message.cpp
+++ b/libs/sidecar/src/work_message.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view share_header = "Boragefront-Share";
 constexpr std::string_view idempotent_header = "Boragefront-Repeatable";
 constexpr std::string_view key_header = "Boragefront-Idempotency-Key";
+constexpr std::string_view released_header = "Boragefront-Released-By";
 constexpr std::string_view stream_header = "Boragefront-Stream";
 constexpr std::string_view revision_header = "Boragefront-Revision";
 
@@ -151,6 +152,7 @@
     BOOST_OUTCOME_TRY(read.stream, read_flag(message, stream_header));
     BOOST_OUTCOME_TRY(read_key(message, read.service, offered));
     read.sender_revision = read_revision(message);
+    read.released_by = message.headers.get(released_header);
     if (!is_json(message.body)) {
         return make_error(error_kind::bad_request, "the input is not JSON", "body");
     }
--- a/libs/sidecar/src/work_message.hpp
+++ b/libs/sidecar/src/work_message.hpp
@@ -15,7 +15,8 @@
     std::string service;
     bool stream{false};
     revision sender_revision{0};
-    std::string input; ///< JSON
+    std::string released_by; ///< the sidecar that gave the idempotency key up, or empty
+    std::string input;       ///< JSON
 };
 
 /// `POST /v1/outcome` and `POST /v1/acknowledge`
--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -57,6 +57,16 @@
     return enqueue(std::move(waiting), now);
 }
 
+ledger::arrival work_scheduler::release(const offered_work& work, clock_reading now) {
+    note_time(now.steady);
+    if (work.life != life_) {
+        auto reason = make_error(error_kind::wrong_incarnation, work_ran::unknown,
+                                 "another incarnation was meant");
+        return refuse(work.record.id, std::move(reason), now);
+    }
+    return ledger_.release(work.record, now);
+}
+
 ledger::arrival work_scheduler::ask(const work_id& id, clock_reading now) {
     return ledger_.ask(id, now);
 }
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -118,6 +118,9 @@
     /// An entry asks what became of work.
     ledger::arrival ask(const work_id& id, clock_reading now);
 
+    /// \copydoc ledger::work_ledger::release
+    ledger::arrival release(const offered_work& work, clock_reading now);
+
     /// Refuses work that could not be offered, unless it is already on record.
     ledger::arrival refuse(const work_id& id, error reason, clock_reading now);
 
