--- a/tests/faults/rolling_restart_test.cpp
+++ b/tests/faults/rolling_restart_test.cpp
@@ -47,3 +47,20 @@
         REQUIRE(answer.whole);
     }
 }
+
+TEST_CASE("an entry that says it is ready can serve every service", "[invariant]") {
+    const auto deployment = start_deployment({.engines = 1});
+    auto& entry = deployment->entry("entry-0");
+    blocking_client client;
+    for (unsigned round = 0; round < 5; ++round) {
+        entry.kill();
+        REQUIRE(entry.start());
+        REQUIRE(deployment->wait_ready(patience));
+        for (auto asked : {order_request(), draft_request(false)}) {
+            asked.marker = asked.service + std::to_string(round);
+            const auto answer = make_call(client, entry.data_address(), asked);
+            INFO(round << ' ' << asked.service << ' ' << answer.kind << ' ' << answer.detail);
+            CHECK(answer.whole);
+        }
+    }
+}
--- a/tests/stand_ins/include/stand_ins/run_ledger.hpp
+++ b/tests/stand_ins/include/stand_ins/run_ledger.hpp
@@ -21,6 +21,7 @@
     std::uint64_t body_hash{0};
     std::size_t running{0};      ///< runs in progress at its start, itself included
     std::size_t running_cold{0}; ///< of these, the runs begun while cold; 0 once it is warm
+    bool turned_cold{false};     ///< it is cold though it neither started nor fell over before
     bool finished{false};
 };
 
--- a/tests/support/include/support/cluster.hpp
+++ b/tests/support/include/support/cluster.hpp
@@ -96,6 +96,9 @@
     daemon_node(std::string id, std::filesystem::path folder, boost::json::object settings);
     result<void> start() override;
 
+    /// Control addresses to ask in its next life.
+    void set_seed_peers(const std::vector<std::string>& peers);
+
     const std::string& data_address() const { return data_address_; }
     const std::string& control_address() const { return control_address_; }
 
@@ -162,6 +165,7 @@
     result<void> start_platform();
     result<void> start_slot(const endpoint_spec& wanted);
     result<void> start_entry(const entry_spec& wanted, milliseconds readiness_grace);
+    void set_seed_peers();
     boost::json::object common_settings(std::string_view id, std::string_view data_centre) const;
 
     std::filesystem::path folder_;
--- a/tests/support/src/cluster.cpp
+++ b/tests/support/src/cluster.cpp
@@ -20,6 +20,7 @@
 constexpr seconds start_patience{30};
 constexpr seconds call_patience{10};
 constexpr milliseconds restart_interval{50};
+constexpr std::size_t seed_sidecars = 2;
 constexpr std::string_view any_port = "127.0.0.1:0";
 
 template <class Slots>
@@ -151,6 +152,16 @@
     return success();
 }
 
+void daemon_node::set_seed_peers(const std::vector<std::string>& peers) {
+    json::array list;
+    for (const auto& peer : peers) {
+        if (peer != control_address_) {
+            list.emplace_back(peer);
+        }
+    }
+    settings_["seed_peers"] = std::move(list);
+}
+
 result<std::unique_ptr<cluster>> cluster::start(const cluster_spec& spec) {
     std::unique_ptr<cluster> made{new cluster};
     auto pattern = (std::filesystem::temp_directory_path() / "boragefront-XXXXXX").string();
@@ -168,10 +179,30 @@
     for (const auto& wanted : spec.entries) {
         BOOST_OUTCOME_TRY(made->start_entry(wanted, spec.readiness_grace));
     }
+    made->set_seed_peers();
     BOOST_OUTCOME_TRY(made->publish_instances());
     return made;
 }
 
+// Every process may ask the entries and a few sidecars when it restarts.
+void cluster::set_seed_peers() {
+    std::vector<std::string> peers;
+    for (const auto& one : entries_) {
+        peers.push_back(one.daemon->control_address());
+    }
+    for (const auto& one : slots_) {
+        if (peers.size() < entries_.size() + seed_sidecars) {
+            peers.push_back(one.sidecar->control_address());
+        }
+    }
+    for (auto& one : entries_) {
+        one.daemon->set_seed_peers(peers);
+    }
+    for (auto& one : slots_) {
+        one.sidecar->set_seed_peers(peers);
+    }
+}
+
 cluster::~cluster() {
     entries_.clear();
     slots_.clear();
