--- a/tests/faults/src/deployment.cpp
+++ b/tests/faults/src/deployment.cpp
@@ -10,16 +10,10 @@
         FAIL(to_string(started.error()));
     }
     auto deployment = std::move(started.value());
-    const auto ready = deployment->wait_ready(patience);
-    if (!ready) {
-        FAIL(to_string(ready.error()));
-    }
-    // Ready entries may not have heard from the sidecars yet.
-    blocking_client client;
-    for (const auto& entry : deployment->entry_addresses()) {
-        auto asked = options.engines > 0 ? draft_request(false) : stock_request();
-        asked.marker = "probe " + entry;
-        REQUIRE(wait_until(patience, [&] { return make_call(client, entry, asked).whole; }));
+    const auto serving =
+        wait_serving(*deployment, options.engines > 0 ? draft_request(false) : stock_request());
+    if (!serving) {
+        FAIL(to_string(serving.error()));
     }
     return deployment;
 }
--- a/tests/faults/src/deployment_spec.cpp
+++ b/tests/faults/src/deployment_spec.cpp
@@ -1,6 +1,7 @@
 #include "deployment_spec.hpp"
 
 #include "base/hash.hpp"
+#include "support/wait_until.hpp"
 
 #include <array>
 #include <cstdio>
@@ -126,6 +127,20 @@
             .stages = pipeline_stages};
 }
 
+result<void> wait_serving(cluster& deployment, const caller_request& asked) {
+    BOOST_OUTCOME_TRY(deployment.wait_ready(patience));
+    // Ready entries may not have heard from the sidecars yet.
+    blocking_client client;
+    for (const auto& entry : deployment.entry_addresses()) {
+        auto probe = asked;
+        probe.marker = "probe " + entry;
+        if (!wait_until(patience, [&] { return make_call(client, entry, probe).whole; })) {
+            return make_error(error_kind::not_ready, entry + " does not serve " + asked.service);
+        }
+    }
+    return success();
+}
+
 verdict judge(cluster& deployment, const std::vector<call_record>& answers) {
     const checked_limits limits{.running = concurrency_limit, .running_cold = cold_limit};
     return check(answers, read_ledgers(deployment.ledgers()), limits);
--- a/tests/faults/src/deployment_spec.hpp
+++ b/tests/faults/src/deployment_spec.hpp
@@ -43,6 +43,9 @@
 caller_request stock_request();
 caller_request draft_request(bool stream);
 
+/// Waits until every entry that runs says that it is ready and has answered one request.
+result<void> wait_serving(cluster& deployment, const caller_request& asked);
+
 /// The verdict on a load that has been stopped.
 verdict judge(cluster& deployment, const std::vector<call_record>& answers);
 
--- a/tests/faults/src/fault_storm.cpp
+++ b/tests/faults/src/fault_storm.cpp
@@ -239,7 +239,7 @@
     wanted.engines = 2;
     wanted.relayed = true;
     BOOST_OUTCOME_TRY(auto deployment, cluster::start(make_spec(wanted)));
-    BOOST_OUTCOME_TRY(deployment->wait_ready(patience));
+    BOOST_OUTCOME_TRY(wait_serving(*deployment, draft_request(false)));
     const balancer entries{deployment->entry_addresses()};
     caller_load load{make_load(options.seed), entries};
     BOOST_OUTCOME_TRY(wait_recovered(load));
