--- a/benchmarks/policy/main.cpp
+++ b/benchmarks/policy/main.cpp
@@ -12,6 +12,8 @@
 
 DEFINE_bool(json, false, "print JSON instead of a table");
 DEFINE_bool(quick, false, "one seed and short rows, as CI runs it");
+DEFINE_bool(errors, false, "print each row's errors by kind");
+DEFINE_double(load, 0, "run only rows of this load; 0 is all");
 DEFINE_string(only, "", "run only rows whose name contains this");
 
 namespace boragefront::bench {
@@ -212,6 +214,20 @@
     std::fflush(stdout);
 }
 
+void print_errors(const row_result& result) {
+    if (!FLAGS_errors) {
+        return;
+    }
+    for (const auto& [service, tally] : result.services) {
+        std::printf("    %s: late %llu\n", service.c_str(),
+                    static_cast<unsigned long long>(tally.late));
+        for (const auto& [kind, count] : tally.errors) {
+            std::printf("    %s: %s %llu\n", service.c_str(), kind.c_str(),
+                        static_cast<unsigned long long>(count));
+        }
+    }
+}
+
 boost::json::object row_json(const named_row& row, const row_measures& measures,
                              const std::string& missed) {
     return {{"deployment", row.name},          {"load", row.plan.load},
@@ -235,10 +251,12 @@
     for (const auto& row : all_rows(plans)) {
         const auto name =
             row.name + ' ' + std::string{name_of(row.plan.what)} + ' ' + row.plan.policy.name;
-        if (name.find(FLAGS_only) == std::string::npos) {
+        const bool other_load = FLAGS_load > 0 && FLAGS_load != row.plan.load;
+        if (other_load || name.find(FLAGS_only) == std::string::npos) {
             continue;
         }
-        const auto measures = measure(row, run_row(*row.deployment, row.plan));
+        const auto result = run_row(*row.deployment, row.plan);
+        const auto measures = measure(row, result);
         const bool bound = row.plan.policy.name == "ours";
         const auto missed = bound ? shortfall(row.plan, measures) : std::string{};
         met = met && missed.empty();
@@ -246,6 +264,7 @@
             printed.push_back(row_json(row, measures, missed));
         } else {
             print_row(row, measures, missed);
+            print_errors(result);
         }
     }
     if (FLAGS_json) {
--- a/benchmarks/policy/virtual_request.cpp
+++ b/benchmarks/policy/virtual_request.cpp
@@ -128,7 +128,7 @@
         estimates.push_back(home_.decisions().estimate(key_of(stage), now));
     }
     if (home_.policy().early_refusal && execution::is_hopeless(estimates, now, deadline_)) {
-        answer_error();
+        answer_error(make_error(error_kind::over_limit, "hopeless"));
         return;
     }
     const auto wanted = profile();
@@ -155,9 +155,9 @@
             launch(running, launched->attempt);
         } else if (std::holds_alternative<execution::use_result>(next)) {
             stage_done(running);
-        } else if (std::holds_alternative<execution::give_up>(next)) {
+        } else if (const auto* end = std::get_if<execution::give_up>(&next)) {
             end_race(running);
-            answer_error();
+            answer_error(end->failure);
         } else {
             const auto until = std::get<execution::wait_until>(next).at;
             home_.all().clock.at(std::max(until, now),
@@ -285,9 +285,10 @@
     }
 }
 
-void virtual_request::answer_error() {
+void virtual_request::answer_error(const error& failure) {
     auto& tally = home_.all().result.services[service_.name];
     ++tally.refused;
+    ++tally.errors[std::string{answer_for(failure.kind).name} + ": " + failure.detail];
     if (home_.all().clock.now() - arrived_ <= early) {
         ++tally.refused_early;
     }
--- a/benchmarks/policy/virtual_request.hpp
+++ b/benchmarks/policy/virtual_request.hpp
@@ -101,7 +101,7 @@
     void on_error(const race_ptr& running, unsigned number, const error& failure);
     void end_race(const race_ptr& running);
     void stage_done(const race_ptr& running);
-    void answer_error();
+    void answer_error(const error& failure);
 
     virtual_entry& home_;
     const service_plan& service_;
--- a/benchmarks/policy/world.hpp
+++ b/benchmarks/policy/world.hpp
@@ -73,6 +73,7 @@
     std::uint64_t refused{0};            ///< answered with an error
     std::uint64_t refused_early{0};      ///< ... within 50 ms of their arrival
     std::uint64_t late{0};
+    std::map<std::string, std::uint64_t> errors; ///< answered with an error, by kind
 };
 
 /// Endpoint time by its use, in milliseconds of virtual time.
--- a/libs/config/include/config/types.hpp
+++ b/libs/config/include/config/types.hpp
@@ -26,7 +26,7 @@
 /// How much work an endpoint may be given.
 struct limits {
     unsigned concurrency{8}; ///< requests in progress at one warm endpoint
-    unsigned queue{64};      ///< requests waiting in its sidecar, all lanes together
+    unsigned queue{1024};    ///< requests waiting in its sidecar, all lanes together
 };
 
 /// How an endpoint that has just started earns its full concurrency.
