--- a/libs/ledger/include/ledger/key_record.hpp
+++ b/libs/ledger/include/ledger/key_record.hpp
@@ -50,6 +50,9 @@
     /// \param key_id the UUIDv7 in `key`. \pre it is one.
     key_state find(const std::string& key, const std::string& key_id, wall_time now) const;
 
+    /// Whether the first use of a key is on record.
+    bool holds(const std::string& key) const { return uses_.contains(key); }
+
     /// Records the first use. \pre the key is `unused_key`.
     void add(const std::string& key, const std::string& key_id, used_key use);
 
--- a/libs/ledger/include/ledger/work_ledger.hpp
+++ b/libs/ledger/include/ledger/work_ledger.hpp
@@ -115,6 +115,9 @@
     /// Forgets what is past its retention.
     void forget_expired(clock_reading now);
 
+    /// Whether the work or its key is on record, so that its outcome needs no new run.
+    bool knows(const work_arrival& work) const;
+
     /// The state of an identity. \returns nothing if it is not on record.
     std::optional<work_state> state_of(const work_id& id) const;
 
--- a/libs/ledger/src/work_ledger.cpp
+++ b/libs/ledger/src/work_ledger.cpp
@@ -151,6 +151,10 @@
     keys_.forget_expired(now.wall);
 }
 
+bool work_ledger::knows(const work_arrival& work) const {
+    return entries_.contains(work.id) || (!work.key.empty() && keys_.holds(work.key));
+}
+
 std::optional<work_state> work_ledger::state_of(const work_id& id) const {
     const auto found = entries_.find(id);
     if (found == entries_.end()) {
--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -214,10 +214,21 @@
     metrics_.get_gauge("sidecar_concurrency_limit").set(shown.limit);
     metrics_.get_gauge("sidecar_running").set(static_cast<double>(shown.running));
     metrics_.get_gauge("sidecar_queued").set(static_cast<double>(scheduler_.queued()));
+    for (const auto& [cause, count] : shown.fall_backs) {
+        metrics_.get_gauge("sidecar_fall_backs", "cause=\"" + cause + '"')
+            .set(static_cast<double>(count));
+    }
     const auto before = published_.load();
     if (before->scheduler.phase != shown.phase) {
         log_change("sidecar", "phase", {{"phase", std::string{to_string(shown.phase)}}});
     }
+    if (shown.limit < before->scheduler.limit) {
+        log_change("sidecar", "limit_reduced",
+                   {{"limit", std::to_string(shown.limit)}, {"cause", shown.cold_cause}});
+    }
+    if (shown.limit == shown.full_limit && before->scheduler.limit < shown.limit) {
+        log_change("sidecar", "limit_full", {{"limit", std::to_string(shown.limit)}});
+    }
     published_.publish({std::move(shown), steady_clock::now()});
 }
 
--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -28,9 +28,17 @@
     : policy_{policy}, life_{life}, ledger_{policy.ledger, now.wall},
       queue_{policy.limits.queue, policy.mechanisms.queue}, ramp_{policy.limits, policy.ramp,
                                                                   policy.mechanisms.ramp},
-      abandoned_{policy.abandoned}, phase_since_{now.steady}, last_contact_{now.steady},
-      last_decision_{now.steady}, held_until_{now.steady} {
-    abandoned_.assume_predecessor(policy.limits.concurrency, now.steady);
+      abandoned_{policy.abandoned}, started_{now.steady}, phase_since_{now.steady},
+      last_contact_{now.steady}, last_decision_{now.steady}, held_until_{now.steady} {
+    assume_predecessor(policy.limits.concurrency);
+}
+
+// Until reports tell, a predecessor may have left the endpoint in full use.
+void work_scheduler::assume_predecessor(unsigned running) {
+    if (!settled_in_ && running > assumed_running_) {
+        abandoned_.assume_predecessor(running - assumed_running_, started_);
+        assumed_running_ = running;
+    }
 }
 
 ledger::arrival work_scheduler::offer(const offered_work& work, clock_reading now) {
@@ -40,6 +48,10 @@
         auto reason = make_error(error_kind::wrong_incarnation, "another incarnation was meant");
         return refuse(id, std::move(reason), now);
     }
+    // Before the age of its key is judged: a retry may find this sidecar ready.
+    if (auto reason = phase_objection(now.steady); reason && !ledger_.knows(work.record)) {
+        return refuse(id, std::move(*reason), now);
+    }
     auto known = ledger_.arrive(work.record, now);
     if (const auto* ended = std::get_if<ledger::settled>(&known)) {
         if (const auto* reason = std::get_if<error>(&ended->what)) {
@@ -101,9 +113,6 @@
     if (work.expires_at <= now) {
         return too_late();
     }
-    if (auto reason = phase_objection(now)) {
-        return reason;
-    }
     if (policy_.mechanisms.refuse_hopeless && is_hopeless(work, now)) {
         return make_error(error_kind::over_limit, "the deadline cannot be met");
     }
@@ -313,6 +322,7 @@
         fall_back(cold_cause::cache_lost);
     }
     abandoned_.on_report(report.running, now.steady);
+    settled_in_ = settled_in_ || abandoned_.held(now.steady) < assumed_running_;
 }
 
 void work_scheduler::on_load_failure(bool refused, clock_reading now) {
@@ -361,6 +371,7 @@
     policy_.ramp = ramp;
     ramp_.set_policy(limits, ramp);
     queue_.set_capacity(limits.queue);
+    assume_predecessor(limits.concurrency);
 }
 
 std::vector<work_id> work_scheduler::take_settled() {
@@ -368,8 +379,8 @@
 }
 
 service_phase work_scheduler::phase(time_point now) const {
-    const bool endpoint_usable =
-        endpoint_known_ && abandoned_.held(now) < policy_.limits.concurrency;
+    const bool endpoint_usable = endpoint_known_ && (settled_in_ || !policy_.abandoned.enabled) &&
+                                 abandoned_.held(now) < policy_.limits.concurrency;
     if (wanted_phase_ == service_phase::serving && !endpoint_usable) {
         return service_phase::starting;
     }
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -170,6 +170,7 @@
     void refuse_waiting(const admission::waiting_work& work, error reason, clock_reading now);
     void refuse_what_may_not_wait(clock_reading now);
     void note_time(time_point now);
+    void assume_predecessor(unsigned running);
     void find_slow_work(time_point now);
     void account_for(call_end how, const running_work& ended, time_point now);
     void fall_back(admission::cold_cause cause);
@@ -187,6 +188,9 @@
     std::map<work_id, bool> waiting_; ///< whether the waiting work is idempotent
     std::vector<work_id> settled_;
 
+    time_point started_;
+    unsigned assumed_running_{0}; ///< work of a predecessor, until reports tell
+    bool settled_in_{false};      ///< reports have told of the predecessor's work
     service_phase wanted_phase_{service_phase::starting};
     time_point phase_since_;
     bool endpoint_known_{false};
--- a/libs/sidecar/tests/fake_endpoint.hpp
+++ b/libs/sidecar/tests/fake_endpoint.hpp
@@ -31,8 +31,9 @@
         thread_ = std::thread{[this] { io_.run(); }};
     }
     ~fake_endpoint() {
-        io_.stop();
-        thread_.join();
+        if (thread_.joinable()) {
+            stop();
+        }
     }
     fake_endpoint(const fake_endpoint&) = delete;
     fake_endpoint& operator=(const fake_endpoint&) = delete;
@@ -46,6 +47,15 @@
         return found == runs_.end() ? 0 : found->second;
     }
 
+    /// Closes every connection and accepts none.
+    void stop() {
+        server_->close();
+        asio::post(io_, [this] { io_.stop(); });
+        thread_.join();
+        server_.reset();
+    }
+
+    std::atomic<bool> overloaded{false}; ///< calls are refused
     std::atomic<bool> hold{false};       ///< calls wait until this is false
     std::atomic<bool> cut_stream{false}; ///< streams end after their first line
     std::atomic<unsigned> status{200};
@@ -63,6 +73,11 @@
         }
         const auto order = boost::json::parse(message.body).as_object();
         const std::string identity{order.at("identity").as_string()};
+        if (overloaded) {
+            auto reply = http::make_json_response(503, R"({"error":"overloaded"})");
+            (void)co_await out.send(std::move(reply));
+            co_return;
+        }
         count(identity);
         ++running;
         auto closed = std::make_shared<bool>(false);
--- a/libs/sidecar/tests/scheduling_test.cpp
+++ b/libs/sidecar/tests/scheduling_test.cpp
@@ -218,6 +218,29 @@
     REQUIRE(sidecar.is_admitted(sidecar.offer("e")));
 }
 
+TEST_CASE("a limit learned after the start still covers a predecessor's work") {
+    work_scheduler scheduler{{}, life, at({})};
+    scheduler.set_phase(service_phase::serving, at({}));
+    scheduler.set_policy({16, 64}, {4, 1, 4.0});
+    load_report load;
+    load.answering = load.instance = "a";
+    load.running = 16;
+    duration now{};
+    for (int i = 0; i < 40; ++i) {
+        now += milliseconds{50};
+        scheduler.tick(at(now));
+        scheduler.on_load_report(load, at(now));
+    }
+    REQUIRE(scheduler.state(start + now).held_by_abandoned == 16);
+    REQUIRE(scheduler.phase(start + now) == service_phase::starting);
+    load.running = 3;
+    for (int i = 0; i < 6; ++i) {
+        scheduler.on_load_report(load, at(now));
+    }
+    REQUIRE(scheduler.state(start + now).held_by_abandoned == 3);
+    REQUIRE(scheduler.phase(start + now) == service_phase::serving);
+}
+
 TEST_CASE("a late report of an earlier life of the endpoint changes nothing") {
     fixture sidecar;
     sidecar.report(0, "b");
--- a/libs/sidecar/tests/sidecar_node_test.cpp
+++ b/libs/sidecar/tests/sidecar_node_test.cpp
@@ -226,6 +226,42 @@
     REQUIRE(peers.problem(old).kind == error_kind::outcome_unknown);
 }
 
+TEST_CASE("a silent endpoint's call ends at its deadline, with the outcome recorded as unknown") {
+    for (const bool idempotent : {true, false}) {
+        fixture peers;
+        peers.endpoint.hold = true;
+        const std::string id = "r1/0/0";
+        const auto expires = steady_clock::now() + milliseconds{300};
+        auto message = peers.work(id, idempotent);
+        message.headers.set("Boragefront-Expires-At",
+                            std::to_string(expires.time_since_epoch().count()));
+        const auto ended = peers.problem(message);
+        REQUIRE(ended.ran == work_ran::unknown);
+        REQUIRE(peers.problem(peers.outcome(id)).kind == ended.kind);
+        REQUIRE(ended.kind ==
+                (idempotent ? error_kind::deadline_exceeded : error_kind::outcome_unknown));
+    }
+}
+
+TEST_CASE("a failure of the endpoint says that the work ran, an overload that it did not") {
+    fixture peers;
+    peers.endpoint.status = 500;
+    REQUIRE(peers.problem(peers.work("r1/0/0")).kind == error_kind::stage_failed);
+    peers.endpoint.overloaded = true;
+    const auto refused = peers.problem(peers.work("r2/0/0"));
+    REQUIRE(refused.kind == error_kind::over_limit);
+    REQUIRE(refused.ran == work_ran::no);
+}
+
+TEST_CASE("without its endpoint a sidecar takes no work") {
+    fixture peers;
+    peers.endpoint.stop();
+    REQUIRE(eventually([&] { return peers.report().phase == control::service_phase::starting; }));
+    const auto refused = peers.problem(peers.work("r1/0/0"));
+    REQUIRE(refused.kind == error_kind::not_ready);
+    REQUIRE(refused.ran == work_ran::no);
+}
+
 TEST_CASE("a data centre that is out gets no new work") {
     fixture peers;
     auto configuration = make_configuration();
