Sidecar: leaving instances drain, deadlines are bounded

Cause: an instance that the platform lists as leaving still took work; a deadline at the end of the clock's range overflowed the ledger's retention. Change: a sidecar that finds itself listed as leaving drains until it is listed as live; a deadline beyond ten minutes counts as ten minutes; the random model takes the endpoint out and back.

--- a/libs/ledger/tests/ledger_test.cpp
+++ b/libs/ledger/tests/ledger_test.cpp
@@ -177,7 +177,7 @@
 
 TEST_CASE("keys from before the record, from ahead of the clock or used elsewhere do not run") {
     work_ledger ledger{{}, wall_start};
-    const auto kind_of = [&](work_arrival work, seconds now) {
+    const auto kind_of = [&](const work_arrival& work, seconds now) {
         return error_in(ledger.arrive(work, at(now))).kind;
     };
     REQUIRE(kind_of(arrival_of("r1", seconds{-60}, "key"), seconds{5}) ==
--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -198,8 +198,15 @@
     scheduler_.set_phase(wanted_phase(*configuration), now());
 }
 
+bool traffic::is_listed_as_leaving() const {
+    const auto& listed = listed_->instances;
+    return std::any_of(listed.begin(), listed.end(), [&](const membership::instance& each) {
+        return each.id == id_ && each.state == membership::instance_state::leaving;
+    });
+}
+
 service_phase traffic::wanted_phase(const config::snapshot& configuration) const {
-    if (draining_) {
+    if (draining_ || is_listed_as_leaving()) {
         return service_phase::draining;
     }
     if (!configuration.is_in(data_centre_, id_)) {
--- a/libs/sidecar/src/traffic.hpp
+++ b/libs/sidecar/src/traffic.hpp
@@ -70,6 +70,7 @@
     void dispatch_and_wake();
     void peer_left(const shared_work& live);
     void refresh_knowledge();
+    bool is_listed_as_leaving() const;
     service_phase wanted_phase(const config::snapshot& configuration) const;
     void count_end(const endpoint_result& ended, duration took);
     void publish_state();
--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -52,7 +52,9 @@
     if (auto reason = phase_objection(now.steady); reason && !ledger_.knows(work.record)) {
         return refuse(id, std::move(*reason), now);
     }
-    auto known = ledger_.arrive(work.record, now);
+    auto record = work.record;
+    record.expires_at = std::min(record.expires_at, now.steady + policy_.longest_deadline);
+    auto known = ledger_.arrive(record, now);
     if (const auto* ended = std::get_if<ledger::settled>(&known)) {
         if (const auto* reason = std::get_if<error>(&ended->what)) {
             count_refusal(*reason);
@@ -61,7 +63,7 @@
     if (!std::holds_alternative<ledger::admitted>(known)) {
         return known;
     }
-    waiting_work waiting{id, work.lane, work.workspace, work.share, work.record.expires_at};
+    waiting_work waiting{id, work.lane, work.workspace, work.share, record.expires_at};
     if (auto reason = objection(waiting, now.steady)) {
         return refuse(id, std::move(*reason), now);
     }
@@ -96,6 +98,9 @@
 }
 
 std::optional<error> work_scheduler::phase_objection(time_point now) const {
+    if (!policy_.mechanisms.check_phase) {
+        return std::nullopt;
+    }
     switch (phase(now)) {
     case service_phase::serving:
         return std::nullopt;
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -55,6 +55,7 @@
 struct scheduler_mechanisms {
     bool ramp{true};
     bool recheck_at_dispatch{true};
+    bool check_phase{true};
     bool refuse_hopeless{true};
     bool reserve_urgent{true};
     admission::queue_mechanisms queue{};
@@ -69,6 +70,7 @@
     milliseconds overload_hold{100};     ///< after the endpoint refused work as overloaded
     milliseconds least_slow_time{100};   ///< a shorter service time is never slow
     milliseconds drain_grace{1'000};     ///< a draining sidecar still serves its queue this long
+    seconds longest_deadline{600};       ///< a later one is taken for this
     milliseconds contact_age{500};       ///< not heard from this long, an endpoint may be cold
     milliseconds contact_timeout{2'000}; ///< not heard from this long, it is unreachable
     admission::abandoned_work_policy abandoned{};
--- a/libs/sidecar/tests/scheduler_model.hpp
+++ b/libs/sidecar/tests/scheduler_model.hpp
@@ -20,10 +20,11 @@
     std::set<std::string> key_ran_twice;   ///< keys whose work ran twice
     std::set<std::string> ran_and_refused; ///< ran although answered as not run
     std::set<std::string> late;            ///< sent to the endpoint at or past the deadline
+    std::set<std::string> while_out;       ///< sent although the endpoint was out
 
     bool none() const {
         return over_limit.empty() && ran_twice.empty() && key_ran_twice.empty() &&
-               ran_and_refused.empty() && late.empty();
+               ran_and_refused.empty() && late.empty() && while_out.empty();
     }
 };
 
@@ -75,7 +76,10 @@
     }
 
     void step() {
-        switch (pick(12)) {
+        switch (pick(13)) {
+        case 12:
+            take_out_or_back();
+            break;
         case 0:
         case 1:
         case 2:
@@ -194,6 +198,13 @@
         end_call(id, gives_up ? call_end::timed_out : call_end::answered);
     }
 
+    void take_out_or_back() {
+        if (out_ || pick(20) == 0) {
+            out_ = !out_;
+            scheduler_.set_phase(out_ ? service_phase::out : service_phase::serving, clock());
+        }
+    }
+
     void end_call(const work_id& id, call_end how) {
         ledger::outcome what = ledger::answer{"application/json", "1", {}};
         if (how != call_end::answered) {
@@ -215,6 +226,9 @@
             if (++runs_[name] > 1) {
                 found_.ran_twice.insert(name);
             }
+            if (out_) {
+                found_.while_out.insert(name);
+            }
             if (told_not_run_.contains(name)) {
                 found_.ran_and_refused.insert(name);
             }
@@ -272,6 +286,7 @@
     work_scheduler scheduler_;
     int epoch_{1};
     int attempts_{0};
+    bool out_{false};
     std::vector<offered_work> sent_;
     std::vector<offered_work> keyed_;
     std::vector<at_endpoint> endpoint_;
--- a/libs/sidecar/tests/scheduling_test.cpp
+++ b/libs/sidecar/tests/scheduling_test.cpp
@@ -149,6 +149,22 @@
     REQUIRE(sidecar.outcome("a") == error_kind::expired);
 }
 
+TEST_CASE("a deadline beyond all bounds is kept within them") {
+    fixture sidecar;
+    offered_work work;
+    work.life = life;
+    work.record.id.request = "a";
+    work.record.expires_at = time_point::max();
+    work.workspace = "w";
+    REQUIRE(sidecar.is_admitted(sidecar.scheduler.offer(work, at(sidecar.now))));
+    sidecar.scheduler.tick(at(sidecar.now));
+    REQUIRE(sidecar.next() == "a");
+    sidecar.finish("a");
+    sidecar.now += seconds{1'300};
+    sidecar.scheduler.tick(at(sidecar.now));
+    REQUIRE(sidecar.scheduler.state(start + sidecar.now).ledger.identities == 0);
+}
+
 TEST_CASE("an endpoint or data centre that is out refuses also what waits") {
     fixture sidecar;
     sidecar.offer("a");
--- a/libs/sidecar/tests/sidecar_node_test.cpp
+++ b/libs/sidecar/tests/sidecar_node_test.cpp
@@ -274,6 +274,25 @@
     REQUIRE(eventually([&] { return peers.report().phase == control::service_phase::out; }));
 }
 
+TEST_CASE(
+    "an endpoint that the platform lists as leaving gets no new work, and some on its return") {
+    fixture peers;
+    membership::instance_list list;
+    membership::instance self;
+    self.id = "orders-1";
+    self.role = membership::instance_role::sidecar;
+    self.pool = "orders";
+    self.state = membership::instance_state::leaving;
+    list.instances = {self};
+    peers.knowledge.instances.publish(list);
+    REQUIRE(eventually([&] { return peers.report().phase == control::service_phase::draining; }));
+    REQUIRE(peers.problem(peers.work("r1/0/0")).kind == error_kind::shutting_down);
+    list.instances.front().state = membership::instance_state::live;
+    peers.knowledge.instances.publish(list);
+    REQUIRE(eventually([&] { return peers.report().phase == control::service_phase::serving; }));
+    REQUIRE(peers.call(peers.work("r2/0/0")).status == 200);
+}
+
 TEST_CASE("a sidecar that is behind its sender refuses rather than decide") {
     fixture peers;
     auto message = peers.work("r1/0/0");
--- a/libs/sidecar/tests/work_scheduler_test.cpp
+++ b/libs/sidecar/tests/work_scheduler_test.cpp
@@ -51,6 +51,7 @@
         CHECK(found.key_ran_twice.empty());
         CHECK(found.ran_and_refused.empty());
         CHECK(found.late.empty());
+        CHECK(found.while_out.empty());
         dispatched += model.dispatched();
     }
     REQUIRE(dispatched > seeds * 100);
@@ -81,3 +82,9 @@
     policy.mechanisms.recheck_at_dispatch = false;
     REQUIRE(first_seed_with(policy, [](const violations& v) { return !v.late.empty(); }));
 }
+
+TEST_CASE("without the check of the phase an endpoint that is out gets work") {
+    auto policy = small_policy();
+    policy.mechanisms.check_phase = false;
+    REQUIRE(first_seed_with(policy, [](const violations& v) { return !v.while_out.empty(); }));
+}
