entry: cost of streams by their own stage, attainment, latencies in the dump

Cause: streamed stages had no useful cost, and their losers were counted for a stage of another name. Change: a stage's costs have their own key; a stream costs its attempt's time. boragefront_attained_total and boragefront_late_total; dump shows latencies.

--- a/libs/entry/src/at_most_once_run.cpp
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -140,7 +140,7 @@
         const auto now = steady_clock::now();
         if (auto* failed = std::get_if<work_failure>(&outcome)) {
             note_evidence(context_, *endpoint_, *failed, now);
-            count_cost(context_, plan_.key, cost_use::retried, failed->service_time);
+            count_cost(context_, plan_.cost_key, cost_use::retried, failed->service_time);
             last_origin_ = failed->origin;
             machine_.on_failure(std::move(failed->failure), failed->origin, now);
             co_return;
@@ -149,7 +149,7 @@
         output_.body = std::move(answer.body);
         context_.core.decisions.note_success(endpoint_->id);
         context_.core.decisions.note_stage_done(plan_.key, now - sent_at_, now);
-        count_cost(context_, plan_.key, cost_use::useful, answer.service_time);
+        count_cost(context_, plan_.cost_key, cost_use::useful, answer.service_time);
         machine_.on_result();
         acknowledge(attempt);
     }
--- a/libs/entry/src/decision_state.cpp
+++ b/libs/entry/src/decision_state.cpp
@@ -11,6 +11,14 @@
 constexpr double usual_quantile = 0.5;
 constexpr double high_quantile = 0.95;
 
+// Null where too little was measured.
+boost::json::value milliseconds_of(std::optional<duration> latency) {
+    if (!latency) {
+        return nullptr;
+    }
+    return std::chrono::duration<double, std::milli>{*latency}.count();
+}
+
 } // namespace
 
 result<void> decision_state::admit(const std::string& workspace,
@@ -121,7 +129,7 @@
     return stage == nullptr ? std::nullopt : stage->latency.quantile(quantile, now);
 }
 
-boost::json::object decision_state::dump() const {
+boost::json::object decision_state::dump(time_point now) const {
     const std::scoped_lock lock{mutex_};
     boost::json::array stages;
     for (const auto& [key, stage] : stages_) {
@@ -130,6 +138,8 @@
             {"stage", key.stage},
             {"retry_tokens", stage.budgets.retries.available()},
             {"hedge_tokens", stage.budgets.hedges.available()},
+            {"usual_ms", milliseconds_of(stage.latency.quantile(usual_quantile, now))},
+            {"high_ms", milliseconds_of(stage.latency.quantile(high_quantile, now))},
         });
     }
     boost::json::array workspaces;
@@ -139,7 +149,7 @@
                 boost::json::object{{"workspace", name}, {"in_flight", gate.in_flight()}});
         }
     }
-    return {{"budgets", std::move(stages)}, {"workspaces", std::move(workspaces)}};
+    return {{"stages", std::move(stages)}, {"workspaces", std::move(workspaces)}};
 }
 
 unsigned decision_state::own_in_flight(const std::string& endpoint) const {
--- a/libs/entry/src/decision_state.hpp
+++ b/libs/entry/src/decision_state.hpp
@@ -76,7 +76,7 @@
     std::optional<duration> quantile(const stage_key& key, double quantile, time_point now) const;
 
     /// For the dump: what of this state is not in a view of an endpoint.
-    boost::json::object dump() const;
+    boost::json::object dump(time_point now) const;
 
     /// Own attempts in flight at an endpoint.
     unsigned own_in_flight(const std::string& endpoint) const;
--- a/libs/entry/src/dump.cpp
+++ b/libs/entry/src/dump.cpp
@@ -34,7 +34,7 @@
     for (const auto& view : all_endpoints(core, now)) {
         endpoints.push_back(describe(core, view, now));
     }
-    auto state = core.decisions.dump();
+    auto state = core.decisions.dump(now);
     state["endpoints"] = std::move(endpoints);
     state["in_flight"] = core.in_flight.load();
     state["draining"] = core.draining.load();
--- a/libs/entry/src/entry_service.cpp
+++ b/libs/entry/src/entry_service.cpp
@@ -86,8 +86,17 @@
         co_return;
     }
     const auto service = read.value().service;
+    const auto deadline = read.value().deadline;
     const auto outcome = co_await run_admitted(context, std::move(read.value()), out);
-    count_answer(service, outcome, steady_clock::now() - now);
+    const auto ended = steady_clock::now();
+    count_answer(service, outcome, ended - now);
+    if (outcome) {
+        const bool attained = ended <= deadline;
+        core_.metrics
+            .get_counter(attained ? "boragefront_attained_total" : "boragefront_late_total",
+                         "service=\"" + service + '"')
+            .add();
+    }
 }
 
 http::awaitable<result<void>> entry_service::run_admitted(traffic_context& context,
--- a/libs/entry/src/pipeline_run.cpp
+++ b/libs/entry/src/pipeline_run.cpp
@@ -2,6 +2,7 @@
 #include "pipeline_run.hpp"
 
 #include "answers.hpp"
+#include "dispatch.hpp"
 #include "execution/idempotent_stage.hpp"
 #include "execution/token_sequence.hpp"
 
@@ -85,17 +86,29 @@
             // The race is for the first token; the estimates are of the whole stage.
             key.stage += ".first_token";
         }
-        return {std::move(work), std::move(key), request_.stages[stage].pool, request_.profile,
-                times};
+        return {std::move(work),  std::move(key), key_of(stage), request_.stages[stage].pool,
+                request_.profile, times};
     }
 
     stage_key key_of(std::size_t stage) const {
         return {request_.service, request_.stages[stage].name};
     }
 
-    // Sends the head with the first event, so that a failure before it has its own status.
+    // The endpoint's own time of a stream is not reported; its attempt's is counted.
     awaitable<result<void>> pass_stream(stage_output output, std::size_t stage) {
-        const auto started = steady_clock::now();
+        const auto launched_at = output.launched_at;
+        auto outcome = co_await pass_lines(std::move(output));
+        const auto now = steady_clock::now();
+        const auto use = outcome ? cost_use::useful : cost_use::abandoned;
+        count_cost(context_, key_of(stage), use, now - launched_at);
+        if (outcome) {
+            context_.core.decisions.note_latency(key_of(stage), now - launched_at, now);
+        }
+        co_return outcome;
+    }
+
+    // Sends the head with the first event, so that a failure before it has its own status.
+    awaitable<result<void>> pass_lines(stage_output output) {
         std::optional<std::string> line{std::move(output.body)};
         ran_ = work_ran::yes;
         for (;;) {
@@ -105,8 +118,6 @@
             }
             BOOST_OUTCOME_CO_TRY(const bool ended, co_await pass_line(*line));
             if (ended) {
-                const auto now = steady_clock::now();
-                context_.core.decisions.note_latency(key_of(stage), now - started, now);
                 co_return co_await out_.finish();
             }
             BOOST_OUTCOME_CO_TRY(line, co_await output.stream->next_line(request_.deadline));
--- a/libs/entry/src/stage_race.cpp
+++ b/libs/entry/src/stage_race.cpp
@@ -198,8 +198,9 @@
         record.ended = true;
         context_.core.decisions.note_success(record.endpoint->id);
         const bool won = !finished_ && machine_.on_success(number);
-        count_cost(context_, plan_.key, won ? cost_use::useful : cost_use::late, service_time);
+        count_cost(context_, plan_.cost_key, won ? cost_use::useful : cost_use::late, service_time);
         if (won) {
+            output.launched_at = record.launched_at;
             record.output = std::move(output);
             context_.core.decisions.note_stage_done(plan_.key, now - record.launched_at, now);
         }
@@ -216,7 +217,7 @@
         if (record.endpoint) {
             note_evidence(context_, *record.endpoint, failed, now);
         }
-        count_cost(context_, plan_.key, cost_use::retried, failed.service_time);
+        count_cost(context_, plan_.cost_key, cost_use::retried, failed.service_time);
         machine_.on_failure(number, std::move(failed.failure), now);
         wake_.cancel();
     }
@@ -230,7 +231,7 @@
             }
             record->ended = true;
             const auto elapsed = now - record->launched_at;
-            count_cost(context_, plan_.key, use, elapsed);
+            count_cost(context_, plan_.cost_key, use, elapsed);
             note_slowness(*record, elapsed, now);
             record->cancel.cancel();
         }
--- a/libs/entry/src/stage_run.hpp
+++ b/libs/entry/src/stage_run.hpp
@@ -19,7 +19,8 @@
 /// One stage of a request, ready to run.
 struct stage_plan {
     stage_work work;
-    stage_key key;
+    stage_key key;      ///< of its latencies and budgets
+    stage_key cost_key; ///< of what it costs
     std::string pool;
     config::profile profile;
     execution::stage_times times;
@@ -28,6 +29,7 @@
 /// What a stage produced: its whole output, or a stream whose first line is read.
 struct stage_output {
     std::string body;            ///< the output as JSON, or the first line of the stream
+    time_point launched_at;      ///< when the attempt that produced it began
     std::shared_ptr<void> owner; ///< shared, because the stream needs its race to exist
     std::unique_ptr<http::response_stream> stream;
 };
--- a/libs/entry/tests/attempts_test.cpp
+++ b/libs/entry/tests/attempts_test.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// Retries, hedges, identities and work that is not idempotent, at the level of messages.
+#include "dump.hpp"
 #include "harness.hpp"
 #include "membership/subset.hpp"
 
@@ -331,3 +332,37 @@
                                                    R"(service="stock",stage="stock",use="useful")");
     REQUIRE(useful.value() == 1'500);
 }
+
+TEST_CASE("a stream's cost is counted for its own stage") {
+    harness peers;
+    peers.add_sidecar("encoder-1", "encoders");
+    peers.add_sidecar("retriever-1", "retrievers");
+    peers.add_sidecar("engine-1", "engines", stream_three);
+    http::header_list headers;
+    headers.set("Accept", "text/event-stream");
+    REQUIRE(peers.post("draft", "{}", headers).status == 200);
+    // The counter is raised after the caller has read the end.
+    const auto& useful = peers.metrics.get_counter(
+        "boragefront_stage_endpoint_us_total", R"(service="draft",stage="generate",use="useful")");
+    const auto& attained =
+        peers.metrics.get_counter("boragefront_attained_total", R"(service="draft")");
+    const auto until = steady_clock::now() + long_enough;
+    while (attained.value() == 0 && steady_clock::now() < until) {
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+    REQUIRE(attained.value() == 1);
+    REQUIRE(useful.value() > 0);
+    REQUIRE(peers.metrics.exposition().find("first_token") == std::string::npos);
+}
+
+TEST_CASE("the dump shows endpoints with why they are not chosen, budgets and latencies") {
+    harness peers;
+    peers.add_sidecar("worker-1", "workers");
+    REQUIRE(peers.post("stock", "{}").status == 200);
+    peers.core.decisions.note_silence("worker-1", steady_clock::now());
+    const auto dump = dump_state(peers.core, steady_clock::now());
+    INFO(dump);
+    REQUIRE(dump.find(R"("not_chosen_because":"suspected")") != std::string::npos);
+    REQUIRE(dump.find(R"("retry_tokens":)") != std::string::npos);
+    REQUIRE(dump.find(R"("usual_ms":null)") != std::string::npos);
+}
