--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -67,6 +67,7 @@
     config::limits limits{};
     config::ramp ramp{};
     seconds urgent_memory{60};           ///< a slot is kept for urgent work this long after some
+    milliseconds urgent_wait{20};        ///< ... unless one is usually free within this
     milliseconds pause_threshold{1'000}; ///< a gap between decisions that shows a paused process
     milliseconds wake_hold{500};         ///< after a pause, for the control plane to catch up
     milliseconds overload_hold{100};     ///< after the endpoint refused work as overloaded
