--- a/tests/support/include/support/cluster.hpp
+++ b/tests/support/include/support/cluster.hpp
@@ -59,6 +59,8 @@
     std::optional<int> wait_exit(milliseconds patience);
 
 protected:
+    /// Starts the program. Where it ran before, its address may be in use for a moment by another
+    /// process's connection: that is tried again.
     result<void> launch(const std::vector<std::string>& command);
     std::string first_line(std::string_view member) const;
     const std::filesystem::path& folder() const { return folder_; }
@@ -67,6 +69,7 @@
     std::string id_;
     std::filesystem::path folder_;
     std::optional<process> process_;
+    bool ran_before_{false};
 };
 
 /// A stand-in for an endpoint, or the platform, or a relay.
@@ -93,6 +96,9 @@
     daemon_node(std::string id, std::filesystem::path folder, boost::json::object settings);
     result<void> start() override;
 
+    /// Control addresses to ask in its next life.
+    void set_seed_peers(const std::vector<std::string>& peers);
+
     const std::string& data_address() const { return data_address_; }
     const std::string& control_address() const { return control_address_; }
 
@@ -139,6 +145,9 @@
     /// Publishes a value. \param value JSON
     result<revision> publish(const std::string& key, const std::string& value);
 
+    /// Deletes a value.
+    result<revision> remove(const std::string& key);
+
     /// Publishes the instance list as it is now.
     result<void> publish_instances();
 
@@ -156,6 +165,7 @@
     result<void> start_platform();
     result<void> start_slot(const endpoint_spec& wanted);
     result<void> start_entry(const entry_spec& wanted, milliseconds readiness_grace);
+    void set_seed_peers();
     boost::json::object common_settings(std::string_view id, std::string_view data_centre) const;
 
     std::filesystem::path folder_;
