--- a/libs/control/src/control_core.cpp
+++ b/libs/control/src/control_core.cpp
@@ -2,6 +2,8 @@
 
 #include "anti_entropy.hpp"
 
+#include <utility>
+
 namespace boragefront::control {
 
 void control_core::take_platform(platform_config answer, revision asked_with_highest,
@@ -14,7 +16,11 @@
 void control_core::take_entries(std::vector<config::published_entry> entries) {
     bool changed = false;
     for (auto& entry : entries) {
-        changed = merge(std::move(entry)) || changed;
+        auto key = entry.key;
+        if (merge(std::move(entry))) {
+            changed = true;
+            changed_keys_.push_back(std::move(key));
+        }
     }
     if (changed) {
         ++version_;
@@ -71,6 +77,10 @@
             hash_};
 }
 
+std::vector<std::string> control_core::take_changed_keys() {
+    return std::exchange(changed_keys_, {});
+}
+
 bool control_core::merge(config::published_entry entry) {
     return store_.merge(std::move(entry)) != config::merge_outcome::ignored;
 }
--- a/libs/control/src/control_core.hpp
+++ b/libs/control/src/control_core.hpp
@@ -54,6 +54,9 @@
     instance_table& instances() { return instances_; }
     const instance_table& instances() const { return instances_; }
 
+    /// The keys that took a newer entry since the last call.
+    std::vector<std::string> take_changed_keys();
+
     /// Raised whenever the store took something.
     std::uint64_t version() const { return version_; }
 
@@ -65,6 +68,7 @@
     instance_table instances_;
     std::uint64_t hash_{0};
     std::uint64_t version_{0};
+    std::vector<std::string> changed_keys_;
 };
 
 } // namespace boragefront::control
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -1,5 +1,7 @@
 #include "control_node.hpp"
 
+#include "anti_entropy.hpp"
+
 #include <algorithm>
 
 namespace boragefront::control {
@@ -10,6 +12,9 @@
 constexpr std::size_t peers_before_ready = 3;
 constexpr std::size_t most_catch_ups = 4;
 constexpr std::size_t most_introduced = 8;
+constexpr std::size_t most_hot_gossips = 4;
+constexpr std::size_t most_news = 16;
+constexpr std::size_t most_news_bytes = 2'048;
 
 } // namespace
 
@@ -66,7 +71,7 @@
         return;
     }
     ++peers_tried_;
-    gossiping_ = false;
+    --gossiping_;
 }
 
 void control_node::end_beat(const beat_action& ended, const wire::heartbeat_answer& answer,
@@ -153,6 +158,7 @@
 void control_node::note_changes(time_point now) {
     if (std::exchange(noted_version_, core_.version()) != core_.version()) {
         gossips_.on_change(now);
+        news_ = core_.take_changed_keys();
     }
 }
 
@@ -200,12 +206,28 @@
 }
 
 void control_node::add_gossip(time_point now, std::vector<action>& out) {
-    if (gossiping_ || peers_.empty() || !gossips_.due(now)) {
+    const auto room = gossips_.hot() ? most_hot_gossips : 1;
+    if (gossiping_ >= room || peers_.empty() || !gossips_.due(now)) {
         return;
     }
+    auto conversation = make_gossip();
     gossips_.on_begin(ready_, now, random_);
-    gossiping_ = true;
-    out.emplace_back(converse_action{peers_[picker_.pick(peers_, now, random_)], exchange{}});
+    ++gossiping_;
+    auto address = peers_[picker_.pick(peers_, now, random_)];
+    out.emplace_back(converse_action{std::move(address), std::move(conversation)});
+}
+
+// Small news are pushed at once; anything else is left to a comparison, which sends it only once.
+exchange control_node::make_gossip() {
+    if (!ready_ || !gossips_.hot() || news_.empty() || news_.size() > most_news) {
+        return exchange{};
+    }
+    std::size_t bytes = 0;
+    auto entries = entries_for(core_.store(), news_);
+    for (const auto& one : entries) {
+        bytes += one.key.size() + one.value.size();
+    }
+    return bytes > most_news_bytes ? exchange{} : exchange{std::move(entries)};
 }
 
 void control_node::update_readiness() {
--- a/libs/control/src/control_node.hpp
+++ b/libs/control/src/control_node.hpp
@@ -112,6 +112,7 @@
 
 private:
     void note_changes(time_point now);
+    exchange make_gossip();
     void introduce(const std::string& address);
     void add_reads(time_point now, std::vector<action>& out);
     void add_gossip(time_point now, std::vector<action>& out);
@@ -140,7 +141,8 @@
     bool reader_{true};
     bool reading_config_{false};
     bool reading_list_{false};
-    bool gossiping_{false};
+    std::size_t gossiping_{0};      // conversations with random peers now
+    std::vector<std::string> news_; // keys that are passed on while the gossip is hot
     bool config_tried_{false};
     bool list_tried_{false};
     bool ready_{false};
--- a/libs/control/src/exchange.cpp
+++ b/libs/control/src/exchange.cpp
@@ -7,6 +7,9 @@
 exchange::exchange(const wire::knowledge& peer, time_point heard_at)
     : step_{step::digest}, peer_{peer}, peer_asked_at_{heard_at} {}
 
+exchange::exchange(std::vector<config::published_entry> news)
+    : step_{step::offer}, news_{std::move(news)} {}
+
 std::optional<wire::request> exchange::next(const control_core& core, time_point now) {
     if (rounds_left_-- <= 0) {
         return std::nullopt;
@@ -25,7 +28,7 @@
     case step::offer: {
         wire::delta_request offer;
         offer.bucket_count = digest_buckets;
-        offer.offered = entries_for(core.store(), wanted_);
+        offer.offered = news_.empty() ? entries_for(core.store(), wanted_) : news_;
         return offer;
     }
     case step::list:
--- a/libs/control/src/exchange.hpp
+++ b/libs/control/src/exchange.hpp
@@ -22,6 +22,9 @@
     /// A conversation with a peer whose knowledge arrived otherwise, as on a heartbeat.
     exchange(const wire::knowledge& peer, time_point heard_at);
 
+    /// A single message that pushes entries which were learned just now.
+    explicit exchange(std::vector<config::published_entry> news);
+
     /// The next request, or nothing at the end.
     std::optional<wire::request> next(const control_core& core, time_point now);
 
@@ -42,6 +45,7 @@
     time_point peer_asked_at_{};
     std::vector<std::uint32_t> buckets_;
     std::vector<std::string> wanted_;
+    std::vector<config::published_entry> news_;
     static constexpr int most_rounds = 64;
 };
 
--- a/libs/control/src/schedules.hpp
+++ b/libs/control/src/schedules.hpp
@@ -81,6 +81,9 @@
     /// Something new was learned: pass it on to a few peers quickly.
     void on_change(time_point now);
 
+    /// Whether something learned lately is still being passed on.
+    bool hot() const { return hot_rounds_ > 0; }
+
 private:
     time_point next_{};
     unsigned hot_rounds_{0};
