--- a/libs/ledger/include/ledger/work_ledger.hpp
+++ b/libs/ledger/include/ledger/work_ledger.hpp
@@ -49,6 +49,7 @@
     std::string key;            ///< idempotency key with its scope; empty if there is none
     std::string key_id;         ///< the caller's part of `key`, a UUIDv7
     std::uint64_t body_hash{0}; ///< of everything that a retry must repeat
+    bool key_vouched{true};     ///< no other record can hold the key
     time_point expires_at{};
 };
 
@@ -93,6 +94,11 @@
     /// Records an arrival, or finds what is already known of it.
     arrival arrive(const work_arrival& work, clock_reading now);
 
+    /// Gives a key up to another home: finds what is known of it, or records that it never runs
+    /// here and answers `not_run`. Keys from before this record stay unknown.
+    /// \pre the work has a key.
+    arrival release(const work_arrival& work, clock_reading now);
+
     /// What is known of an identity; records a refusal of `not_run` if it never arrived.
     arrival ask(const work_id& id, clock_reading now);
 
--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -57,6 +57,16 @@
     return enqueue(std::move(waiting), now);
 }
 
+ledger::arrival work_scheduler::release(const offered_work& work, clock_reading now) {
+    note_time(now.steady);
+    if (work.life != life_) {
+        auto reason = make_error(error_kind::wrong_incarnation, work_ran::unknown,
+                                 "another incarnation was meant");
+        return refuse(work.record.id, std::move(reason), now);
+    }
+    return ledger_.release(work.record, now);
+}
+
 ledger::arrival work_scheduler::ask(const work_id& id, clock_reading now) {
     return ledger_.ask(id, now);
 }
@@ -214,7 +224,9 @@
     case call_end::answered:
         ++completed_;
         last_contact_ = now;
-        times_.record(now - ended.started);
+        if (ended.pauses == pauses_) {
+            times_.record(now - ended.started);
+        }
         ramp_.on_completed(ended.warm_up);
         break;
     case call_end::failed:
@@ -224,8 +236,10 @@
     case call_end::overloaded:
         last_contact_ = now;
         fall_back(cold_cause::overloaded);
+        held_until_ = std::max(held_until_, now + policy_.overload_hold);
         break;
     case call_end::not_connected:
+        endpoint_known_ = false;
         fall_back(cold_cause::connection_failed);
         break;
     case call_end::lost:
@@ -282,12 +296,12 @@
     const auto usual = times_.quantile(slow_quantile).value_or(duration::zero());
     const auto slow = std::max(duration_cast<duration>(usual * policy_.ramp.slow_factor),
                                duration{policy_.least_slow_time});
-    for (auto& [id, work] : running_) {
-        const bool counts = work.warm_up == ramp_.current() && !work.found_slow;
-        if (counts && now - work.started > slow) {
-            work.found_slow = true;
-            fall_back(cold_cause::slow);
-        }
+    const bool found = std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+        const auto& work = entry.second;
+        return work.warm_up == ramp_.current() && now - work.started > slow;
+    });
+    if (found) {
+        fall_back(cold_cause::slow);
     }
 }
 
@@ -313,11 +327,9 @@
 
 void work_scheduler::on_load_failure(bool refused, clock_reading now) {
     ++load_failures_;
-    if (refused && load_failures_ == 1) {
-        fall_back(cold_cause::connection_failed);
-    }
-    const bool silent = now.steady - last_contact_ > policy_.contact_timeout;
-    if (load_failures_ >= load_failures_to_doubt && silent && endpoint_known_) {
+    const bool silent = load_failures_ >= load_failures_to_doubt &&
+                        now.steady - last_contact_ > policy_.contact_timeout;
+    if ((refused || silent) && endpoint_known_) {
         endpoint_known_ = false;
         fall_back(cold_cause::connection_failed);
     }
