libs/control: heartbeats go to membership's subset, and whole pools of services that are not idempotent

Until now an entry sent heartbeats to every sidecar, so the mesh cost O(entries x sidecars). Sidecars that are no longer targets leave the heard ones. Bytes read from the platform are counted.

--- a/libs/control/include/control/control_plane.hpp
+++ b/libs/control/include/control/control_plane.hpp
@@ -65,7 +65,8 @@
     std::vector<std::string> seed_peers;
     /// Whether sidecars are sent heartbeats: true for an entry, false for a sidecar.
     bool heartbeats_to_sidecars{false};
-    /// Picks the sidecars that are sent heartbeats; all if empty. Called on the control thread.
+    /// Picks the sidecars that are sent heartbeats; if empty, `membership::subset_of`, with the
+    /// pools of services that are not idempotent taken whole. Called on the control thread.
     std::function<std::vector<membership::instance>(const membership::instance_list&)>
         heartbeat_targets;
 };
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -178,14 +178,7 @@
     believed_ = core_.instances().believed();
     reader_ = is_reader(believed_, options_.self);
     collect_peers();
-    if (options_.heartbeats_to_sidecars) {
-        set_heartbeat_targets(now);
-    }
-    std::set<std::string, std::less<>> ids;
-    for (const auto& one : believed_.instances) {
-        ids.insert(one.id);
-    }
-    std::erase_if(heard_.by_id, [&](const auto& one) { return !ids.contains(one.first); });
+    refresh_targets(now);
     return true;
 }
 
@@ -236,12 +229,20 @@
     ready_ = ready_ || (tried && core_.knowledge().confirmed());
 }
 
-void control_node::set_heartbeat_targets(time_point now) {
+void control_node::refresh_targets(time_point now) {
+    if (!options_.heartbeats_to_sidecars) {
+        return;
+    }
     auto targets =
         options_.heartbeat_targets ? options_.heartbeat_targets(believed_) : believed_.instances;
     std::erase_if(targets, [](const auto& one) {
         return one.role != membership::instance_role::sidecar || one.control_address.empty();
     });
+    std::set<std::string, std::less<>> ids;
+    for (const auto& one : targets) {
+        ids.insert(one.id);
+    }
+    std::erase_if(heard_.by_id, [&](const auto& one) { return !ids.contains(one.first); });
     heartbeats_.set_targets(std::move(targets), now, random_);
 }
 
--- a/libs/control/src/control_node.hpp
+++ b/libs/control/src/control_node.hpp
@@ -102,6 +102,9 @@
     /// changed since the last call.
     bool refresh_instances(time_point now);
 
+    /// Picks the sidecars that are sent heartbeats anew, as when the configuration changed.
+    void refresh_targets(time_point now);
+
     /// Whether enough is known to decide; never turns false again.
     bool ready() const { return ready_; }
 
@@ -117,7 +120,6 @@
     void add_reads(time_point now, std::vector<action>& out);
     void add_gossip(time_point now, std::vector<action>& out);
     void update_readiness();
-    void set_heartbeat_targets(time_point now);
     read_situation situation(time_point now) const;
     void collect_peers();
 
--- a/libs/control/src/plane.cpp
+++ b/libs/control/src/plane.cpp
@@ -1,6 +1,7 @@
 #include "plane.hpp"
 
 #include "base/logging.hpp"
+#include "membership/subset.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,6 +24,7 @@
                                                      "direction=\"sent\"")},
       bytes_received{
           registry.get_counter("boragefront_control_bytes_total", "direction=\"received\"")},
+      platform_bytes{registry.get_counter("boragefront_platform_bytes_total")},
       platform_reads{registry.get_counter("boragefront_platform_reads_total", "result=\"ok\"")},
       platform_failures{
           registry.get_counter("boragefront_platform_reads_total", "result=\"failed\"")},
@@ -39,7 +41,8 @@
 
 plane::plane(control_options options, role_hooks hooks, metrics_registry& metrics)
     : guard_{io_.get_executor()}, options_{std::move(options)}, hooks_{std::move(hooks)},
-      metrics_{metrics}, platform_{io_.get_executor(), options_.platform_address},
+      metrics_{metrics}, platform_{io_.get_executor(), options_.platform_address,
+                                   metrics_.platform_bytes},
       peers_{
           wire::client::make(io_.get_executor(), {metrics_.bytes_sent, metrics_.bytes_received})} {}
 
@@ -53,6 +56,9 @@
                                       [this](const wire::request& asked) { return answer(asked); },
                                       {metrics_.bytes_sent, metrics_.bytes_received}));
     options_.self.control_address = server_->address();
+    if (!options_.heartbeat_targets) {
+        options_.heartbeat_targets = [this](const auto& believed) { return own_subset(believed); };
+    }
     node_.emplace(node_options{options_.self, options_.seed_peers, options_.heartbeats_to_sidecars,
                                options_.heartbeat_targets},
                   make_random_source());
@@ -61,6 +67,22 @@
     return success();
 }
 
+std::vector<membership::instance>
+plane::own_subset(const membership::instance_list& believed) const {
+    const auto in_force = configuration_.load();
+    membership::subset_query query;
+    query.entry = options_.self.id;
+    query.data_centre = options_.self.data_centre;
+    for (const auto& [name, service] : in_force->services) {
+        for (const auto& stage : config::stages_of(service)) {
+            if (!service.repeatable) {
+                query.whole_pools.insert(stage.pool);
+            }
+        }
+    }
+    return membership::subset_of(believed, query);
+}
+
 void plane::note_revision(revision seen) {
     if (seen <= highest_.load(std::memory_order_relaxed) || noted_.exchange(true)) {
         return;
@@ -104,6 +126,7 @@
 void plane::publish_changes(time_point now) {
     if (published_version_ != node_->core().version()) {
         publish_configuration();
+        node_->refresh_targets(now);
     }
     if (node_->refresh_instances(now)) {
         heard_changed_ = true;
--- a/libs/control/src/plane.hpp
+++ b/libs/control/src/plane.hpp
@@ -24,6 +24,7 @@
     metrics_registry& all;
     counter& bytes_sent;
     counter& bytes_received;
+    counter& platform_bytes;
     counter& platform_reads;
     counter& platform_failures;
     counter& exchanges;
@@ -60,6 +61,10 @@
 private:
     using awaitable = boost::asio::awaitable<void>;
 
+    /// The sidecars that this entry keeps in touch with: a subset of each pool, but all of those
+    /// that may be the home of an idempotency key.
+    std::vector<membership::instance> own_subset(const membership::instance_list& believed) const;
+
     awaitable tick_forever();
     void tick(time_point now);
     void publish_changes(time_point now);
--- a/libs/control/src/platform_reader.cpp
+++ b/libs/control/src/platform_reader.cpp
@@ -12,8 +12,10 @@
 
 } // namespace
 
-platform_reader::platform_reader(boost::asio::any_io_executor executor, std::string address)
-    : client_{http::client::make(std::move(executor))}, address_{std::move(address)} {}
+platform_reader::platform_reader(boost::asio::any_io_executor executor, std::string address,
+                                 counter& bytes)
+    : client_{http::client::make(std::move(executor))}, address_{std::move(address)}, bytes_{
+                                                                                          bytes} {}
 
 http::awaitable<result<platform_config>> platform_reader::read_config(revision since,
                                                                       milliseconds wait) {
@@ -56,7 +58,11 @@
     http::call_options options;
     options.deadline = steady_clock::now() + wait + answer_timeout;
     options.body_limit = answer_bytes;
-    co_return co_await client_->call(address_, std::move(message), options);
+    auto answer = co_await client_->call(address_, std::move(message), options);
+    if (answer) {
+        bytes_.add(answer.value().body.size());
+    }
+    co_return answer;
 }
 
 } // namespace boragefront::control
--- a/libs/control/src/platform_reader.hpp
+++ b/libs/control/src/platform_reader.hpp
@@ -4,6 +4,7 @@
 
 #include "base/error.hpp"
 #include "base/ids.hpp"
+#include "base/metrics.hpp"
 #include "base/time.hpp"
 #include "control_node.hpp"
 #include "http/client.hpp"
@@ -17,7 +18,8 @@
 class platform_reader {
 public:
     /// \param address "ip:port" of the platform's service.
-    platform_reader(boost::asio::any_io_executor executor, std::string address);
+    /// \param bytes counts the bodies of answers; outlives the reader.
+    platform_reader(boost::asio::any_io_executor executor, std::string address, counter& bytes);
 
     /// Reads the entries above a revision, or all if it is 0.
     /// \param wait how long the service may wait for one; 0 answers at once.
@@ -30,6 +32,7 @@
 
     std::unique_ptr<http::client> client_;
     std::string address_;
+    counter& bytes_;
     std::string list_tag_;
 };
 
