Choice of endpoint by fresh load and expected delay

Cause: power of two choices compared loads of the last heartbeat, up to a second old, so in a burst all entries sent to the same endpoint until the next heartbeat and its queue refused what others had room for; and it compared loads without the time that a request takes there.

Change: each answer of a sidecar carries its load now; an entry corrects it by what it has added or taken since; the choice compares the load times the usual service time.

--- a/benchmarks/policy/sidecar_model.cpp
+++ b/benchmarks/policy/sidecar_model.cpp
@@ -71,6 +71,11 @@
     dispatch();
 }
 
+routing::load_report sidecar_model::load() const {
+    return {scheduler_.limit(clock_.now()), static_cast<unsigned>(scheduler_.running()),
+            static_cast<unsigned>(scheduler_.queued())};
+}
+
 sidecar::clock_reading sidecar_model::reading() const {
     const auto since = clock_.now().time_since_epoch();
     return {clock_.now(), wall_origin + std::chrono::duration_cast<milliseconds>(since)};
--- a/benchmarks/policy/sidecar_model.hpp
+++ b/benchmarks/policy/sidecar_model.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "endpoint_model.hpp"
+#include "routing/endpoint_view.hpp"
 #include "work_scheduler.hpp"
 
 #include <functional>
@@ -29,6 +30,9 @@
     sidecar::scheduler_state state() const { return scheduler_.state(clock_.now()); }
     incarnation life() const { return life_; }
 
+    /// What it reports on its answers.
+    routing::load_report load() const;
+
 private:
     sidecar::clock_reading reading() const;
     void tick();
--- a/benchmarks/policy/virtual_request.cpp
+++ b/benchmarks/policy/virtual_request.cpp
@@ -57,10 +57,12 @@
         routing::endpoint_view view;
         view.id = node->id;
         view.data_centre = node->data_centre;
+        view.data_address = node->id;
         view.limit = state.limit;
         view.reported_in_flight = static_cast<unsigned>(state.running);
         view.reported_queued = static_cast<unsigned>(state.queued_urgent + state.queued_normal +
                                                      state.queued_background);
+        view.service_time = state.usual_service_time;
         view.heard_at = all_.clock.now();
         heard_.push_back(std::move(view));
     }
@@ -189,14 +191,18 @@
     work.idempotent = true;
     const auto delay = home_.delay_to(*node);
     auto deliver = [self = shared_from_this(), running, number, delay](const auto& what) {
-        self->home_.all().clock.after(
-            delay, [self, running, number, what] { self->on_outcome(running, number, what); });
+        const auto load = running->attempts.at(number).node->sidecar.load();
+        self->home_.all().clock.after(delay, [self, running, number, what, load] {
+            self->on_outcome(running, number, what, load);
+        });
     };
     clock.after(delay, [node, work, deliver] { node->sidecar.offer(work, deliver); });
 }
 
 void virtual_request::on_outcome(const race_ptr& running, unsigned number,
-                                 const ledger::outcome& what) {
+                                 const ledger::outcome& what, routing::load_report load) {
+    home_.decisions().note_load(running->attempts.at(number).node->id, load,
+                                home_.all().clock.now());
     if (const auto* answer = std::get_if<ledger::answer>(&what)) {
         on_answer(running, number, answer->service_time);
     } else {
--- a/benchmarks/policy/virtual_request.hpp
+++ b/benchmarks/policy/virtual_request.hpp
@@ -96,7 +96,8 @@
     config::profile profile() const;
     void step(const race_ptr& running);
     void launch(const race_ptr& running, unsigned number);
-    void on_outcome(const race_ptr& running, unsigned number, const ledger::outcome& what);
+    void on_outcome(const race_ptr& running, unsigned number, const ledger::outcome& what,
+                    routing::load_report load);
     void on_answer(const race_ptr& running, unsigned number, duration service_time);
     void on_error(const race_ptr& running, unsigned number, const error& failure);
     void end_race(const race_ptr& running);
--- a/libs/entry/src/decision_state.cpp
+++ b/libs/entry/src/decision_state.cpp
@@ -38,8 +38,7 @@
                               time_point now) {
     const std::scoped_lock lock{mutex_};
     for (auto& view : views) {
-        const auto found = in_flight_.find(view.id);
-        view.own_in_flight = found == in_flight_.end() ? 0 : found->second;
+        refresh(view);
         if (view.excluded == routing::exclusion::none && evidence_.is_suspected(view.id, now)) {
             view.excluded = routing::exclusion::suspected;
         }
@@ -49,9 +48,25 @@
         return std::nullopt;
     }
     ++in_flight_[chosen->id];
+    endpoints_by_address_[chosen->data_address] = chosen->id;
     return *chosen;
 }
 
+// Puts in what this process knows better than the latest heartbeat.
+void decision_state::refresh(routing::endpoint_view& view) const {
+    const auto own = in_flight_.find(view.id);
+    view.own_in_flight = own == in_flight_.end() ? 0 : own->second;
+    view.own_when_reported = view.own_in_flight;
+    const auto noted = loads_.find(view.data_address);
+    if (noted != loads_.end() && noted->second.noted_at > view.heard_at) {
+        const auto& report = noted->second.report;
+        view.limit = report.limit;
+        view.reported_in_flight = report.in_flight;
+        view.reported_queued = report.queued;
+        view.own_when_reported = noted->second.own_in_flight;
+    }
+}
+
 void decision_state::begin_attempt_at(const std::string& endpoint) {
     const std::scoped_lock lock{mutex_};
     ++in_flight_[endpoint];
@@ -65,6 +80,19 @@
     }
 }
 
+void decision_state::note_load(const std::string& address, routing::load_report report,
+                               time_point now) {
+    const std::scoped_lock lock{mutex_};
+    const auto endpoint = endpoints_by_address_.find(address);
+    if (endpoint == endpoints_by_address_.end()) {
+        return;
+    }
+    const auto own = in_flight_.find(endpoint->second);
+    // The attempt that was answered is still counted here, and no more there.
+    const unsigned others = own == in_flight_.end() ? 0 : own->second - 1;
+    loads_[address] = {report, now, others};
+}
+
 void decision_state::note_success(const std::string& endpoint) {
     const std::scoped_lock lock{mutex_};
     evidence_.on_success(endpoint);
--- a/libs/entry/src/decision_state.hpp
+++ b/libs/entry/src/decision_state.hpp
@@ -55,6 +55,10 @@
     void begin_attempt_at(const std::string& endpoint);
     void end_attempt(const std::string& endpoint);
 
+    /// The load that a sidecar reported on an answer.
+    /// \param address the sidecar's data address.
+    void note_load(const std::string& address, routing::load_report report, time_point now);
+
     /// Own evidence of an endpoint's health.
     void note_success(const std::string& endpoint);
     void note_failure(const std::string& endpoint, time_point now);
@@ -87,12 +91,22 @@
         execution::recent_latency latency;
     };
 
+    // The latest load that a sidecar reported on an answer.
+    struct noted_load {
+        routing::load_report report;
+        time_point noted_at;
+        unsigned own_in_flight{0}; ///< at that time
+    };
+
+    void refresh(routing::endpoint_view& view) const;
     stage_state& stage_of(const stage_key& key, const config::profile* profile);
     const stage_state* find_stage(const stage_key& key) const;
 
     mutable std::mutex mutex_;
     std::map<std::string, execution::workspace_gate, std::less<>> workspaces_;
     std::map<std::string, unsigned, std::less<>> in_flight_;
+    std::map<std::string, noted_load, std::less<>> loads_;                 ///< by data address
+    std::map<std::string, std::string, std::less<>> endpoints_by_address_; ///< of `loads_`
     membership::health_evidence evidence_;
     std::map<stage_key, stage_state> stages_;
     routing::choice_policy policy_;
--- a/libs/entry/src/dispatch.cpp
+++ b/libs/entry/src/dispatch.cpp
@@ -155,6 +155,13 @@
             routing::expiry_on_remote_clock(endpoint, plan.times.deadline)};
 }
 
+void note_reported_load(traffic_context& context, const std::string& address,
+                        const http::response& head) {
+    if (const auto load = load_reported_by(head)) {
+        context.core.decisions.note_load(address, *load, steady_clock::now());
+    }
+}
+
 awaitable<exchange_outcome> exchange(traffic_context& context, std::string address, work_id id,
                                      http::request message, http::call_options options) {
     auto answer = co_await context.client->call(address, std::move(message), options);
@@ -163,6 +170,7 @@
     }
     auto& head = answer.value();
     context.core.control.note_revision(revision_of(head));
+    note_reported_load(context, address, head);
     if (!is_answer_for(head, id)) {
         context.client->drop_idle(address);
     }
--- a/libs/entry/src/dispatch.hpp
+++ b/libs/entry/src/dispatch.hpp
@@ -70,6 +70,10 @@
 
 using exchange_outcome = std::variant<work_answer, work_failure>;
 
+/// Takes up the load that a sidecar reports on an answer.
+void note_reported_load(traffic_context& context, const std::string& address,
+                        const http::response& head);
+
 /// Sends a message about a piece of work and reads the whole answer. An answer for other work is
 /// dropped, and the connections to that sidecar are closed.
 awaitable<exchange_outcome> exchange(traffic_context& context, std::string address, work_id id,
--- a/libs/entry/src/entry_core.cpp
+++ b/libs/entry/src/entry_core.cpp
@@ -38,6 +38,7 @@
     view.limit = report.concurrency_limit;
     view.reported_in_flight = report.in_flight;
     view.reported_queued = report.queued;
+    view.service_time = report.service_time;
     view.clock = heard.clock;
     view.heard_at = heard.heard_at;
     const routing::endpoint_facts facts{report.phase == control::service_phase::serving,
--- a/libs/entry/src/stage_race.cpp
+++ b/libs/entry/src/stage_race.cpp
@@ -161,6 +161,7 @@
                                                       unsigned number) {
         auto answer = stream.head();
         context_.core.control.note_revision(revision_of(answer));
+        note_reported_load(context_, attempts_.at(number)->endpoint->data_address, answer);
         const auto id = identity(number);
         if (answer.status == http_ok && is_answer_for(answer, id)) {
             co_return std::nullopt;
--- a/libs/entry/src/work_message.cpp
+++ b/libs/entry/src/work_message.cpp
@@ -5,6 +5,10 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <limits>
+
 namespace boragefront::entry {
 namespace {
 
@@ -92,6 +96,21 @@
     return number_in(head, "Boragefront-Revision");
 }
 
+std::optional<routing::load_report> load_reported_by(const http::response& head) {
+    std::array<unsigned, 3> numbers{};
+    auto rest = head.headers.get("Boragefront-Load");
+    for (auto& number : numbers) {
+        const auto word = rest.substr(0, rest.find('/'));
+        const auto value = parse_number(word);
+        if (!value || *value > std::numeric_limits<unsigned>::max()) {
+            return std::nullopt;
+        }
+        number = static_cast<unsigned>(*value);
+        rest.remove_prefix(std::min(rest.size(), word.size() + 1));
+    }
+    return routing::load_report{numbers[0], numbers[1], numbers[2]};
+}
+
 work_failure read_failure(const http::response& answer, const work_id& id) {
     if (!is_answer_for(answer, id)) {
         return {make_error(error_kind::connection_lost, "the answer is for other work")};
--- a/libs/entry/src/work_message.hpp
+++ b/libs/entry/src/work_message.hpp
@@ -8,8 +8,10 @@
 #include "config/types.hpp"
 #include "execution/at_most_once.hpp"
 #include "http/message.hpp"
+#include "routing/endpoint_view.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -64,6 +66,9 @@
 /// The revision that an answer carries, or 0.
 revision revision_of(const http::response& head);
 
+/// The load of the sidecar that an answer reports. \returns nothing if it reports none.
+std::optional<routing::load_report> load_reported_by(const http::response& head);
+
 /// The failure that an answer other than 200 reports. One for other work, or without a readable
 /// problem document, tells nothing of this work.
 work_failure read_failure(const http::response& answer, const work_id& id);
--- a/libs/routing/include/routing/choice.hpp
+++ b/libs/routing/include/routing/choice.hpp
@@ -14,7 +14,7 @@
 
 namespace boragefront::routing {
 
-/// The less loaded of two that are drawn at random.
+/// The one that would be done sooner of two that are drawn at random.
 struct power_of_two {};
 
 /// Each in turn.
--- a/libs/routing/include/routing/endpoint_view.hpp
+++ b/libs/routing/include/routing/endpoint_view.hpp
@@ -35,9 +35,11 @@
     unsigned limit{0};              ///< concurrency in force, as reported
     unsigned reported_in_flight{0}; ///< of all senders
     unsigned reported_queued{0};
-    unsigned own_in_flight{0}; ///< attempts of this process
-    remote_time clock;         ///< reading of its sidecar's clock ...
-    time_point heard_at;       ///< ... at or before this local time
+    milliseconds service_time{0};  ///< usual one, as reported
+    unsigned own_in_flight{0};     ///< attempts of this process now ...
+    unsigned own_when_reported{0}; ///< ... and when the load was reported, if that is known
+    remote_time clock;             ///< reading of its sidecar's clock ...
+    time_point heard_at;           ///< ... at or before this local time
     exclusion excluded{exclusion::none};
     bool tried{false}; ///< an earlier attempt of the same stage went there
 };
@@ -53,9 +55,21 @@
 /// apart.
 exclusion exclusion_of(const endpoint_facts& facts, time_point heard_at, time_point now);
 
-/// Work in progress and waiting, relative to the limit in force.
+/// The load that a sidecar reports on its answers.
+struct load_report {
+    unsigned limit{0};
+    unsigned in_flight{0};
+    unsigned queued{0};
+};
+
+/// Work in progress and waiting, relative to the limit in force: what was reported, and what this
+/// process has added or taken since.
 double load_of(const endpoint_view& endpoint);
 
+/// How long one more request would take there, in units that only compare with each other: the
+/// load with it, times the usual service time.
+double expected_delay_of(const endpoint_view& endpoint);
+
 /// The deadline on the sidecar's clock; never later than the true one, because its clock read
 /// `clock` at or before `heard_at`.
 remote_time expiry_on_remote_clock(const endpoint_view& endpoint, time_point deadline);
--- a/libs/routing/src/choice.cpp
+++ b/libs/routing/src/choice.cpp
@@ -79,8 +79,8 @@
     return all[index(random)];
 }
 
-const endpoint_view* less_loaded(const endpoint_view* left, const endpoint_view* right) {
-    return load_of(*right) < load_of(*left) ? right : left;
+const endpoint_view* sooner_done(const endpoint_view* left, const endpoint_view* right) {
+    return expected_delay_of(*right) < expected_delay_of(*left) ? right : left;
 }
 
 const endpoint_view* pick_of_two(const candidates& all, random_source& random) {
@@ -91,7 +91,7 @@
     std::uniform_int_distribution<std::size_t> step{1, all.size() - 1};
     const auto one = first(random);
     const auto other = (one + step(random)) % all.size();
-    return less_loaded(all[one], all[other]);
+    return sooner_done(all[one], all[other]);
 }
 
 const endpoint_view* pick(const candidates& all, choice_policy& policy, random_source& random) {
--- a/libs/routing/src/endpoint_view.cpp
+++ b/libs/routing/src/endpoint_view.cpp
@@ -37,9 +37,20 @@
 }
 
 double load_of(const endpoint_view& endpoint) {
-    const unsigned in_progress = std::max(endpoint.own_in_flight, endpoint.reported_in_flight);
+    const auto reported = endpoint.reported_in_flight + endpoint.reported_queued;
+    const auto added =
+        endpoint.own_in_flight - std::min(endpoint.own_in_flight, endpoint.own_when_reported);
+    const auto taken =
+        endpoint.own_when_reported - std::min(endpoint.own_in_flight, endpoint.own_when_reported);
+    const auto total = reported + added - std::min(reported + added, taken);
     const unsigned limit = std::max(1U, endpoint.limit);
-    return static_cast<double>(in_progress + endpoint.reported_queued) / limit;
+    return static_cast<double>(std::max(endpoint.own_in_flight, total)) / limit;
+}
+
+double expected_delay_of(const endpoint_view& endpoint) {
+    const double limit = std::max(1U, endpoint.limit);
+    const auto service_time = std::max(endpoint.service_time, milliseconds{1});
+    return (load_of(endpoint) + 1.0 / limit) * static_cast<double>(service_time.count());
 }
 
 remote_time expiry_on_remote_clock(const endpoint_view& endpoint, time_point deadline) {
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -226,6 +226,9 @@
     head.headers.set("Boragefront-Incarnation", std::to_string(life_));
     head.headers.set("Boragefront-Revision",
                      std::to_string(control_->configuration().load()->highest));
+    head.headers.set("Boragefront-Load", std::to_string(scheduler_.limit(steady_clock::now())) +
+                                             '/' + std::to_string(scheduler_.running()) + '/' +
+                                             std::to_string(scheduler_.queued()));
     return head;
 }
 
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -164,6 +164,8 @@
 
     service_phase phase(time_point now) const;
     std::optional<ledger::outcome> outcome_of(const work_id& id) const;
+    /// Work that the endpoint may have in progress now.
+    unsigned limit(time_point now) const;
     std::size_t running() const { return running_.size(); }
     std::size_t queued() const { return queue_.size(); }
     scheduler_state state(time_point now) const;
@@ -174,7 +176,6 @@
     bool is_hopeless(const admission::waiting_work& work, time_point now) const;
     duration expected_wait(const admission::waiting_work& work, time_point now) const;
     ledger::arrival enqueue(admission::waiting_work work, clock_reading now);
-    unsigned limit(time_point now) const;
     std::optional<admission::waiting_work> pop_within_limit(time_point now);
     void refuse_waiting(const admission::waiting_work& work, error reason, clock_reading now);
     void refuse_what_may_not_wait(clock_reading now);
