Sidecar: the record of homes begins with the first list that names instances

Cause: the record of homes took the empty list from before the first reading for a list, so the rule for a sidecar that starts within the lists' lag of a change never applied. Change: an empty list is not recorded; lint of the tests.

--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -185,7 +185,9 @@
     const auto configuration = control_->configuration().load();
     if (instances != listed_ || configuration != obeyed_) {
         listed_ = instances;
-        homes_.note_list(membership::in_service(*instances, *configuration), now().wall);
+        if (!instances->instances.empty()) {
+            homes_.note_list(membership::in_service(*instances, *configuration), now().wall);
+        }
     }
     if (configuration != obeyed_) {
         obeyed_ = configuration;
--- a/libs/sidecar/tests/cold_start_test.cpp
+++ b/libs/sidecar/tests/cold_start_test.cpp
@@ -53,7 +53,7 @@
         current.answering = current.instance = "life" + std::to_string(lives_);
         current.cold = cold_;
         current.running = running_.size();
-        history_.push_back({now, current});
+        history_.emplace_back(now, current);
         while (history_.size() > 1 && history_[1].first <= now - lag) {
             history_.pop_front();
         }
--- a/libs/sidecar/tests/parsers_test.cpp
+++ b/libs/sidecar/tests/parsers_test.cpp
@@ -39,7 +39,8 @@
     return text;
 }
 
-void for_each_mutation(const std::string& valid, const std::function<void(std::string)>& check) {
+void for_each_mutation(const std::string& valid,
+                       const std::function<void(const std::string&)>& check) {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
         CAPTURE(seed);
         random_source random{seed};
@@ -80,7 +81,7 @@
 
 TEST_CASE("requests with any header or body garbled are read or refused by field") {
     for (const auto& garbled : valid_work().headers) {
-        for_each_mutation(garbled.value, [&](std::string value) {
+        for_each_mutation(garbled.value, [&](const std::string& value) {
             auto message = valid_work();
             message.headers.set(garbled.name, value);
             const auto read = read_work(message);
@@ -90,9 +91,9 @@
             }
         });
     }
-    for_each_mutation(valid_work().body, [](std::string body) {
+    for_each_mutation(valid_work().body, [](const std::string& body) {
         auto message = valid_work();
-        message.body = std::move(body);
+        message.body = body;
         const auto read = read_work(message);
         REQUIRE((read || read.error().field == "body"));
     });
@@ -100,17 +101,18 @@
 
 TEST_CASE("garbled answers of an endpoint are not taken for answers to the work") {
     const work_id id{"r", 0, 0};
-    for_each_mutation(R"({"identity":"r/0/0","output":{"x":[1,2,3]}})", [&](std::string body) {
-        if (read_output(body, id)) {
-            REQUIRE(body.find("r/0/0") != std::string::npos);
-        }
-    });
+    for_each_mutation(R"({"identity":"r/0/0","output":{"x":[1,2,3]}})",
+                      [&](const std::string& body) {
+                          if (read_output(body, id)) {
+                              REQUIRE(body.find("r/0/0") != std::string::npos);
+                          }
+                      });
     REQUIRE_FALSE(read_output(R"({"identity":"r/0/1","output":1})", id));
     REQUIRE_FALSE(read_output(R"({"identity":"r/0/0"})", id));
     for_each_mutation(R"({"instance":"a","state":"cold","running":3,"cached_prefixes":2})",
-                      [](std::string body) { (void)read_load(body); });
+                      [](const std::string& body) { (void)read_load(body); });
     for_each_mutation(R"({"error": "overloaded"})",
-                      [](std::string body) { (void)says_overloaded(503, body); });
+                      [](const std::string& body) { (void)says_overloaded(503, body); });
 }
 
 TEST_CASE("a stream's lines count only in their places, and its end only with their number") {
@@ -122,5 +124,5 @@
     REQUIRE(check.next(R"({"end":true,"count":2})") == kind::invalid);
     REQUIRE(check.next(R"({"end":true,"count":1})") == kind::end);
     for_each_mutation(R"({"index":1,"text":"b"})",
-                      [&](std::string line) { (void)check.next(line); });
+                      [&](const std::string& line) { (void)check.next(line); });
 }
--- a/libs/sidecar/tests/sidecar_node_test.cpp
+++ b/libs/sidecar/tests/sidecar_node_test.cpp
@@ -42,7 +42,8 @@
 // One request on its own thread and io context, as an entry would send it.
 class caller {
 public:
-    caller(std::string address, http::request message, milliseconds patience = long_enough) {
+    caller(const std::string& address, const http::request& message,
+           milliseconds patience = long_enough) {
         answer_ = std::async(std::launch::async, [=] { return call(address, message, patience); });
     }
     static result<http::response> call(const std::string& address, const http::request& message,
--- a/libs/sidecar/tests/work_scheduler_test.cpp
+++ b/libs/sidecar/tests/work_scheduler_test.cpp
@@ -54,7 +54,7 @@
         CHECK(found.while_out.empty());
         dispatched += model.dispatched();
     }
-    REQUIRE(dispatched > seeds * 100);
+    REQUIRE(dispatched > std::size_t{seeds} * 100);
 }
 
 TEST_CASE("without remembered identities work runs twice") {
