Sidecar: endpoint_watch and the queries apart; docs of admission

Change: the endpoint's life moves to admission::endpoint_watch, the queries to their own file; no change of behaviour. docs/ADMISSION.md gives the ways weighed and the operators' signs.

--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -14,9 +14,6 @@
 constexpr double quick_quantile = 0.25;
 constexpr double slow_quantile = 0.95;
 constexpr std::size_t least_samples = 8;
-constexpr unsigned load_failures_to_doubt = 3;
-constexpr std::size_t least_cached_prefixes = 4;
-constexpr std::size_t most_past_instances = 16;
 
 error too_late() {
     return make_error(error_kind::expired, "the deadline passed before the work began");
@@ -28,8 +25,8 @@
     : policy_{policy}, life_{life}, ledger_{policy.ledger, now.wall},
       queue_{policy.limits.queue, policy.mechanisms.queue}, ramp_{policy.limits, policy.ramp,
                                                                   policy.mechanisms.ramp},
-      abandoned_{policy.abandoned}, started_{now.steady}, phase_since_{now.steady},
-      last_contact_{now.steady}, last_decision_{now.steady}, held_until_{now.steady} {
+      abandoned_{policy.abandoned}, endpoint_{policy.endpoint, now.steady}, started_{now.steady},
+      phase_since_{now.steady}, last_decision_{now.steady}, held_until_{now.steady} {
     assume_predecessor(policy.limits.concurrency);
 }
 
@@ -177,10 +174,10 @@
 
 // An endpoint that was not heard from lately may have restarted since.
 unsigned work_scheduler::limit(time_point now) const {
-    const bool heard_lately = now - last_contact_ <= policy_.contact_age;
     const auto earned = ramp_.limit();
-    return heard_lately || !policy_.mechanisms.ramp ? earned
-                                                    : std::min(earned, policy_.ramp.cold_limit);
+    return endpoint_.heard_lately(now) || !policy_.mechanisms.ramp
+               ? earned
+               : std::min(earned, policy_.ramp.cold_limit);
 }
 
 std::optional<waiting_work> work_scheduler::pop_within_limit(time_point now) {
@@ -237,7 +234,7 @@
     switch (how) {
     case call_end::answered:
         ++completed_;
-        last_contact_ = now;
+        endpoint_.on_contact(now);
         if (ended.pauses == pauses_) {
             times_.record(now - ended.started);
         }
@@ -245,15 +242,15 @@
         break;
     case call_end::failed:
     case call_end::malformed:
-        last_contact_ = now;
+        endpoint_.on_contact(now);
         break;
     case call_end::overloaded:
-        last_contact_ = now;
+        endpoint_.on_contact(now);
         fall_back(cold_cause::overloaded);
         held_until_ = std::max(held_until_, now + policy_.overload_hold);
         break;
     case call_end::not_connected:
-        endpoint_known_ = false;
+        endpoint_.on_refused_call();
         fall_back(cold_cause::connection_failed);
         break;
     case call_end::lost:
@@ -320,20 +317,15 @@
 }
 
 void work_scheduler::on_load_report(const load_report& report, clock_reading now) {
-    load_failures_ = 0;
-    last_contact_ = now.steady;
-    endpoint_known_ = true;
+    endpoint_.on_report(now.steady);
     note_endpoint(report.answering.empty() ? report.instance : report.answering, now.steady);
-    if (report.instance != endpoint_instance_) {
+    if (report.instance != endpoint_.life()) {
         return;
     }
     if (ramp_.set_reported_cold(report.cold)) {
         count_fall_back(cold_cause::reported_cold);
     }
-    const bool cache_lost =
-        cached_prefixes_ >= least_cached_prefixes && report.cached_prefixes < cached_prefixes_ / 2;
-    cached_prefixes_ = report.cached_prefixes;
-    if (cache_lost) {
+    if (endpoint_.note_cache(report.cached_prefixes)) {
         fall_back(cold_cause::cache_lost);
     }
     abandoned_.on_report(report.running, now.steady);
@@ -341,36 +333,17 @@
 }
 
 void work_scheduler::on_load_failure(bool refused, clock_reading now) {
-    ++load_failures_;
-    const bool silent = load_failures_ >= load_failures_to_doubt &&
-                        now.steady - last_contact_ > policy_.contact_timeout;
-    if ((refused || silent) && endpoint_known_) {
-        endpoint_known_ = false;
+    if (endpoint_.on_report_failure(refused, now.steady)) {
         fall_back(cold_cause::connection_failed);
     }
 }
 
-bool work_scheduler::note_endpoint(const std::string& instance, time_point now) {
-    const bool is_past = std::find(past_instances_.begin(), past_instances_.end(), instance) !=
-                         past_instances_.end();
-    if (is_past) {
-        return false;
-    }
-    if (instance.empty() || instance == endpoint_instance_) {
-        return true;
-    }
-    if (!endpoint_instance_.empty()) {
-        past_instances_.push_back(endpoint_instance_);
-        if (past_instances_.size() > most_past_instances) {
-            past_instances_.pop_front();
-        }
+void work_scheduler::note_endpoint(const std::string& instance, time_point now) {
+    if (endpoint_.note_life(instance) == admission::endpoint_life::renewed) {
         fall_back(cold_cause::endpoint_restarted);
         abandoned_.clear();
         abandoned_.note_own_running(running_.size(), now);
-        cached_prefixes_ = 0;
     }
-    endpoint_instance_ = instance;
-    return true;
 }
 
 void work_scheduler::set_phase(service_phase phase, clock_reading now) {
@@ -393,19 +366,6 @@
     return std::exchange(settled_, {});
 }
 
-service_phase work_scheduler::phase(time_point now) const {
-    const bool endpoint_usable = endpoint_known_ && (settled_in_ || !policy_.abandoned.enabled) &&
-                                 abandoned_.held(now) < policy_.limits.concurrency;
-    if (wanted_phase_ == service_phase::serving && !endpoint_usable) {
-        return service_phase::starting;
-    }
-    return wanted_phase_;
-}
-
-std::optional<ledger::outcome> work_scheduler::outcome_of(const work_id& id) const {
-    return ledger_.outcome_of(id);
-}
-
 void work_scheduler::fall_back(cold_cause cause) {
     ramp_.fall_back(cause);
     count_fall_back(cause);
@@ -419,26 +379,4 @@
     ++refusals_[std::string{answer_for(reason.kind).name}];
 }
 
-scheduler_state work_scheduler::state(time_point now) const {
-    scheduler_state shown;
-    shown.phase = phase(now);
-    shown.limit = limit(now);
-    shown.full_limit = ramp_.full_limit();
-    shown.cold_cause = to_string(ramp_.last_cause());
-    shown.running = running_.size();
-    shown.held_by_abandoned = abandoned_.held(now);
-    shown.queued_urgent = queue_.size(config::lane::urgent);
-    shown.queued_normal = queue_.size(config::lane::normal);
-    shown.queued_background = queue_.size(config::lane::background);
-    shown.usual_service_time = duration_cast<milliseconds>(times_.usual());
-    shown.endpoint_instance = endpoint_instance_;
-    shown.endpoint_reachable = endpoint_known_;
-    shown.ledger = ledger_.sizes();
-    shown.refusals = refusals_;
-    shown.fall_backs = fall_backs_;
-    shown.completed = completed_;
-    shown.pauses = pauses_;
-    return shown;
-}
-
 } // namespace boragefront::sidecar
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -3,13 +3,13 @@
 #pragma once
 
 #include "admission/abandoned_work.hpp"
+#include "admission/endpoint_watch.hpp"
 #include "admission/queue.hpp"
 #include "admission/ramp.hpp"
 #include "admission/service_times.hpp"
 #include "control/control_plane.hpp"
 #include "ledger/work_ledger.hpp"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -71,8 +71,7 @@
     milliseconds least_slow_time{100};   ///< a shorter service time is never slow
     milliseconds drain_grace{1'000};     ///< a draining sidecar still serves its queue this long
     seconds longest_deadline{600};       ///< a later one is taken for this
-    milliseconds contact_age{500};       ///< not heard from this long, an endpoint may be cold
-    milliseconds contact_timeout{2'000}; ///< not heard from this long, it is unreachable
+    admission::endpoint_watch_policy endpoint{};
     admission::abandoned_work_policy abandoned{};
     ledger::ledger_policy ledger{};
     scheduler_mechanisms mechanisms{};
@@ -149,8 +148,7 @@
     void on_load_failure(bool refused, clock_reading now);
 
     /// An answer named the endpoint's life.
-    /// \returns false for a life that is known to be over.
-    bool note_endpoint(const std::string& instance, time_point now);
+    void note_endpoint(const std::string& instance, time_point now);
 
     /// Puts the wanted phase in force; unless it is `serving`, the phase is reported as it is.
     void set_phase(service_phase phase, clock_reading now);
@@ -189,6 +187,7 @@
     admission::concurrency_ramp ramp_;
     admission::service_times times_;
     admission::abandoned_work abandoned_;
+    admission::endpoint_watch endpoint_;
     std::map<work_id, running_work> running_;
     std::map<work_id, bool> waiting_; ///< whether the waiting work is idempotent
     std::vector<work_id> settled_;
@@ -198,12 +197,6 @@
     bool settled_in_{false};      ///< reports have told of the predecessor's work
     service_phase wanted_phase_{service_phase::starting};
     time_point phase_since_;
-    bool endpoint_known_{false};
-    time_point last_contact_;
-    unsigned load_failures_{0};
-    std::string endpoint_instance_;
-    std::deque<std::string> past_instances_; ///< oldest first
-    std::size_t cached_prefixes_{0};
 
     time_point last_decision_;
     time_point held_until_;
