Keys: refusals speak only for what they know; homes that leave are followed

Change: for keyed work only a vouching sidecar's refusal is no; a sidecar names all that can have been given a key (Boragefront-Other-Homes) and each must release it; each change that is learned opens a gap in the record of homes; a home that drains is followed by the next, on its release.

--- a/libs/entry/src/at_most_once_run.cpp
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -4,11 +4,14 @@
 #include "execution/at_most_once.hpp"
 #include "execution/idempotent_stage.hpp"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace boragefront::entry {
 namespace {
@@ -36,7 +39,7 @@
                 co_await ask_for_outcome(first_attempt_ + ask->attempt);
             } else if (const auto* end = std::get_if<execution::report_failure>(&step)) {
                 const auto failure = end->failure;
-                const bool goes_on = co_await ask_previous_home(failure);
+                const bool goes_on = co_await ask_other_homes();
                 if (!goes_on) {
                     co_return qualified(failure);
                 }
@@ -48,6 +51,7 @@
 
 private:
     awaitable<void> send_attempt(std::uint32_t attempt) {
+        last_origin_ = execution::failure_origin::exchange;
         auto chosen = co_await endpoint_for(attempt);
         if (!chosen) {
             machine_.on_no_endpoint(chosen.error());
@@ -61,28 +65,47 @@
         co_await exchange_about(attempt, std::move(message), options);
     }
 
-    // A home that cannot vouch for a key did not run it, and the home before it may have. That one
-    // answers for what it ran, or gives the key up for good, and the work may be sent again.
-    // Returns whether it may.
-    awaitable<bool> ask_previous_home(const error& failure) {
-        const bool unvouched = failure.kind == error_kind::outcome_unknown &&
-                               last_origin_ == execution::failure_origin::sidecar;
-        if (plan_.work.key.empty() || !unvouched || !plan_.work.released_by.empty()) {
+    // A home that cannot vouch for a key did not run it, and names those that may have. Each of
+    // them answers for what it ran, or gives the key up for good; then the work may be sent again.
+    // Returns whether to go on.
+    awaitable<bool> ask_other_homes() {
+        const auto others = std::exchange(other_homes_, {});
+        if (others.empty()) {
             co_return false;
         }
-        auto previous = previous_home_endpoint(context_, plan_);
-        if (!previous) {
+        first_attempt_ = next_attempt();
+        for (const auto& id : others) {
+            const bool settled = co_await ask_for_release(id);
+            ++first_attempt_;
+            if (!settled) {
+                co_return false;
+            }
+            if (has_result_) {
+                co_return true;
+            }
+        }
+        plan_.work.released_by = boost::algorithm::join(others, ",");
+        machine_ = execution::at_most_once{limits()};
+        last_origin_ = execution::failure_origin::exchange;
+        co_return true;
+    }
+
+    // Returns whether the sidecar gave the key up, or has its result.
+    awaitable<bool> ask_for_release(const std::string& id) {
+        auto other = reachable_endpoint(context_, id);
+        if (!other) {
             co_return false;
         }
-        const auto question = first_attempt_ + plan_.profile.retries.max_attempts;
-        aim_at(previous->view);
-        auto message = make_release_request(plan_.work, question, target_, held_revision());
+        aim_at(other->view);
+        const auto question = identity(first_attempt_);
+        auto message = make_release_request(plan_.work, question.attempt, target_, held_revision());
         http::call_options options;
         options.deadline = plan_.times.deadline;
-        auto outcome = co_await exchange(context_, target_.address, identity(question),
-                                         std::move(message), options);
+        auto outcome =
+            co_await exchange(context_, target_.address, question, std::move(message), options);
         if (auto* answer = std::get_if<work_answer>(&outcome)) {
             output_.body = std::move(answer->body);
+            has_result_ = true;
             machine_.on_result();
             co_return true;
         }
@@ -90,13 +113,12 @@
         const bool released = told.origin == execution::failure_origin::sidecar &&
                               told.failure.kind == error_kind::not_run &&
                               told.failure.ran == work_ran::no;
-        if (!released) {
-            co_return false;
-        }
-        plan_.work.released_by = previous->view.id;
-        first_attempt_ = question + 1;
-        machine_ = execution::at_most_once{limits()};
-        co_return true;
+        co_return released;
+    }
+
+    // Past all attempts of the machine so far.
+    std::uint32_t next_attempt() const {
+        return first_attempt_ + std::max(1U, plan_.profile.retries.max_attempts);
     }
 
     execution::at_most_once_limits limits() const {
@@ -118,7 +140,7 @@
         if (attempt > first_attempt_) {
             co_await pause_until(context_.executor, steady_clock::now() + same_home_pause);
         }
-        co_return co_await home_endpoint(context_, plan_);
+        co_return co_await home_endpoint(context_, plan_, ended_, left_);
     }
 
     awaitable<void> ask_for_outcome(unsigned attempt) {
@@ -142,6 +164,13 @@
             note_evidence(context_, *endpoint_, *failed, now);
             count_cost(context_, plan_.cost_key, cost_use::retried, failed->service_time);
             last_origin_ = failed->origin;
+            other_homes_ = std::move(failed->other_homes);
+            if (failed->failure.kind == error_kind::wrong_incarnation) {
+                ended_ = target_.life;
+            }
+            if (failed->failure.kind == error_kind::shutting_down) {
+                left_.insert(endpoint_->id);
+            }
             machine_.on_failure(std::move(failed->failure), failed->origin, now);
             co_return;
         }
@@ -175,10 +204,14 @@
         return execution::patience_for(context_.core.decisions.estimate(plan_.key, now), remaining);
     }
 
-    // What this process says of keyed work tells only of this request: an earlier one with the
-    // same key may have run.
+    // For keyed work only a sidecar's refusal of work that it vouched for tells that the key did
+    // not run; other words are of this request alone, and an earlier one may have run.
     error qualified(error failure) const {
-        if (!plan_.work.key.empty() && last_origin_ == execution::failure_origin::exchange) {
+        const bool of_key =
+            last_origin_ == execution::failure_origin::sidecar &&
+            (failure.kind == error_kind::over_limit || failure.kind == error_kind::shutting_down ||
+             failure.kind == error_kind::expired);
+        if (!plan_.work.key.empty() && !of_key) {
             failure.ran = execution::joined(failure.ran, work_ran::unknown);
         }
         return failure;
@@ -195,7 +228,11 @@
     work_target target_;
     time_point sent_at_{};
     endpoint_ids tried_;
-    std::uint32_t first_attempt_{0}; // of the machine's count
+    std::uint32_t first_attempt_{0};       // of the machine's count
+    incarnation ended_{0};                 // of the home
+    endpoint_ids left_;                    // homes that are leaving
+    std::vector<std::string> other_homes_; // as the last refusal names them
+    bool has_result_{false};
     execution::failure_origin last_origin_{execution::failure_origin::exchange};
     stage_output output_;
 };
--- a/libs/entry/src/caller_request.cpp
+++ b/libs/entry/src/caller_request.cpp
@@ -88,6 +88,11 @@
 
 } // namespace
 
+work_ran ran_if_unsent(const caller_request& request) {
+    const bool keyed = !request.repeatable && !request.key.empty();
+    return keyed ? work_ran::unknown : work_ran::no;
+}
+
 result<caller_request> read_caller_request(const http::request& message,
                                            const config::snapshot& configuration, std::string id,
                                            time_point now) {
--- a/libs/entry/src/caller_request.hpp
+++ b/libs/entry/src/caller_request.hpp
@@ -30,6 +30,10 @@
     std::string body;
 };
 
+/// What a refusal before anything was sent says: `no`, but `unknown` for keyed work that is not
+/// idempotent, as an earlier request may have run the key.
+work_ran ran_if_unsent(const caller_request& request);
+
 /// Reads a request of a caller. Faults are reported by their own kinds and fields.
 /// \param id identity for the request.
 result<caller_request> read_caller_request(const http::request& message,
--- a/libs/entry/src/dispatch.cpp
+++ b/libs/entry/src/dispatch.cpp
@@ -58,6 +58,14 @@
     return "abandoned";
 }
 
+// Those that may be the home of the plan's key, the first choice first.
+std::vector<membership::instance> homes_of(const entry_core& core, const stage_plan& plan) {
+    const auto serving = membership::in_service(*core.control.instances().load(),
+                                                *core.control.configuration().load());
+    return membership::ranked_by_rendezvous(plan.work.key,
+                                            membership::sidecars_of_pool(serving, plan.pool));
+}
+
 // The slot of an attempt at an endpoint that was not chosen by load.
 chosen_endpoint take(entry_core& core, routing::endpoint_view view) {
     core.decisions.begin_attempt_at(view.id);
@@ -102,52 +110,44 @@
     }
 }
 
-awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan) {
+awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan,
+                                                 incarnation ended, const endpoint_ids& left) {
     auto& core = context.core;
     const auto look_until = std::min(steady_clock::now() + longest_look, plan.times.deadline);
     for (;;) {
         const auto now = steady_clock::now();
-        const auto serving = membership::in_service(*core.control.instances().load(),
-                                                    *core.control.configuration().load());
-        const auto* home = membership::home_of(serving, plan.pool, plan.work.key);
-        if (home == nullptr) {
+        const auto homes = homes_of(core, plan);
+        if (homes.empty()) {
             co_return make_error(error_kind::no_endpoint, "the service has no worker in service");
         }
-        auto view = endpoint_named(core, home->id, now);
-        if (view && view->excluded == routing::exclusion::none) {
+        std::optional<routing::endpoint_view> view;
+        for (const auto& home : homes) {
+            view = endpoint_named(core, home.id, now);
+            if (view && view->life == ended) {
+                view->excluded = routing::exclusion::stale;
+            }
+            const bool passed_over = left.contains(home.id) ||
+                                     (view && view->excluded == routing::exclusion::not_serving);
+            if (!passed_over) {
+                break;
+            }
+        }
+        if (view && view->excluded == routing::exclusion::none && !left.contains(view->id)) {
             co_return take(core, std::move(*view));
         }
         if (now >= look_until || (view && !may_return(*view))) {
-            co_return make_error(error_kind::no_endpoint,
-                                 "the key's home " + home->id + " takes no work now");
+            co_return make_error(error_kind::no_endpoint, "the key's home takes no work now");
         }
         co_await pause_until(context.executor, now + look_interval);
     }
 }
 
-std::optional<chosen_endpoint> previous_home_endpoint(traffic_context& context,
-                                                      const stage_plan& plan) {
-    auto& core = context.core;
-    const auto list = core.control.instances().load();
-    auto serving = membership::in_service(*list, *core.control.configuration().load());
-    const auto* current = membership::home_of(serving, plan.pool, plan.work.key);
-    const auto* previous = membership::home_of(*list, plan.pool, plan.work.key);
-    if (current == nullptr || previous == nullptr) {
-        return std::nullopt;
-    }
-    if (current->id == previous->id) {
-        std::erase_if(serving.instances,
-                      [id = current->id](const auto& one) { return one.id == id; });
-        previous = membership::home_of(serving, plan.pool, plan.work.key);
-    }
-    if (previous == nullptr) {
-        return std::nullopt;
-    }
-    auto view = endpoint_named(core, previous->id, steady_clock::now());
+std::optional<chosen_endpoint> reachable_endpoint(traffic_context& context, const std::string& id) {
+    auto view = endpoint_named(context.core, id, steady_clock::now());
     if (!view || view->excluded == routing::exclusion::stale) {
         return std::nullopt;
     }
-    return take(core, std::move(*view));
+    return take(context.core, std::move(*view));
 }
 
 work_target target_at(const routing::endpoint_view& endpoint, const stage_plan& plan) {
--- a/libs/entry/src/dispatch.hpp
+++ b/libs/entry/src/dispatch.hpp
@@ -48,16 +48,17 @@
 awaitable<result<chosen_endpoint>> choose_endpoint(traffic_context& context, const stage_plan& plan,
                                                    const endpoint_ids& tried);
 
-/// The endpoint whose sidecar is the home of the plan's idempotency key. The current home is waited
-/// for within the deadline while it may return.
-/// \returns `no_endpoint` if it cannot be reached or takes no work.
-awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan);
-
-/// The endpoint that was the key's home before the current one became it, if it is still heard
-/// from: the one that is out or leaving now, or the one that was next while the current home was.
-/// It need not take new work, but answers for what it ran.
-std::optional<chosen_endpoint> previous_home_endpoint(traffic_context& context,
-                                                      const stage_plan& plan);
+/// The endpoint whose sidecar is the home of the plan's idempotency key, waited for within the
+/// deadline while it may return. A home that says that it takes no work is followed by the next
+/// one, which runs the key only once the former has given it up. \param left homes that refused the
+/// key because they are leaving. \param ended an incarnation of it that is known to have ended, or
+/// 0. \returns `no_endpoint` if it cannot be reached or takes no work.
+awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan,
+                                                 incarnation ended, const endpoint_ids& left);
+
+/// An endpoint by its id, whether it takes work or not.
+/// \returns nothing if it was not heard from lately.
+std::optional<chosen_endpoint> reachable_endpoint(traffic_context& context, const std::string& id);
 
 /// Where an attempt at this endpoint goes, and until when it may begin there.
 work_target target_at(const routing::endpoint_view& endpoint, const stage_plan& plan);
--- a/libs/entry/src/entry_service.cpp
+++ b/libs/entry/src/entry_service.cpp
@@ -80,6 +80,10 @@
     const auto configuration = core_.control.configuration().load();
     auto read = read_caller_request(message, *configuration, id, now);
     if (!read) {
+        if (read.error().kind == error_kind::expired && message.headers.has("Idempotency-Key")) {
+            // An earlier request with the same key may have run.
+            read.error().ran = work_ran::unknown;
+        }
         count_answer({}, read.error(), steady_clock::now() - now);
         auto answer = problem_answer(read.error(), id);
         (void)co_await out.send(std::move(answer));
@@ -104,10 +108,7 @@
                                                           http::responder& out) {
     auto admitted = core_.decisions.admit(request.workspace, request.limits, steady_clock::now());
     if (!admitted) {
-        if (!request.repeatable && !request.key.empty()) {
-            // An earlier request with the same key may have run.
-            admitted.error().ran = work_ran::unknown;
-        }
+        admitted.error().ran = ran_if_unsent(request);
         auto answer = problem_answer(admitted.error(), request.id);
         (void)co_await out.send(std::move(answer));
         co_return admitted;
--- a/libs/entry/src/pipeline_run.cpp
+++ b/libs/entry/src/pipeline_run.cpp
@@ -49,9 +49,10 @@
         const auto now = steady_clock::now();
         const auto estimates = estimates_from(stage, now);
         if (execution::is_hopeless(estimates, now, request_.deadline)) {
-            co_return make_error(now >= request_.deadline ? error_kind::expired
-                                                          : error_kind::over_limit,
-                                 work_ran::no, "the rest cannot be done within the deadline");
+            const auto kind =
+                now >= request_.deadline ? error_kind::expired : error_kind::over_limit;
+            co_return make_error(kind, ran_if_unsent(request_),
+                                 "the rest cannot be done within the deadline");
         }
         auto plan =
             plan_of(stage, stream, execution::plan_stage(estimates, now, request_.deadline));
--- a/libs/entry/src/work_message.cpp
+++ b/libs/entry/src/work_message.cpp
@@ -3,6 +3,7 @@
 
 #include "json_check.hpp"
 
+#include <boost/algorithm/string/split.hpp>
 #include <boost/json.hpp>
 
 namespace boragefront::entry {
@@ -33,6 +34,14 @@
     return parse_number(head.headers.get(name)).value_or(0);
 }
 
+std::vector<std::string> split_ids(std::string_view text) {
+    std::vector<std::string> ids;
+    if (!text.empty()) {
+        boost::algorithm::split(ids, text, [](char each) { return each == ','; });
+    }
+    return ids;
+}
+
 result<stream_line> unreadable_line() {
     return make_error(error_kind::incomplete_answer, "found a line that is no token and no end");
 }
@@ -101,7 +110,8 @@
         return {make_error(error_kind::connection_lost, "status " + std::to_string(answer.status) +
                                                             " without a problem document")};
     }
-    return {*problem, execution::failure_origin::sidecar, service_time_of(answer)};
+    return {*problem, execution::failure_origin::sidecar, service_time_of(answer),
+            split_ids(answer.headers.get("Boragefront-Other-Homes"))};
 }
 
 result<stream_line> read_stream_line(std::string_view line) {
--- a/libs/entry/src/work_message.hpp
+++ b/libs/entry/src/work_message.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace boragefront::entry {
 
@@ -25,7 +26,7 @@
     double share{1.0};
     bool repeatable{false};
     std::string key;         ///< the caller's idempotency key, or empty
-    std::string released_by; ///< the sidecar that gave the key up, or empty
+    std::string released_by; ///< the sidecars that gave the key up, separated by commas
     bool stream{false};
     std::string body;
 };
@@ -53,6 +54,8 @@
     error failure;
     execution::failure_origin origin{execution::failure_origin::exchange};
     microseconds service_time{0}; ///< spent by the endpoint
+    /// Sidecars that may have been given the key, which this one cannot vouch for.
+    std::vector<std::string> other_homes{};
 };
 
 /// Whether an answer is for this piece of work.
--- a/libs/entry/tests/attempts_test.cpp
+++ b/libs/entry/tests/attempts_test.cpp
@@ -212,13 +212,15 @@
         configuration.endpoints[first->id()] = config::service_state::out;
         const auto serving = membership::in_service(*list, configuration);
         second = workers_.at(membership::home_of(serving, "workers", order_key)->id);
+        other_homes = first->id();
         peers.control.publish(configuration);
     }
 
     void take_back_in() { peers_.control.publish(peers_.configuration); }
 
-    fake_sidecar* first;  ///< the home until it was taken out
-    fake_sidecar* second; ///< the home since
+    fake_sidecar* first;     ///< the home until it was taken out
+    fake_sidecar* second;    ///< the home since
+    std::string other_homes; ///< named by those that do not vouch
     std::atomic<bool> vouches{false};
     std::atomic<bool> releases{true};
 
@@ -229,7 +231,11 @@
         if (release && releases) {
             co_await refuse(message, out, make_error(error_kind::not_run, "released"));
         } else if (release || !trusted) {
-            co_await refuse(message, out, make_error(error_kind::outcome_unknown, "not vouched"));
+            const auto problem = make_error(error_kind::outcome_unknown, "not vouched");
+            auto refusal =
+                answer_to(message, answer_for(problem.kind).http_status, to_problem_json(problem));
+            refusal.headers.set("Boragefront-Other-Homes", other_homes);
+            (void)co_await out.send(std::move(refusal));
         } else {
             co_await echo(message, out);
         }
@@ -258,6 +264,7 @@
     const bool returned = GENERATE(false, true);
     if (returned) {
         homes.take_back_in();
+        homes.other_homes = homes.second->id();
         std::swap(from, to);
     }
     REQUIRE(peers.post("orders", "{}", keyed()).status == 200);
@@ -270,6 +277,27 @@
             sent.back().headers.get("Boragefront-Work"));
 }
 
+TEST_CASE("each home that may have been given a key is asked, and the first result is used") {
+    harness peers;
+    changing_homes homes{peers};
+    homes.other_homes = "worker-0,worker-1,worker-2";
+    REQUIRE(peers.post("orders", "{}", keyed()).status == 200);
+    REQUIRE(homes.second->sent_to("/v1/work").back().headers.get("Boragefront-Released-By") ==
+            homes.other_homes);
+}
+
+TEST_CASE("a key's refusal by another incarnation of its home does not say that it never ran") {
+    harness peers;
+    auto& worker =
+        peers.add_sidecar("worker-1", "workers", refusing(error_kind::wrong_incarnation));
+    auto headers = keyed();
+    headers.set("Deadline-Ms", "300");
+    const auto problem = harness::problem_of(peers.post("orders", "{}", headers));
+    REQUIRE(problem.ran == work_ran::unknown);
+    REQUIRE(work_sent({&worker}) == 1);
+    REQUIRE(harness::problem_of(peers.post("orders", "{}")).ran == work_ran::no);
+}
+
 TEST_CASE("without the word of the home before, the outcome of a key is unknown") {
     harness peers;
     changing_homes homes{peers};
--- a/libs/sidecar/src/home_history.cpp
+++ b/libs/sidecar/src/home_history.cpp
@@ -32,39 +32,55 @@
     }
 }
 
+void home_history::note_pool(const membership::instance_list& list) {
+    pool_members_.clear();
+    for (const auto& member : membership::sidecars_of_pool(list, pool_)) {
+        pool_members_.insert(member.id);
+    }
+}
+
 bool home_history::vouches_for(const std::string& key_id, wall_time made,
-                               const std::string& released_by) const {
+                               const sidecar_ids& released_by) const {
     if (!policy_.enabled) {
         return true;
     }
-    // A process may have acted on the list of a period until its lag after the period's end.
-    const auto oldest_list = made - policy_.list_lag;
-    if (released_by.empty() && begins_after(oldest_list)) {
-        return false;
-    }
-    if (oldest_list < forgotten_before_) {
+    if (made - policy_.list_lag < forgotten_before_) {
         return false;
     }
+    const auto others = other_homes(key_id, made);
+    return std::includes(released_by.begin(), released_by.end(), others.begin(), others.end());
+}
+
+sidecar_ids home_history::other_homes(const std::string& key_id, wall_time made) const {
+    sidecar_ids homes;
+    // A process may have acted on the list of a period until its lag after the period's end.
+    const auto oldest_list = made - policy_.list_lag;
     for (std::size_t i = 0; i < periods_.size(); ++i) {
         const bool over = i + 1 < periods_.size() && periods_[i + 1].since < oldest_list;
-        if (!over && !is_home_in(periods_[i].members, key_id, released_by)) {
-            return false;
+        if (!over) {
+            add_home(periods_[i].members, key_id, homes);
         }
     }
-    return true;
+    if (begins_after(oldest_list)) {
+        // By a list from before this record, or one that never came here, any of them may have been
+        // the home.
+        homes.insert(pool_members_.begin(), pool_members_.end());
+        homes.erase(self_);
+    }
+    return homes;
 }
 
-// A process may have acted on a list from before this record, by which another was the home.
 bool home_history::begins_after(wall_time when) const {
-    return !periods_.empty() && periods_.front().members.instances.size() > 1 &&
-           when < periods_.front().since;
+    return !periods_.empty() && when < std::max(gap_at_, periods_.front().since);
 }
 
 // Without any sidecar on the list no other one can have been chosen.
-bool home_history::is_home_in(const membership::instance_list& members, const std::string& key_id,
-                              const std::string& released_by) const {
+void home_history::add_home(const membership::instance_list& members, const std::string& key_id,
+                            sidecar_ids& homes) const {
     const auto* home = membership::home_of(members, pool_, key_id);
-    return home == nullptr || home->id == self_ || home->id == released_by;
+    if (home != nullptr && home->id != self_) {
+        homes.insert(home->id);
+    }
 }
 
 } // namespace boragefront::sidecar
--- a/libs/sidecar/src/home_history.hpp
+++ b/libs/sidecar/src/home_history.hpp
@@ -7,10 +7,14 @@
 #include "membership/instance.hpp"
 
 #include <deque>
+#include <functional>
+#include <set>
 #include <string>
 
 namespace boragefront::sidecar {
 
+using sidecar_ids = std::set<std::string, std::less<>>;
+
 struct home_policy {
     milliseconds list_lag{5'000}; ///< other processes may act on an instance list this old
     bool enabled{true};           ///< false only in tests: every key is at home
@@ -26,10 +30,20 @@
     /// The instance list as it is known from now on.
     void note_list(const membership::instance_list& list, wall_time now);
 
+    /// What is known changed; an earlier change may have been overwritten before it came here.
+    void note_gap(wall_time now) { gap_at_ = now; }
+
+    /// The whole instance list, those out of service included.
+    void note_pool(const membership::instance_list& list);
+
     /// Whether no other sidecar can have been given a key since `made`, or will run it.
-    /// \param released_by another sidecar that gave the key up; may be empty.
+    /// \param released_by the sidecars that gave the key up.
     bool vouches_for(const std::string& key_id, wall_time made,
-                     const std::string& released_by = {}) const;
+                     const sidecar_ids& released_by = {}) const;
+
+    /// The other sidecars that can have been given a key since `made`: once all of them have given
+    /// it up, it is vouched for.
+    sidecar_ids other_homes(const std::string& key_id, wall_time made) const;
 
 private:
     struct period {
@@ -37,12 +51,14 @@
         membership::instance_list members; ///< of the pool, ordered by id
     };
     bool begins_after(wall_time when) const;
-    bool is_home_in(const membership::instance_list& members, const std::string& key_id,
-                    const std::string& released_by) const;
+    void add_home(const membership::instance_list& members, const std::string& key_id,
+                  sidecar_ids& homes) const;
 
     home_policy policy_;
     std::string self_;
     std::string pool_;
+    wall_time gap_at_{};
+    sidecar_ids pool_members_;     ///< in service or not, this one included
     std::deque<period> periods_;   ///< oldest first
     wall_time forgotten_before_{}; ///< nothing is known of lists before this
 };
--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -185,6 +185,10 @@
     const auto configuration = control_->configuration().load();
     if (instances != listed_ || configuration != obeyed_) {
         listed_ = instances;
+        homes_.note_pool(*instances);
+        if (obeyed_ != nullptr && configuration->highest != obeyed_->highest) {
+            homes_.note_gap(now().wall);
+        }
         homes_.note_list(membership::in_service(*instances, *configuration), now().wall);
     }
     if (configuration != obeyed_) {
--- a/libs/sidecar/src/traffic.hpp
+++ b/libs/sidecar/src/traffic.hpp
@@ -59,9 +59,11 @@
     http::awaitable<void> answer_live(shared_work live, work_id asked, bool stream,
                                       http::responder& out);
     http::awaitable<void> send_outcome(work_id asked, ledger::outcome what, http::responder& out);
-    http::awaitable<void> send_problem(work_id asked, error reason, http::responder& out);
+    http::awaitable<void> send_problem(work_id asked, error reason, http::responder& out,
+                                       std::string other_homes = {});
     http::awaitable<bool> catch_up(revision wanted);
     void vouch_for_key(work_message& work) const;
+    std::string other_homes_of(const std::string& key_id) const;
 
     http::awaitable<void> run_work(shared_work live);
     http::awaitable<void> tick_loop();
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -79,6 +79,13 @@
         auto reason = make_error(error_kind::not_ready, "the configuration held here is behind");
         arrived = scheduler_.refuse(id, std::move(reason), now());
     }
+    const auto* ended = std::get_if<ledger::settled>(&arrived);
+    const auto* failure = ended == nullptr ? nullptr : std::get_if<error>(&ended->what);
+    if (failure != nullptr && !work.offered.record.key_vouched) {
+        auto others = other_homes_of(work.offered.record.key_id);
+        co_await send_problem(id, *failure, out, std::move(others));
+        co_return;
+    }
     if (std::holds_alternative<ledger::admitted>(arrived)) {
         live_[id] = std::make_shared<live_work>(executor_, std::move(work));
         arrived = ledger::in_progress{id};
@@ -92,6 +99,18 @@
     record.key_vouched = !made || homes_.vouches_for(record.key_id, *made, work.released_by);
 }
 
+// Names those that the sender may ask to give the key up.
+std::string traffic::other_homes_of(const std::string& key_id) const {
+    const auto made = uuid7_time(key_id);
+    std::string names;
+    if (made) {
+        for (const auto& id : homes_.other_homes(key_id, *made)) {
+            names += (names.empty() ? "" : ",") + id;
+        }
+    }
+    return names;
+}
+
 http::awaitable<void> traffic::handle_release(const http::request& message, http::responder& out) {
     auto read = read_work(message);
     if (!read || read.value().offered.record.key.empty()) {
@@ -206,7 +225,8 @@
     (void)co_await out.send(std::move(reply));
 }
 
-http::awaitable<void> traffic::send_problem(work_id asked, error reason, http::responder& out) {
+http::awaitable<void> traffic::send_problem(work_id asked, error reason, http::responder& out,
+                                            std::string other_homes) {
     metrics_
         .get_counter("sidecar_problems_total",
                      "kind=\"" + std::string{answer_for(reason.kind).name} + '"')
@@ -214,6 +234,9 @@
     auto reply = head_for(asked);
     reply.status = answer_for(reason.kind).http_status;
     reply.headers.set("Content-Type", "application/problem+json");
+    if (!other_homes.empty()) {
+        reply.headers.set("Boragefront-Other-Homes", std::move(other_homes));
+    }
     reply.body = to_problem_json(reason, asked.request);
     (void)co_await out.send(std::move(reply));
 }
--- a/libs/sidecar/src/work_message.cpp
+++ b/libs/sidecar/src/work_message.cpp
@@ -112,6 +112,19 @@
     return success();
 }
 
+// Ids separated by commas.
+sidecar_ids read_ids(std::string_view text) {
+    sidecar_ids ids;
+    while (!text.empty()) {
+        const auto end = std::min(text.find(','), text.size());
+        if (end > 0) {
+            ids.emplace(text.substr(0, end));
+        }
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return ids;
+}
+
 bool is_json(const std::string& text) {
     boost::json::error_code failure;
     boost::json::stream_parser parser;
@@ -152,7 +165,7 @@
     BOOST_OUTCOME_TRY(read.stream, read_flag(message, stream_header));
     BOOST_OUTCOME_TRY(read_key(message, read.service, offered));
     read.sender_revision = read_revision(message);
-    read.released_by = message.headers.get(released_header);
+    read.released_by = read_ids(message.headers.get(released_header));
     if (!is_json(message.body)) {
         return make_error(error_kind::bad_request, "the input is not JSON", "body");
     }
--- a/libs/sidecar/src/work_message.hpp
+++ b/libs/sidecar/src/work_message.hpp
@@ -2,6 +2,7 @@
 /// Requests of entries as typed values.
 #pragma once
 
+#include "home_history.hpp"
 #include "http/message.hpp"
 #include "work_scheduler.hpp"
 
@@ -15,7 +16,7 @@
     std::string service;
     bool stream{false};
     revision sender_revision{0};
-    std::string released_by; ///< the sidecar that gave the idempotency key up, or empty
+    sidecar_ids released_by; ///< the sidecars that gave the idempotency key up
     std::string input;       ///< JSON
 };
 
--- a/libs/sidecar/tests/key_homes_test.cpp
+++ b/libs/sidecar/tests/key_homes_test.cpp
@@ -58,7 +58,7 @@
     void run() {
         while (now_ < start + simulated) {
             now_ += milliseconds{draw(10, 300)};
-            if (may_change() && draw(0, 99) < 10) {
+            if (draw(0, 99) < 10) {
                 change_list();
             }
             if (restarts_ && draw(0, 99) < 10) {
@@ -91,6 +91,7 @@
         state.ledger = std::make_unique<ledger::work_ledger>(ledger::ledger_policy{}, now_);
         state.homes =
             std::make_unique<home_history>(policy, "worker-" + std::to_string(index), pool);
+        state.homes->note_pool(all_members());
         state.homes->note_list(lists_[known_[index]].second, now_);
     }
 
@@ -102,20 +103,22 @@
             next.instances.erase(next.instances.begin() + static_cast<std::ptrdiff_t>(out));
         }
         lists_.emplace_back(now_, std::move(next));
-        for (auto& when : learns_) {
-            when = now_ + milliseconds{draw(0, static_cast<std::size_t>(most_lag.count()))};
+        for (std::size_t i = 0; i < learns_.size(); ++i) {
+            const auto when =
+                now_ + milliseconds{draw(0, static_cast<std::size_t>(most_lag.count()))};
+            // One that still waits to learn of an earlier change learns of both at once.
+            const bool waits = known_[i] + 2 < lists_.size();
+            learns_[i] = waits ? std::min(learns_[i], when) : when;
         }
     }
 
-    // A change waits until the one before is known everywhere.
-    bool may_change() const { return now_ > lists_.back().first + most_lag; }
-
     void learn() {
         for (std::size_t i = 0; i < known_.size(); ++i) {
             if (known_[i] + 1 < lists_.size() && now_ >= learns_[i]) {
                 known_[i] = lists_.size() - 1;
                 if (i < sidecars) {
-                    states_[i].homes->note_list(lists_.back().second, learns_[i]);
+                    states_[i].homes->note_gap(now_);
+                    states_[i].homes->note_list(lists_.back().second, now_);
                 }
             }
         }
@@ -134,23 +137,14 @@
         if (offer(home, key, {}) != ledger_answer::unknown) {
             return;
         }
-        const auto before = previous_of(serving, key.key, home);
-        if (release(before, key)) {
+        const auto others = states_[home].homes->other_homes(key.key, *uuid7_time(key.key));
+        const bool released = std::all_of(others.begin(), others.end(), [&](const auto& id) {
+            return release(static_cast<std::size_t>(id.back() - '0'), key);
+        });
+        if (released) {
             ++handed_over;
-            (void)offer(home, key, "worker-" + std::to_string(before));
-        }
-    }
-
-    // As an entry finds it.
-    std::size_t previous_of(const membership::instance_list& serving, const std::string& key,
-                            std::size_t home) const {
-        const auto top = index_of(*membership::home_of(all_members(), pool, key));
-        if (top != home) {
-            return top;
+            (void)offer(home, key, others);
         }
-        auto others = serving;
-        std::erase_if(others.instances, [&](const auto& one) { return index_of(one) == home; });
-        return index_of(*membership::home_of(others, pool, key));
     }
 
     static std::size_t index_of(const membership::instance& which) { return which.id.back() - '0'; }
@@ -165,7 +159,7 @@
         return work;
     }
 
-    ledger_answer offer(std::size_t at, used& key, const std::string& released_by) {
+    ledger_answer offer(std::size_t at, used& key, const sidecar_ids& released_by) {
         auto& state = states_[at];
         auto work = arrival_of(key);
         work.key_vouched = state.homes->vouches_for(key.key, *uuid7_time(key.key), released_by);
