--- a/libs/config/tests/parse_test.cpp
+++ b/libs/config/tests/parse_test.cpp
@@ -110,6 +110,7 @@
     };
     const auto faults = validate_tree(tree);
     std::vector<std::string> places;
+    places.reserve(faults.size());
     for (const auto& one : faults) {
         places.push_back(one.key + " " + one.path);
     }
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -9,7 +9,8 @@
 
 constexpr milliseconds watch_wait{2'000};
 constexpr milliseconds hasten_interval{200};
-constexpr std::size_t peers_before_ready = 3;
+constexpr std::size_t answers_before_ready = 3;
+constexpr std::size_t tries_before_ready = 24;
 constexpr std::size_t most_catch_ups = 4;
 constexpr std::size_t most_introduced = 8;
 constexpr std::size_t most_hot_gossips = 4;
@@ -62,9 +63,8 @@
 void control_node::end_conversation(const converse_action& ended, bool succeeded, time_point now) {
     note_changes(now);
     if (succeeded) {
+        ++peers_answered_;
         picker_.on_success(ended.address);
-    } else {
-        picker_.on_failure(ended.address, now);
     }
     if (!ended.gossip) {
         catching_up_.erase(ended.address);
@@ -199,7 +199,7 @@
 }
 
 void control_node::add_gossip(time_point now, std::vector<action>& out) {
-    const auto room = gossips_.hot() ? most_hot_gossips : 1;
+    const auto room = gossips_.hot() || !ready_ ? most_hot_gossips : 1;
     if (gossiping_ >= room || peers_.empty() || !gossips_.due(now)) {
         return;
     }
@@ -207,6 +207,7 @@
     gossips_.on_begin(ready_, now, random_);
     ++gossiping_;
     auto address = peers_[picker_.pick(peers_, now, random_)];
+    picker_.on_begin(address, now);
     out.emplace_back(converse_action{std::move(address), std::move(conversation)});
 }
 
@@ -224,9 +225,10 @@
 }
 
 void control_node::update_readiness() {
-    const bool tried =
-        config_tried_ && list_tried_ && peers_tried_ >= std::min(peers_before_ready, peers_.size());
-    ready_ = ready_ || (tried && core_.knowledge().confirmed());
+    // A few answers suffice; dead peers count only after many of them were tried.
+    const bool asked = peers_answered_ >= std::min(answers_before_ready, peers_.size()) ||
+                       peers_tried_ >= std::min(tries_before_ready, peers_.size());
+    ready_ = ready_ || (config_tried_ && list_tried_ && asked && core_.knowledge().confirmed());
 }
 
 void control_node::refresh_targets(time_point now) {
--- a/libs/control/src/control_node.hpp
+++ b/libs/control/src/control_node.hpp
@@ -139,6 +139,7 @@
     std::set<std::string> catching_up_;
     std::uint64_t noted_version_{0};
     std::size_t peers_tried_{0};
+    std::size_t peers_answered_{0};
     time_point hastened_at_{};
     bool reader_{true};
     bool reading_config_{false};
--- a/libs/control/src/schedules.cpp
+++ b/libs/control/src/schedules.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds gossip_period_starting{100};
 constexpr milliseconds gossip_period_hot{100};
 constexpr unsigned hot_rounds_after_change = 4;
-constexpr seconds peer_failure_memory{10};
+constexpr seconds unanswered_memory{10};
 constexpr milliseconds heartbeat_least{1'000};
 constexpr milliseconds heartbeat_most{5'000};
 constexpr std::size_t heartbeat_bytes = 280;
@@ -134,8 +134,8 @@
                               random_source& random) const {
     std::vector<std::size_t> promising;
     for (std::size_t i = 0; i < addresses.size(); ++i) {
-        const auto failed = failed_at_.find(addresses[i]);
-        if (failed == failed_at_.end() || now - failed->second > peer_failure_memory) {
+        const auto asked = unanswered_since_.find(addresses[i]);
+        if (asked == unanswered_since_.end() || now - asked->second > unanswered_memory) {
             promising.push_back(i);
         }
     }
@@ -144,10 +144,10 @@
     return promising.empty() ? index : promising[index];
 }
 
-void peer_picker::on_failure(const std::string& address, time_point now) {
-    std::erase_if(failed_at_,
-                  [&](const auto& one) { return now - one.second > peer_failure_memory; });
-    failed_at_[address] = now;
+void peer_picker::on_begin(const std::string& address, time_point now) {
+    std::erase_if(unanswered_since_,
+                  [&](const auto& one) { return now - one.second > unanswered_memory; });
+    unanswered_since_[address] = now;
 }
 
 milliseconds heartbeat_period(std::size_t targets) {
--- a/libs/control/src/schedules.hpp
+++ b/libs/control/src/schedules.hpp
@@ -89,18 +89,22 @@
     unsigned hot_rounds_{0};
 };
 
-/// Picks a peer at random; one that failed lately only if there is no other.
+/// Picks a peer at random; one that was asked lately and has not answered only if there is no
+/// other.
 class peer_picker {
 public:
     /// \returns an index into `addresses`. \pre not empty.
     std::size_t pick(const std::vector<std::string>& addresses, time_point now,
                      random_source& random) const;
 
-    void on_failure(const std::string& address, time_point now);
-    void on_success(const std::string& address) { failed_at_.erase(address); }
+    /// Notes that a peer is asked.
+    void on_begin(const std::string& address, time_point now);
+
+    /// Notes that a peer answered.
+    void on_success(const std::string& address) { unanswered_since_.erase(address); }
 
 private:
-    std::map<std::string, time_point> failed_at_;
+    std::map<std::string, time_point> unanswered_since_;
 };
 
 /// Time between heartbeats to one sidecar, so long that all together stay within their share of a
--- a/libs/control/tests/convergence_test.cpp
+++ b/libs/control/tests/convergence_test.cpp
@@ -116,6 +116,34 @@
     }
 }
 
+TEST_CASE("a process that restarts among dead peers asks until one answers") {
+    for (const auto seed : seeds) {
+        CAPTURE(seed);
+        fleet all{small_fleet, good_network, seed};
+        for (int i = 0; i < 4; ++i) {
+            all.platform.publish("endpoints/e0", value_of(0));
+        }
+        REQUIRE(all.run_until([&] { return all.converged(4) && all.all_ready(); }, seconds{30}));
+        all.platform.stale_at = 2;
+        constexpr std::size_t index = 10;
+        all.connected = [](std::size_t from, std::size_t to) {
+            constexpr std::size_t only_peer = 9;
+            const auto other = from == index ? to : from;
+            return (from != index && to != index) || other == only_peer ||
+                   other == fleet::platform_index;
+        };
+        std::optional<revision> held_when_ready;
+        all.after_event = [&](std::size_t at) {
+            if (at == index && !held_when_ready && all.node(index).ready()) {
+                held_when_ready = all.node(index).core().store().highest();
+            }
+        };
+        all.restart(index);
+        REQUIRE(all.run_until([&] { return held_when_ready.has_value(); }, seconds{30}));
+        REQUIRE(held_when_ready == 4);
+    }
+}
+
 TEST_CASE("a process that restarts is not ready before it holds what its peers hold") {
     for (const auto seed : seeds) {
         CAPTURE(seed);
