--- a/tools/boragefrontctl/src/peer_commands.cpp
+++ b/tools/boragefrontctl/src/peer_commands.cpp
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include <iomanip>
+#include <optional>
 
 namespace boragefront::ctl {
 namespace {
@@ -22,6 +23,24 @@
     return role == membership::instance_role::entry ? "entry" : "sidecar";
 }
 
+// A process that holds nothing has no knowledge that could have an age.
+std::optional<milliseconds> knowledge_age(const wire::status_answer& process) {
+    if (process.highest == 0) {
+        return std::nullopt;
+    }
+    return process.knowledge_age;
+}
+
+std::string age_text(const wire::status_answer& process) {
+    const auto age = knowledge_age(process);
+    return age ? std::to_string(age->count()) : "-";
+}
+
+json::value age_value(const wire::status_answer& process) {
+    const auto age = knowledge_age(process);
+    return age ? json::value(age->count()) : json::value(nullptr);
+}
+
 void write_heading(std::ostream& out) {
     out << std::left << std::setw(id_width) << "ID" << std::setw(role_width) << "ROLE"
         << std::setw(data_centre_width) << "DATA CENTRE" << std::setw(phase_width) << "PHASE"
@@ -35,7 +54,7 @@
         << role_name(process.role) << std::setw(data_centre_width) << process.data_centre
         << std::setw(phase_width) << wire::to_string(process.phase) << std::setw(role_width)
         << (process.ready ? "yes" : "no") << std::right << std::setw(number_width)
-        << process.highest << std::setw(number_width) << process.knowledge_age.count()
+        << process.highest << std::setw(number_width) << age_text(process)
         << std::setw(number_width) << process.in_flight << std::setw(number_width)
         << process.refused_values << '\n';
 }
@@ -49,7 +68,7 @@
             {"ready", process.ready},
             {"draining", process.phase == wire::service_phase::draining},
             {"revision", process.highest},
-            {"knowledge_age_ms", process.knowledge_age.count()},
+            {"knowledge_age_ms", age_value(process)},
             {"in_flight", process.in_flight},
             {"refused_values", process.refused_values}};
 }
--- a/tools/boragefrontctl/tests/peer_commands_test.cpp
+++ b/tools/boragefrontctl/tests/peer_commands_test.cpp
@@ -91,6 +91,15 @@
     REQUIRE(list.at(0).at("revision").to_number<int>() == 12);
 }
 
+TEST_CASE("a process that holds no configuration has no age of knowledge") {
+    fake_process process{0, 0};
+    REQUIRE_THAT(ctl({"status", "--peers", process.address()}).output,
+                 Catch::Contains(" 0        -"));
+    const auto as_json = ctl({"status", "--json", "--peers", process.address()});
+    const auto list = boost::json::parse(as_json.output).at("processes").as_array();
+    REQUIRE(list.at(0).at("knowledge_age_ms").is_null());
+}
+
 TEST_CASE("a process that does not answer is named, and the status is 1") {
     fake_process process{12, 12};
     const auto outcome = ctl({"status", "--peers", process.address() + "," + std::string{nobody}});
