--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -28,9 +28,17 @@
     : policy_{policy}, life_{life}, ledger_{policy.ledger, now.wall},
       queue_{policy.limits.queue, policy.mechanisms.queue}, ramp_{policy.limits, policy.ramp,
                                                                   policy.mechanisms.ramp},
-      abandoned_{policy.abandoned}, phase_since_{now.steady}, last_contact_{now.steady},
-      last_decision_{now.steady}, held_until_{now.steady} {
-    abandoned_.assume_predecessor(policy.limits.concurrency, now.steady);
+      abandoned_{policy.abandoned}, started_{now.steady}, phase_since_{now.steady},
+      last_contact_{now.steady}, last_decision_{now.steady}, held_until_{now.steady} {
+    assume_predecessor(policy.limits.concurrency);
+}
+
+// Until reports tell, a predecessor may have left the endpoint in full use.
+void work_scheduler::assume_predecessor(unsigned running) {
+    if (!settled_in_ && running > assumed_running_) {
+        abandoned_.assume_predecessor(running - assumed_running_, started_);
+        assumed_running_ = running;
+    }
 }
 
 ledger::arrival work_scheduler::offer(const offered_work& work, clock_reading now) {
@@ -40,7 +48,13 @@
         auto reason = make_error(error_kind::wrong_incarnation, "another incarnation was meant");
         return refuse(id, std::move(reason), now);
     }
-    auto known = ledger_.arrive(work.record, now);
+    // Before the age of its key is judged: a retry may find this sidecar ready.
+    if (auto reason = phase_objection(now.steady); reason && !ledger_.knows(work.record)) {
+        return refuse(id, std::move(*reason), now);
+    }
+    auto record = work.record;
+    record.expires_at = std::min(record.expires_at, now.steady + policy_.longest_deadline);
+    auto known = ledger_.arrive(record, now);
     if (const auto* ended = std::get_if<ledger::settled>(&known)) {
         if (const auto* reason = std::get_if<error>(&ended->what)) {
             count_refusal(*reason);
@@ -49,7 +63,7 @@
     if (!std::holds_alternative<ledger::admitted>(known)) {
         return known;
     }
-    waiting_work waiting{id, work.lane, work.workspace, work.share, work.record.expires_at};
+    waiting_work waiting{id, work.lane, work.workspace, work.share, record.expires_at};
     if (auto reason = objection(waiting, now.steady)) {
         return refuse(id, std::move(*reason), now);
     }
@@ -81,6 +95,9 @@
     if (work.lane == config::lane::urgent) {
         last_urgent_ = now.steady;
     }
+    if (queue_.size(work.lane) == 0) {
+        paces_.at(static_cast<std::size_t>(work.lane)).begin(now.steady);
+    }
     auto pushed = queue_.push(std::move(work));
     if (std::holds_alternative<admission::queue_full>(pushed)) {
         waiting_.erase(id);
@@ -94,6 +111,9 @@
 }
 
 std::optional<error> work_scheduler::phase_objection(time_point now) const {
+    if (!policy_.mechanisms.check_phase) {
+        return std::nullopt;
+    }
     switch (phase(now)) {
     case service_phase::serving:
         return std::nullopt;
@@ -111,9 +131,6 @@
     if (work.expires_at <= now) {
         return too_late();
     }
-    if (auto reason = phase_objection(now)) {
-        return reason;
-    }
     if (policy_.mechanisms.refuse_hopeless && is_hopeless(work, now)) {
         return make_error(error_kind::over_limit, "the deadline cannot be met");
     }
@@ -126,15 +143,30 @@
     if (running_.empty() && queue_.size() == 0) {
         return false;
     }
+    const auto own = times_.quantile(quick_quantile).value_or(duration::zero());
+    return now + expected_wait(work, now) + own > work.expires_at;
+}
+
+// The longer of what the free slots and what the lane's pace say: slots follow a limit that has
+// just changed, and the pace knows of urgent work that goes first.
+duration work_scheduler::expected_wait(const waiting_work& work, time_point now) const {
+    const auto ahead = queue_.ahead_of(work);
     const std::size_t slots = std::max(1U, limit(now));
     const auto used = running_.size() + abandoned_.held(now);
     const auto free = slots > used ? slots - used : 0;
-    const auto place = queue_.ahead_of(work) + 1;
-    const auto turns = place > free ? place - free : 0;
-    const auto wait =
+    const auto turns = ahead + 1 > free ? ahead + 1 - free : 0;
+    const auto by_slots =
         times_.usual() * static_cast<duration::rep>(turns) / static_cast<duration::rep>(slots);
-    const auto own = times_.quantile(quick_quantile).value_or(duration::zero());
-    return now + wait + own > work.expires_at;
+    std::size_t ahead_in_lane = ahead;
+    for (auto lane = config::lane::urgent; lane < work.lane;
+         lane = static_cast<config::lane>(static_cast<int>(lane) + 1)) {
+        ahead_in_lane -= std::min(ahead_in_lane, queue_.size(lane));
+    }
+    const auto& pace = paces_.at(static_cast<std::size_t>(work.lane));
+    const bool waits = ahead_in_lane > 0;
+    const auto by_pace =
+        waits ? pace.per_turn() * static_cast<duration::rep>(ahead_in_lane + 1) : duration{0};
+    return std::max(by_slots, by_pace);
 }
 
 std::optional<work_id> work_scheduler::next(clock_reading now) {
@@ -178,7 +210,13 @@
     const bool urgent_expected = policy_.mechanisms.reserve_urgent && last_urgent_ &&
                                  now - *last_urgent_ < policy_.urgent_memory;
     const bool last_slot = slots > 1 && used + 1 == slots;
-    return queue_.pop(urgent_expected && last_slot);
+    // Where a slot soon frees itself, one that is kept only costs capacity.
+    const bool frees_late = times_.usual() > policy_.urgent_wait * slots;
+    auto popped = queue_.pop(urgent_expected && last_slot && frees_late);
+    if (popped) {
+        paces_.at(static_cast<std::size_t>(popped->lane)).on_turn(now);
+    }
+    return popped;
 }
 
 void work_scheduler::refuse_what_may_not_wait(clock_reading now) {
@@ -323,6 +361,7 @@
         fall_back(cold_cause::cache_lost);
     }
     abandoned_.on_report(report.running, now.steady);
+    settled_in_ = settled_in_ || abandoned_.held(now.steady) < assumed_running_;
 }
 
 void work_scheduler::on_load_failure(bool refused, clock_reading now) {
@@ -371,6 +410,7 @@
     policy_.ramp = ramp;
     ramp_.set_policy(limits, ramp);
     queue_.set_capacity(limits.queue);
+    assume_predecessor(limits.concurrency);
 }
 
 std::vector<work_id> work_scheduler::take_settled() {
@@ -378,8 +418,8 @@
 }
 
 service_phase work_scheduler::phase(time_point now) const {
-    const bool endpoint_usable =
-        endpoint_known_ && abandoned_.held(now) < policy_.limits.concurrency;
+    const bool endpoint_usable = endpoint_known_ && (settled_in_ || !policy_.abandoned.enabled) &&
+                                 abandoned_.held(now) < policy_.limits.concurrency;
     if (wanted_phase_ == service_phase::serving && !endpoint_usable) {
         return service_phase::starting;
     }
