--- a/tests/faults/rolling_restart_test.cpp
+++ b/tests/faults/rolling_restart_test.cpp
@@ -36,6 +36,11 @@
     }
     for (auto& slot : deployment->slots()) {
         restart_gracefully(*slot.sidecar, load);
+        // As operators do: the next of a pool only when this one works again.
+        INFO(slot.spec.id);
+        const auto back = steady_clock::now();
+        REQUIRE(
+            wait_until(patience, [&] { return started_after(*deployment, slot.spec.id, back); }));
     }
     const auto answers = load.stop();
     const auto judged = judge(*deployment, answers);
--- a/tests/support/include/support/checker.hpp
+++ b/tests/support/include/support/checker.hpp
@@ -48,6 +48,7 @@
     std::size_t orders{0};  ///< pieces of work that may run once
     std::size_t orders_whole{0};
     std::size_t orders_not_run{0};
+    std::size_t orders_failed{0};                   ///< answered `ran: yes` with a failure
     std::size_t orders_unknown{0};                  ///< left open to the caller by every answer
     std::map<std::string, std::size_t> not_whole{}; ///< calls by service, kind and detail
 
--- a/tests/support/src/checker.cpp
+++ b/tests/support/src/checker.cpp
@@ -87,6 +87,11 @@
                        [](const auto* answer) { return answer->whole; });
 }
 
+bool any_failed(const work_history& work) {
+    return std::any_of(work.answers.begin(), work.answers.end(),
+                       [](const auto* answer) { return answer->ran == work_ran::yes; });
+}
+
 bool all_not_run(const work_history& work) {
     return std::all_of(work.answers.begin(), work.answers.end(),
                        [](const auto* answer) { return answer->ran == work_ran::no; });
@@ -119,6 +124,8 @@
         ++judged.orders_whole;
     } else if (all_not_run(work)) {
         ++judged.orders_not_run;
+    } else if (any_failed(work)) {
+        ++judged.orders_failed;
     } else {
         ++judged.orders_unknown;
     }
