--- a/tests/faults/rolling_restart_test.cpp
+++ b/tests/faults/rolling_restart_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr seconds settling_time{2}; ///< for the other entries to use it again too
+
 void restart_gracefully(daemon_node& node, running_load& load) {
     INFO(node.id());
     node.terminate();
@@ -41,6 +43,7 @@
         const auto back = steady_clock::now();
         REQUIRE(
             wait_until(patience, [&] { return started_after(*deployment, slot.spec.id, back); }));
+        std::this_thread::sleep_for(settling_time);
     }
     const auto answers = load.stop();
     const auto judged = judge(*deployment, answers);
