--- a/libs/sidecar/tests/scheduling_test.cpp
+++ b/libs/sidecar/tests/scheduling_test.cpp
@@ -149,6 +149,22 @@
     REQUIRE(sidecar.outcome("a") == error_kind::expired);
 }
 
+TEST_CASE("a deadline beyond all bounds is kept within them") {
+    fixture sidecar;
+    offered_work work;
+    work.life = life;
+    work.record.id.request = "a";
+    work.record.expires_at = time_point::max();
+    work.workspace = "w";
+    REQUIRE(sidecar.is_admitted(sidecar.scheduler.offer(work, at(sidecar.now))));
+    sidecar.scheduler.tick(at(sidecar.now));
+    REQUIRE(sidecar.next() == "a");
+    sidecar.finish("a");
+    sidecar.now += seconds{1'300};
+    sidecar.scheduler.tick(at(sidecar.now));
+    REQUIRE(sidecar.scheduler.state(start + sidecar.now).ledger.identities == 0);
+}
+
 TEST_CASE("an endpoint or data centre that is out refuses also what waits") {
     fixture sidecar;
     sidecar.offer("a");
@@ -218,6 +234,29 @@
     REQUIRE(sidecar.is_admitted(sidecar.offer("e")));
 }
 
+TEST_CASE("a limit learned after the start still covers a predecessor's work") {
+    work_scheduler scheduler{{}, life, at({})};
+    scheduler.set_phase(service_phase::serving, at({}));
+    scheduler.set_policy({16, 64}, {4, 1, 4.0});
+    load_report load;
+    load.answering = load.instance = "a";
+    load.running = 16;
+    duration now{};
+    for (int i = 0; i < 40; ++i) {
+        now += milliseconds{50};
+        scheduler.tick(at(now));
+        scheduler.on_load_report(load, at(now));
+    }
+    REQUIRE(scheduler.state(start + now).held_by_abandoned == 16);
+    REQUIRE(scheduler.phase(start + now) == service_phase::starting);
+    load.running = 3;
+    for (int i = 0; i < 6; ++i) {
+        scheduler.on_load_report(load, at(now));
+    }
+    REQUIRE(scheduler.state(start + now).held_by_abandoned == 3);
+    REQUIRE(scheduler.phase(start + now) == service_phase::serving);
+}
+
 TEST_CASE("a late report of an earlier life of the endpoint changes nothing") {
     fixture sidecar;
     sidecar.report(0, "b");
