--- a/tests/faults/orders_test.cpp
+++ b/tests/faults/orders_test.cpp
@@ -117,6 +117,28 @@
     });
 }
 
+TEST_CASE("orders without a key run at most once when endpoints die and connections go silent",
+          "[invariant]") {
+    auto options = slow_orders;
+    options.relayed = true;
+    const auto deployment = start_deployment(options);
+    auto wanted = orders_load();
+    wanted.keyed_orders = false;
+    wanted.order_retries = 0;
+    running_load load{*deployment, wanted};
+    load.wait_whole(30);
+    for (auto& slot : deployment->slots()) {
+        slot.endpoint->kill();
+        REQUIRE(slot.endpoint->start());
+        load.wait_whole(10);
+        REQUIRE(slot.relay->set_faults(R"({"mode": "swallow_established"})"));
+        load.wait_whole(10);
+    }
+    const auto judged = judge(*deployment, load.stop());
+    WARN("without keys: " << to_string(judged));
+    REQUIRE(judged.faults.empty());
+}
+
 TEST_CASE("a caller's retry with the same key at another entry never runs the order again",
           "[invariant]") {
     const auto deployment = start_deployment(slow_orders);
