--- a/libs/control/src/control_node.hpp
+++ b/libs/control/src/control_node.hpp
@@ -102,6 +102,9 @@
     /// changed since the last call.
     bool refresh_instances(time_point now);
 
+    /// Picks the sidecars that are sent heartbeats anew, as when the configuration changed.
+    void refresh_targets(time_point now);
+
     /// Whether enough is known to decide; never turns false again.
     bool ready() const { return ready_; }
 
@@ -112,11 +115,11 @@
 
 private:
     void note_changes(time_point now);
+    exchange make_gossip();
     void introduce(const std::string& address);
     void add_reads(time_point now, std::vector<action>& out);
     void add_gossip(time_point now, std::vector<action>& out);
     void update_readiness();
-    void set_heartbeat_targets(time_point now);
     read_situation situation(time_point now) const;
     void collect_peers();
 
@@ -140,7 +143,8 @@
     bool reader_{true};
     bool reading_config_{false};
     bool reading_list_{false};
-    bool gossiping_{false};
+    std::size_t gossiping_{0};      // conversations with random peers now
+    std::vector<std::string> news_; // keys that are passed on while the gossip is hot
     bool config_tried_{false};
     bool list_tried_{false};
     bool ready_{false};
