--- a/libs/sidecar/src/work_scheduler.cpp
+++ b/libs/sidecar/src/work_scheduler.cpp
@@ -11,7 +11,6 @@
 using admission::waiting_work;
 using std::chrono::duration_cast;
 
-constexpr double quick_quantile = 0.25;
 constexpr double slow_quantile = 0.95;
 constexpr std::size_t least_samples = 8;
 
@@ -92,6 +91,9 @@
     if (work.lane == config::lane::urgent) {
         last_urgent_ = now.steady;
     }
+    if (queue_.size(work.lane) == 0) {
+        paces_.at(static_cast<std::size_t>(work.lane)).begin(now.steady);
+    }
     auto pushed = queue_.push(std::move(work));
     if (std::holds_alternative<admission::queue_full>(pushed)) {
         waiting_.erase(id);
@@ -131,23 +133,6 @@
     return std::nullopt;
 }
 
-// Whether the work ahead and its own service time take it past its deadline. Never so at an idle
-// endpoint, for otherwise a wrong estimate could not be corrected by more work.
-bool work_scheduler::is_hopeless(const waiting_work& work, time_point now) const {
-    if (running_.empty() && queue_.size() == 0) {
-        return false;
-    }
-    const std::size_t slots = std::max(1U, limit(now));
-    const auto used = running_.size() + abandoned_.held(now);
-    const auto free = slots > used ? slots - used : 0;
-    const auto place = queue_.ahead_of(work) + 1;
-    const auto turns = place > free ? place - free : 0;
-    const auto wait =
-        times_.usual() * static_cast<duration::rep>(turns) / static_cast<duration::rep>(slots);
-    const auto own = times_.quantile(quick_quantile).value_or(duration::zero());
-    return now + wait + own > work.expires_at;
-}
-
 std::optional<work_id> work_scheduler::next(clock_reading now) {
     note_time(now.steady);
     refuse_what_may_not_wait(now);
@@ -189,7 +174,13 @@
     const bool urgent_expected = policy_.mechanisms.reserve_urgent && last_urgent_ &&
                                  now - *last_urgent_ < policy_.urgent_memory;
     const bool last_slot = slots > 1 && used + 1 == slots;
-    return queue_.pop(urgent_expected && last_slot);
+    // Where a slot soon frees itself, one that is kept only costs capacity.
+    const bool frees_late = times_.usual() > policy_.urgent_wait * slots;
+    auto popped = queue_.pop(urgent_expected && last_slot && frees_late);
+    if (popped) {
+        paces_.at(static_cast<std::size_t>(popped->lane)).on_turn(now);
+    }
+    return popped;
 }
 
 void work_scheduler::refuse_what_may_not_wait(clock_reading now) {
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -4,12 +4,14 @@
 
 #include "admission/abandoned_work.hpp"
 #include "admission/endpoint_watch.hpp"
+#include "admission/lane_pace.hpp"
 #include "admission/queue.hpp"
 #include "admission/ramp.hpp"
 #include "admission/service_times.hpp"
 #include "control/control_plane.hpp"
 #include "ledger/work_ledger.hpp"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -65,6 +67,7 @@
     config::limits limits{};
     config::ramp ramp{};
     seconds urgent_memory{60};           ///< a slot is kept for urgent work this long after some
+    milliseconds urgent_wait{20};        ///< ... unless one is usually free within this
     milliseconds pause_threshold{1'000}; ///< a gap between decisions that shows a paused process
     milliseconds wake_hold{500};         ///< after a pause, for the control plane to catch up
     milliseconds overload_hold{100};     ///< after the endpoint refused work as overloaded
@@ -167,6 +170,7 @@
     std::optional<error> objection(const admission::waiting_work& work, time_point now) const;
     std::optional<error> phase_objection(time_point now) const;
     bool is_hopeless(const admission::waiting_work& work, time_point now) const;
+    duration expected_wait(const admission::waiting_work& work, time_point now) const;
     ledger::arrival enqueue(admission::waiting_work work, clock_reading now);
     unsigned limit(time_point now) const;
     std::optional<admission::waiting_work> pop_within_limit(time_point now);
@@ -184,6 +188,7 @@
     incarnation life_;
     ledger::work_ledger ledger_;
     admission::admission_queue queue_;
+    std::array<admission::lane_pace, admission::lane_count> paces_; ///< of the queue's lanes
     admission::concurrency_ramp ramp_;
     admission::service_times times_;
     admission::abandoned_work abandoned_;
