--- a/libs/sidecar/src/scheduler_queries.cpp
+++ b/libs/sidecar/src/scheduler_queries.cpp
@@ -7,6 +7,8 @@
 namespace boragefront::sidecar {
 namespace {
 
+using admission::waiting_work;
+
 constexpr double quick_quantile = 0.25;
 
 } // namespace
