entry: work waits for sidecars that drain or restart

Cause: rolling_restart_invariant_test, drafts answered shutting_down by the only encoder while it restarted: a refusal counted as suspicion, and suspected endpoints are the last resort, so it was asked again at once. Change: a refusal excludes as not_serving for a second; a choice waits up to 3 s and half of the time left for endpoints that may return.

--- a/libs/entry/src/decision_state.cpp
+++ b/libs/entry/src/decision_state.cpp
@@ -33,16 +33,12 @@
 }
 
 std::optional<routing::endpoint_view>
-decision_state::begin_attempt(std::vector<routing::endpoint_view> views,
+decision_state::begin_attempt(std::vector<routing::endpoint_view>& views,
                               const routing::choice_request& request, random_source& random,
                               time_point now) {
     const std::scoped_lock lock{mutex_};
     for (auto& view : views) {
-        const auto found = in_flight_.find(view.id);
-        view.own_in_flight = found == in_flight_.end() ? 0 : found->second;
-        if (view.excluded == routing::exclusion::none && evidence_.is_suspected(view.id, now)) {
-            view.excluded = routing::exclusion::suspected;
-        }
+        complete_locked(view, now);
     }
     const auto* chosen = routing::choose(views, request, policy_, random);
     if (chosen == nullptr) {
@@ -85,9 +81,22 @@
     evidence_.on_refusal(endpoint, now);
 }
 
-bool decision_state::is_suspected(const std::string& endpoint, time_point now) const {
+void decision_state::complete(routing::endpoint_view& view, time_point now) const {
     const std::scoped_lock lock{mutex_};
-    return evidence_.is_suspected(endpoint, now);
+    complete_locked(view, now);
+}
+
+void decision_state::complete_locked(routing::endpoint_view& view, time_point now) const {
+    const auto found = in_flight_.find(view.id);
+    view.own_in_flight = found == in_flight_.end() ? 0 : found->second;
+    if (view.excluded != routing::exclusion::none) {
+        return;
+    }
+    if (evidence_.is_refusing(view.id, now)) {
+        view.excluded = routing::exclusion::not_serving;
+    } else if (evidence_.is_suspected(view.id, now)) {
+        view.excluded = routing::exclusion::suspected;
+    }
 }
 
 execution::idempotent_step decision_state::step(execution::idempotent_stage& machine,
@@ -152,12 +161,6 @@
     return {{"stages", std::move(stages)}, {"workspaces", std::move(workspaces)}};
 }
 
-unsigned decision_state::own_in_flight(const std::string& endpoint) const {
-    const std::scoped_lock lock{mutex_};
-    const auto found = in_flight_.find(endpoint);
-    return found == in_flight_.end() ? 0 : found->second;
-}
-
 decision_state::stage_state& decision_state::stage_of(const stage_key& key,
                                                       const config::profile* profile) {
     const config::profile defaults;
--- a/libs/entry/src/decision_state.hpp
+++ b/libs/entry/src/decision_state.hpp
@@ -45,9 +45,9 @@
     void release(const std::string& workspace);
 
     /// Chooses among the endpoints and counts the attempt in flight at the chosen one. Fills in
-    /// the views' own in-flight counts and suspicions.
+    /// the views' own in-flight counts and what own evidence excludes.
     /// \returns nothing if all are excluded.
-    std::optional<routing::endpoint_view> begin_attempt(std::vector<routing::endpoint_view> views,
+    std::optional<routing::endpoint_view> begin_attempt(std::vector<routing::endpoint_view>& views,
                                                         const routing::choice_request& request,
                                                         random_source& random, time_point now);
 
@@ -60,7 +60,9 @@
     void note_failure(const std::string& endpoint, time_point now);
     void note_silence(const std::string& endpoint, time_point now);
     void note_refusal(const std::string& endpoint, time_point now);
-    bool is_suspected(const std::string& endpoint, time_point now) const;
+
+    /// Fills in what this process has at the endpoint and what own evidence excludes.
+    void complete(routing::endpoint_view& view, time_point now) const;
 
     /// Runs the stage's machine one step under its budgets.
     execution::idempotent_step step(execution::idempotent_stage& machine, const stage_key& key,
@@ -78,15 +80,13 @@
     /// For the dump: what of this state is not in a view of an endpoint.
     boost::json::object dump(time_point now) const;
 
-    /// Own attempts in flight at an endpoint.
-    unsigned own_in_flight(const std::string& endpoint) const;
-
 private:
     struct stage_state {
         execution::stage_budgets budgets;
         execution::recent_latency latency;
     };
 
+    void complete_locked(routing::endpoint_view& view, time_point now) const;
     stage_state& stage_of(const stage_key& key, const config::profile* profile);
     const stage_state* find_stage(const stage_key& key) const;
 
--- a/libs/entry/src/dispatch.cpp
+++ b/libs/entry/src/dispatch.cpp
@@ -15,7 +15,7 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds look_interval{20};
-constexpr milliseconds longest_look{1'000};
+constexpr milliseconds longest_look{3'000};
 constexpr unsigned http_ok = 200;
 
 // Whether an endpoint that is excluded now may be a candidate soon without an operator's doing.
@@ -66,6 +66,13 @@
                                             membership::sidecars_of_pool(serving, plan.pool));
 }
 
+// Half of the time left is kept for the work.
+time_point end_of_look(const stage_plan& plan) {
+    const auto now = steady_clock::now();
+    const duration remaining = std::max(duration{0}, plan.times.deadline - now);
+    return now + std::min<duration>(longest_look, remaining / 2);
+}
+
 // The slot of an attempt at an endpoint that was not chosen by load.
 chosen_endpoint take(entry_core& core, routing::endpoint_view view) {
     core.decisions.begin_attempt_at(view.id);
@@ -92,7 +99,7 @@
         request.prefix =
             routing::prompt_prefix(plan.work.body, request.prefix_affinity.prefix_bytes);
     }
-    const auto look_until = std::min(steady_clock::now() + longest_look, plan.times.deadline);
+    const auto look_until = end_of_look(plan);
     for (;;) {
         const auto now = steady_clock::now();
         auto views = endpoints_of(core, plan.pool, now);
@@ -113,7 +120,7 @@
 awaitable<result<chosen_endpoint>> home_endpoint(traffic_context& context, const stage_plan& plan,
                                                  incarnation ended, const endpoint_ids& left) {
     auto& core = context.core;
-    const auto look_until = std::min(steady_clock::now() + longest_look, plan.times.deadline);
+    const auto look_until = end_of_look(plan);
     for (;;) {
         const auto now = steady_clock::now();
         const auto homes = homes_of(core, plan);
--- a/libs/entry/src/dump.cpp
+++ b/libs/entry/src/dump.cpp
@@ -7,10 +7,7 @@
 namespace {
 
 boost::json::object describe(const entry_core& core, routing::endpoint_view view, time_point now) {
-    view.own_in_flight = core.decisions.own_in_flight(view.id);
-    if (view.excluded == routing::exclusion::none && core.decisions.is_suspected(view.id, now)) {
-        view.excluded = routing::exclusion::suspected;
-    }
+    core.decisions.complete(view, now);
     const auto age = std::chrono::duration_cast<milliseconds>(now - view.heard_at);
     return {
         {"id", view.id},
--- a/libs/membership/include/membership/evidence.hpp
+++ b/libs/membership/include/membership/evidence.hpp
@@ -15,6 +15,7 @@
 struct instance_evidence {
     unsigned consecutive_failures{0};
     time_point suspected_until{};
+    time_point refusing_until{}; ///< it said that it takes no work
 };
 
 /// Own evidence of the health of instances. An instance is suspected after several failures in a
@@ -33,6 +34,7 @@
     /// It said that it takes no new work; passed over until its next heartbeats tell.
     void on_refusal(std::string_view id, time_point now);
 
+    bool is_refusing(std::string_view id, time_point now) const;
     bool is_suspected(std::string_view id, time_point now) const;
 
     const std::map<std::string, instance_evidence, std::less<>>& all() const { return all_; }
--- a/libs/membership/src/evidence.cpp
+++ b/libs/membership/src/evidence.cpp
@@ -42,7 +42,12 @@
 
 void health_evidence::on_refusal(std::string_view id, time_point now) {
     auto& evidence = of(id);
-    evidence.suspected_until = std::max(evidence.suspected_until, now + refusal_pause);
+    evidence.refusing_until = now + refusal_pause;
+}
+
+bool health_evidence::is_refusing(std::string_view id, time_point now) const {
+    const auto found = all_.find(id);
+    return found != all_.end() && now < found->second.refusing_until;
 }
 
 bool health_evidence::is_suspected(std::string_view id, time_point now) const {
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -18,7 +18,7 @@
 }
 
 std::string end_line(std::size_t count) {
-    return "{\"end\":true,\"count\":" + std::to_string(count) + "}\n";
+    return R"({"end":true,"count":)" + std::to_string(count) + "}\n";
 }
 
 } // namespace
