--- a/benchmarks/policy/virtual_request.cpp
+++ b/benchmarks/policy/virtual_request.cpp
@@ -57,10 +57,12 @@
         routing::endpoint_view view;
         view.id = node->id;
         view.data_centre = node->data_centre;
+        view.data_address = node->id;
         view.limit = state.limit;
         view.reported_in_flight = static_cast<unsigned>(state.running);
         view.reported_queued = static_cast<unsigned>(state.queued_urgent + state.queued_normal +
                                                      state.queued_background);
+        view.service_time = state.usual_service_time;
         view.heard_at = all_.clock.now();
         heard_.push_back(std::move(view));
     }
@@ -128,7 +130,7 @@
         estimates.push_back(home_.decisions().estimate(key_of(stage), now));
     }
     if (home_.policy().early_refusal && execution::is_hopeless(estimates, now, deadline_)) {
-        answer_error();
+        answer_error(make_error(error_kind::over_limit, "hopeless"));
         return;
     }
     const auto wanted = profile();
@@ -155,9 +157,9 @@
             launch(running, launched->attempt);
         } else if (std::holds_alternative<execution::use_result>(next)) {
             stage_done(running);
-        } else if (std::holds_alternative<execution::give_up>(next)) {
+        } else if (const auto* end = std::get_if<execution::give_up>(&next)) {
             end_race(running);
-            answer_error();
+            answer_error(end->failure);
         } else {
             const auto until = std::get<execution::wait_until>(next).at;
             home_.all().clock.at(std::max(until, now),
@@ -189,14 +191,18 @@
     work.idempotent = true;
     const auto delay = home_.delay_to(*node);
     auto deliver = [self = shared_from_this(), running, number, delay](const auto& what) {
-        self->home_.all().clock.after(
-            delay, [self, running, number, what] { self->on_outcome(running, number, what); });
+        const auto load = running->attempts.at(number).node->sidecar.load();
+        self->home_.all().clock.after(delay, [self, running, number, what, load] {
+            self->on_outcome(running, number, what, load);
+        });
     };
     clock.after(delay, [node, work, deliver] { node->sidecar.offer(work, deliver); });
 }
 
 void virtual_request::on_outcome(const race_ptr& running, unsigned number,
-                                 const ledger::outcome& what) {
+                                 const ledger::outcome& what, routing::load_report load) {
+    home_.decisions().note_load(running->attempts.at(number).node->id, load,
+                                home_.all().clock.now());
     if (const auto* answer = std::get_if<ledger::answer>(&what)) {
         on_answer(running, number, answer->service_time);
     } else {
@@ -285,9 +291,10 @@
     }
 }
 
-void virtual_request::answer_error() {
+void virtual_request::answer_error(const error& failure) {
     auto& tally = home_.all().result.services[service_.name];
     ++tally.refused;
+    ++tally.errors[std::string{answer_for(failure.kind).name} + ": " + failure.detail];
     if (home_.all().clock.now() - arrived_ <= early) {
         ++tally.refused_early;
     }
--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -185,11 +185,13 @@
     const auto configuration = control_->configuration().load();
     if (instances != listed_ || configuration != obeyed_) {
         listed_ = instances;
-        homes_.note_pool(*instances);
         if (obeyed_ != nullptr && configuration->highest != obeyed_->highest) {
             homes_.note_gap(now().wall);
         }
-        homes_.note_list(membership::in_service(*instances, *configuration), now().wall);
+        if (!instances->instances.empty()) {
+            homes_.note_pool(*instances);
+            homes_.note_list(membership::in_service(*instances, *configuration), now().wall);
+        }
     }
     if (configuration != obeyed_) {
         obeyed_ = configuration;
@@ -203,8 +205,15 @@
     scheduler_.set_phase(wanted_phase(*configuration), now());
 }
 
+bool traffic::is_listed_as_leaving() const {
+    const auto& listed = listed_->instances;
+    return std::any_of(listed.begin(), listed.end(), [&](const membership::instance& each) {
+        return each.id == id_ && each.state == membership::instance_state::leaving;
+    });
+}
+
 service_phase traffic::wanted_phase(const config::snapshot& configuration) const {
-    if (draining_) {
+    if (draining_ || is_listed_as_leaving()) {
         return service_phase::draining;
     }
     if (!configuration.is_in(data_centre_, id_)) {
@@ -219,10 +228,21 @@
     metrics_.get_gauge("sidecar_concurrency_limit").set(shown.limit);
     metrics_.get_gauge("sidecar_running").set(static_cast<double>(shown.running));
     metrics_.get_gauge("sidecar_queued").set(static_cast<double>(scheduler_.queued()));
+    for (const auto& [cause, count] : shown.fall_backs) {
+        metrics_.get_gauge("sidecar_fall_backs", "cause=\"" + cause + '"')
+            .set(static_cast<double>(count));
+    }
     const auto before = published_.load();
     if (before->scheduler.phase != shown.phase) {
         log_change("sidecar", "phase", {{"phase", std::string{to_string(shown.phase)}}});
     }
+    if (shown.limit < before->scheduler.limit) {
+        log_change("sidecar", "limit_reduced",
+                   {{"limit", std::to_string(shown.limit)}, {"cause", shown.cold_cause}});
+    }
+    if (shown.limit == shown.full_limit && before->scheduler.limit < shown.limit) {
+        log_change("sidecar", "limit_full", {{"limit", std::to_string(shown.limit)}});
+    }
     published_.publish({std::move(shown), steady_clock::now()});
 }
 
--- a/libs/sidecar/src/work_scheduler.hpp
+++ b/libs/sidecar/src/work_scheduler.hpp
@@ -3,13 +3,15 @@
 #pragma once
 
 #include "admission/abandoned_work.hpp"
+#include "admission/endpoint_watch.hpp"
+#include "admission/lane_pace.hpp"
 #include "admission/queue.hpp"
 #include "admission/ramp.hpp"
 #include "admission/service_times.hpp"
 #include "control/control_plane.hpp"
 #include "ledger/work_ledger.hpp"
 
-#include <deque>
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -55,6 +57,7 @@
 struct scheduler_mechanisms {
     bool ramp{true};
     bool recheck_at_dispatch{true};
+    bool check_phase{true};
     bool refuse_hopeless{true};
     bool reserve_urgent{true};
     admission::queue_mechanisms queue{};
@@ -64,13 +67,14 @@
     config::limits limits{};
     config::ramp ramp{};
     seconds urgent_memory{60};           ///< a slot is kept for urgent work this long after some
+    milliseconds urgent_wait{20};        ///< ... unless one is usually free within this
     milliseconds pause_threshold{1'000}; ///< a gap between decisions that shows a paused process
     milliseconds wake_hold{500};         ///< after a pause, for the control plane to catch up
     milliseconds overload_hold{100};     ///< after the endpoint refused work as overloaded
     milliseconds least_slow_time{100};   ///< a shorter service time is never slow
     milliseconds drain_grace{1'000};     ///< a draining sidecar still serves its queue this long
-    milliseconds contact_age{500};       ///< not heard from this long, an endpoint may be cold
-    milliseconds contact_timeout{2'000}; ///< not heard from this long, it is unreachable
+    seconds longest_deadline{600};       ///< a later one is taken for this
+    admission::endpoint_watch_policy endpoint{};
     admission::abandoned_work_policy abandoned{};
     ledger::ledger_policy ledger{};
     scheduler_mechanisms mechanisms{};
@@ -147,8 +151,7 @@
     void on_load_failure(bool refused, clock_reading now);
 
     /// An answer named the endpoint's life.
-    /// \returns false for a life that is known to be over.
-    bool note_endpoint(const std::string& instance, time_point now);
+    void note_endpoint(const std::string& instance, time_point now);
 
     /// Puts the wanted phase in force; unless it is `serving`, the phase is reported as it is.
     void set_phase(service_phase phase, clock_reading now);
@@ -159,6 +162,8 @@
 
     service_phase phase(time_point now) const;
     std::optional<ledger::outcome> outcome_of(const work_id& id) const;
+    /// Work that the endpoint may have in progress now.
+    unsigned limit(time_point now) const;
     std::size_t running() const { return running_.size(); }
     std::size_t queued() const { return queue_.size(); }
     scheduler_state state(time_point now) const;
@@ -167,12 +172,13 @@
     std::optional<error> objection(const admission::waiting_work& work, time_point now) const;
     std::optional<error> phase_objection(time_point now) const;
     bool is_hopeless(const admission::waiting_work& work, time_point now) const;
+    duration expected_wait(const admission::waiting_work& work, time_point now) const;
     ledger::arrival enqueue(admission::waiting_work work, clock_reading now);
-    unsigned limit(time_point now) const;
     std::optional<admission::waiting_work> pop_within_limit(time_point now);
     void refuse_waiting(const admission::waiting_work& work, error reason, clock_reading now);
     void refuse_what_may_not_wait(clock_reading now);
     void note_time(time_point now);
+    void assume_predecessor(unsigned running);
     void find_slow_work(time_point now);
     void account_for(call_end how, const running_work& ended, time_point now);
     void fall_back(admission::cold_cause cause);
@@ -183,21 +189,20 @@
     incarnation life_;
     ledger::work_ledger ledger_;
     admission::admission_queue queue_;
+    std::array<admission::lane_pace, admission::lane_count> paces_; ///< of the queue's lanes
     admission::concurrency_ramp ramp_;
     admission::service_times times_;
     admission::abandoned_work abandoned_;
+    admission::endpoint_watch endpoint_;
     std::map<work_id, running_work> running_;
     std::map<work_id, bool> waiting_; ///< whether the waiting work is idempotent
     std::vector<work_id> settled_;
 
+    time_point started_;
+    unsigned assumed_running_{0}; ///< work of a predecessor, until reports tell
+    bool settled_in_{false};      ///< reports have told of the predecessor's work
     service_phase wanted_phase_{service_phase::starting};
     time_point phase_since_;
-    bool endpoint_known_{false};
-    time_point last_contact_;
-    unsigned load_failures_{0};
-    std::string endpoint_instance_;
-    std::deque<std::string> past_instances_; ///< oldest first
-    std::size_t cached_prefixes_{0};
 
     time_point last_decision_;
     time_point held_until_;
