Heartbeats: what was last heard is valid for three periods

The period grows with the number of targets (270 targets at the designed size: 5 s), but the entry took a sidecar for silent after a fixed 3 s, so at size it would have dropped sidecars between heartbeats. heard_sidecar::validity and endpoint_facts::validity (additive seams in control and routing, default 3 s as before).

--- a/libs/control/include/control/control_plane.hpp
+++ b/libs/control/include/control/control_plane.hpp
@@ -38,6 +38,9 @@
     sidecar_report report;
     remote_time clock;   ///< the sidecar's monotonic clock ...
     time_point heard_at; ///< ... at or before this local time
+    /// How long the report counts as lately heard: longer with more targets, as heartbeats are
+    /// rarer.
+    milliseconds validity{3'000};
 };
 
 /// All sidecars heard from lately, by instance id.
--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -84,7 +84,9 @@
                                 answer.in_flight,
                                 answer.queued,
                                 std::chrono::duration_cast<milliseconds>(answer.service_time)};
-    heard_.by_id.insert_or_assign(sidecar.id, heard_sidecar{sidecar, report, answer.clock, now});
+    heard_.by_id.insert_or_assign(
+        sidecar.id,
+        heard_sidecar{sidecar, report, answer.clock, now, heartbeat_validity(heartbeats_.size())});
     core_.take_knowledge(answer.held, now);
     const bool room = catching_up_.size() < most_catch_ups;
     if (room && core_.differs(answer.held) && catching_up_.insert(sidecar.control_address).second) {
--- a/libs/control/src/schedules.cpp
+++ b/libs/control/src/schedules.cpp
@@ -155,6 +155,11 @@
     return std::clamp(shared, heartbeat_least, heartbeat_most);
 }
 
+milliseconds heartbeat_validity(std::size_t targets) {
+    constexpr int periods = 3;
+    return heartbeat_period(targets) * periods;
+}
+
 void heartbeat_schedule::set_targets(std::vector<membership::instance> targets, time_point now,
                                      random_source& random) {
     const auto period = heartbeat_period(targets.size());
--- a/libs/control/src/schedules.hpp
+++ b/libs/control/src/schedules.hpp
@@ -111,6 +111,9 @@
 /// process's bytes.
 milliseconds heartbeat_period(std::size_t targets);
 
+/// How long the answer to a heartbeat counts as lately heard, so that two may be lost.
+milliseconds heartbeat_validity(std::size_t targets);
+
 /// Which sidecars are due for a heartbeat. Phases are spread over the period.
 class heartbeat_schedule {
 public:
--- a/libs/control/tests/decisions_test.cpp
+++ b/libs/control/tests/decisions_test.cpp
@@ -80,6 +80,9 @@
     REQUIRE(heartbeat_period(1) == seconds{1});
     REQUIRE(heartbeat_period(60) < seconds{3});
     REQUIRE(heartbeat_period(100'000) == seconds{5});
+    for (const std::size_t targets : {1U, 60U, 270U, 100'000U}) {
+        REQUIRE(heartbeat_validity(targets) > 2 * heartbeat_period(targets));
+    }
 }
 
 TEST_CASE("an instance that vanishes from the list stays for a grace, longer if many do") {
--- a/libs/entry/src/entry_core.cpp
+++ b/libs/entry/src/entry_core.cpp
@@ -40,10 +40,10 @@
     view.reported_queued = report.queued;
     view.clock = heard.clock;
     view.heard_at = heard.heard_at;
-    const routing::endpoint_facts facts{report.phase == control::service_phase::serving,
-                                        where.state == instance_state::leaving ||
-                                            is_listed_as_leaving(*known.instances, where.id),
-                                        known.configuration->is_in(where.data_centre, where.id)};
+    const routing::endpoint_facts facts{
+        report.phase == control::service_phase::serving,
+        where.state == instance_state::leaving || is_listed_as_leaving(*known.instances, where.id),
+        known.configuration->is_in(where.data_centre, where.id), heard.validity};
     view.excluded = routing::exclusion_of(facts, heard.heard_at, now);
     return view;
 }
--- a/libs/routing/include/routing/endpoint_view.hpp
+++ b/libs/routing/include/routing/endpoint_view.hpp
@@ -23,7 +23,7 @@
 
 std::string_view to_string(exclusion why);
 
-/// Longest time since the last heartbeat.
+/// Longest time since the last heartbeat, unless the control plane says otherwise.
 inline constexpr seconds heartbeat_validity{3};
 
 /// One endpoint with what was reported of it and what this process has there.
@@ -46,7 +46,8 @@
 struct endpoint_facts {
     bool serving{false}; ///< its sidecar says that it takes work
     bool leaving{false};
-    bool in{false}; ///< by the published configuration
+    bool in{false};                            ///< by the published configuration
+    milliseconds validity{heartbeat_validity}; ///< of what was last heard
 };
 
 /// Whether work may be sent to an endpoint that was last heard from at `heard_at`, own evidence
--- a/libs/routing/src/endpoint_view.cpp
+++ b/libs/routing/src/endpoint_view.cpp
@@ -30,7 +30,7 @@
     if (facts.leaving) {
         return exclusion::leaving;
     }
-    if (now - heard_at > heartbeat_validity) {
+    if (now - heard_at > facts.validity) {
         return exclusion::stale;
     }
     return facts.serving ? exclusion::none : exclusion::not_serving;
