--- a/libs/entry/src/work_message.cpp
+++ b/libs/entry/src/work_message.cpp
@@ -3,8 +3,13 @@
 
 #include "json_check.hpp"
 
+#include <boost/algorithm/string/split.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
+#include <array>
+#include <limits>
+
 namespace boragefront::entry {
 namespace {
 
@@ -33,6 +38,14 @@
     return parse_number(head.headers.get(name)).value_or(0);
 }
 
+std::vector<std::string> split_ids(std::string_view text) {
+    std::vector<std::string> ids;
+    if (!text.empty()) {
+        boost::algorithm::split(ids, text, [](char each) { return each == ','; });
+    }
+    return ids;
+}
+
 result<stream_line> unreadable_line() {
     return make_error(error_kind::incomplete_answer, "found a line that is no token and no end");
 }
@@ -92,6 +105,21 @@
     return number_in(head, "Boragefront-Revision");
 }
 
+std::optional<routing::load_report> load_reported_by(const http::response& head) {
+    std::array<unsigned, 3> numbers{};
+    auto rest = head.headers.get("Boragefront-Load");
+    for (auto& number : numbers) {
+        const auto word = rest.substr(0, rest.find('/'));
+        const auto value = parse_number(word);
+        if (!value || *value > std::numeric_limits<unsigned>::max()) {
+            return std::nullopt;
+        }
+        number = static_cast<unsigned>(*value);
+        rest.remove_prefix(std::min(rest.size(), word.size() + 1));
+    }
+    return routing::load_report{numbers[0], numbers[1], numbers[2]};
+}
+
 work_failure read_failure(const http::response& answer, const work_id& id) {
     if (!is_answer_for(answer, id)) {
         return {make_error(error_kind::connection_lost, "the answer is for other work")};
@@ -101,7 +129,8 @@
         return {make_error(error_kind::connection_lost, "status " + std::to_string(answer.status) +
                                                             " without a problem document")};
     }
-    return {*problem, execution::failure_origin::sidecar, service_time_of(answer)};
+    return {*problem, execution::failure_origin::sidecar, service_time_of(answer),
+            split_ids(answer.headers.get("Boragefront-Other-Homes"))};
 }
 
 result<stream_line> read_stream_line(std::string_view line) {
--- a/libs/entry/src/work_message.hpp
+++ b/libs/entry/src/work_message.hpp
@@ -8,10 +8,13 @@
 #include "config/types.hpp"
 #include "execution/at_most_once.hpp"
 #include "http/message.hpp"
+#include "routing/endpoint_view.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace boragefront::entry {
 
@@ -25,7 +28,7 @@
     double share{1.0};
     bool repeatable{false};
     std::string key;         ///< the caller's idempotency key, or empty
-    std::string released_by; ///< the sidecar that gave the key up, or empty
+    std::string released_by; ///< the sidecars that gave the key up, separated by commas
     bool stream{false};
     std::string body;
 };
@@ -53,6 +56,8 @@
     error failure;
     execution::failure_origin origin{execution::failure_origin::exchange};
     microseconds service_time{0}; ///< spent by the endpoint
+    /// Sidecars that may have been given the key, which this one cannot vouch for.
+    std::vector<std::string> other_homes{};
 };
 
 /// Whether an answer is for this piece of work.
@@ -64,6 +69,9 @@
 /// The revision that an answer carries, or 0.
 revision revision_of(const http::response& head);
 
+/// The load of the sidecar that an answer reports. \returns nothing if it reports none.
+std::optional<routing::load_report> load_reported_by(const http::response& head);
+
 /// The failure that an answer other than 200 reports. One for other work, or without a readable
 /// problem document, tells nothing of this work.
 work_failure read_failure(const http::response& answer, const work_id& id);
