--- a/tools/boragefrontctl/src/command.hpp
+++ b/tools/boragefrontctl/src/command.hpp
@@ -47,6 +47,7 @@
 exit_status status(const command_line& line, const command_output& output);
 exit_status dump(const command_line& line, const command_output& output);
 exit_status metrics(const command_line& line, const command_output& output);
+exit_status explain(const command_line& line, const command_output& output);
 exit_status config_rollout(const command_line& line, const command_output& output);
 
 } // namespace boragefront::ctl
--- /dev/null
+++ b/tools/boragefrontctl/src/explain.cpp
@@ -0,0 +1,122 @@
+/// \file
+/// `explain`: which endpoints of a pool an entry would choose, and why not the others.
+#include "command.hpp"
+#include "peers/peers.hpp"
+
+#include <boost/json.hpp>
+
+#include <iomanip>
+#include <map>
+
+namespace boragefront::ctl {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int id_width = 30;
+constexpr int data_centre_width = 14;
+constexpr int number_width = 9;
+
+// What an entry's dump tells of one endpoint.
+struct explained_endpoint {
+    std::string id;
+    std::string data_centre;
+    std::string verdict; ///< "none" if it may be chosen
+    std::int64_t limit{0};
+    std::int64_t own_in_flight{0};
+    std::int64_t reported_queued{0};
+    std::int64_t heard_ms_ago{0};
+};
+
+std::string text_at(const json::object& from, std::string_view name) {
+    return json::value_to<std::string>(from.at(name));
+}
+
+// \throws if a member is absent or of another type.
+explained_endpoint read_endpoint(const json::object& from) {
+    return {text_at(from, "id"),
+            text_at(from, "data_centre"),
+            text_at(from, "not_chosen_because"),
+            from.at("limit").to_number<std::int64_t>(),
+            from.at("own_in_flight").to_number<std::int64_t>(),
+            from.at("reported_queued").to_number<std::int64_t>(),
+            from.at("heard_ms_ago").to_number<std::int64_t>()};
+}
+
+std::map<std::string, std::string> pools_by_instance(const json::value& dump) {
+    std::map<std::string, std::string> pools;
+    for (const auto& instance : dump.at("instances").as_array()) {
+        pools.emplace(text_at(instance.as_object(), "id"), text_at(instance.as_object(), "pool"));
+    }
+    return pools;
+}
+
+std::vector<explained_endpoint> read_pool(const json::value& dump, const std::string& pool) {
+    const auto pools = pools_by_instance(dump);
+    std::vector<explained_endpoint> found;
+    for (const auto& member : dump.at("role_state").at("endpoints").as_array()) {
+        auto endpoint = read_endpoint(member.as_object());
+        const auto known = pools.find(endpoint.id);
+        if (known != pools.end() && known->second == pool) {
+            found.push_back(std::move(endpoint));
+        }
+    }
+    return found;
+}
+
+// The dump comes from another process, perhaps of another version.
+result<std::vector<explained_endpoint>> parse_pool(const std::string& text,
+                                                   const std::string& pool) {
+    try {
+        return read_pool(json::parse(text), pool);
+    } catch (const std::exception& fault) {
+        return make_error(error_kind::internal,
+                          std::string{"this is not the dump of an entry: "} + fault.what());
+    }
+}
+
+std::string_view verdict_text(const explained_endpoint& endpoint) {
+    return endpoint.verdict == "none" ? "may be chosen" : std::string_view{endpoint.verdict};
+}
+
+void write_table(std::ostream& out, const std::vector<explained_endpoint>& endpoints) {
+    out << std::left << std::setw(id_width) << "ENDPOINT" << std::setw(data_centre_width)
+        << "DATA CENTRE" << std::right << std::setw(number_width) << "LIMIT"
+        << std::setw(number_width) << "OWN" << std::setw(number_width) << "QUEUED"
+        << std::setw(number_width) << "HEARD ms"
+        << "  VERDICT\n";
+    for (const auto& endpoint : endpoints) {
+        out << std::left << std::setw(id_width) << endpoint.id << std::setw(data_centre_width)
+            << endpoint.data_centre << std::right << std::setw(number_width) << endpoint.limit
+            << std::setw(number_width) << endpoint.own_in_flight << std::setw(number_width)
+            << endpoint.reported_queued << std::setw(number_width) << endpoint.heard_ms_ago << "  "
+            << verdict_text(endpoint) << '\n';
+    }
+}
+
+} // namespace
+
+exit_status explain(const command_line& line, const command_output& output) {
+    if (line.arguments.size() != 2) {
+        return refuse(output, "explain takes an entry's control address and a pool");
+    }
+    const auto& peer = line.arguments[0];
+    const auto answer =
+        peers::call_one<wire::dump_answer>(peer, wire::dump_request{}, line.call_timeout);
+    if (!answer) {
+        refuse(output, peer + ": " + to_string(answer.error()));
+        return exit_status::amiss;
+    }
+    const auto endpoints = parse_pool(answer.value().json, line.arguments[1]);
+    if (!endpoints) {
+        refuse(output, peer + ": " + to_string(endpoints.error()));
+        return exit_status::amiss;
+    }
+    write_table(output.out, endpoints.value());
+    if (endpoints.value().empty()) {
+        output.errors << peer << " knows no endpoint of pool " << line.arguments[1] << '\n';
+    }
+    return endpoints.value().empty() ? exit_status::amiss : exit_status::good;
+}
+
+} // namespace boragefront::ctl
--- a/tools/boragefrontctl/src/main.cpp
+++ b/tools/boragefrontctl/src/main.cpp
@@ -28,6 +28,8 @@
                              revision in force, age of its knowledge, in flight
   dump A                     the whole state of one process, as JSON
   metrics A                  the metrics of one process, as text
+  explain A POOL             which endpoints of a pool the entry at A would choose,
+                             and why not the others
   config rollout --revision N --peers A,B,...
                              waits until each process has revision N in force
 
@@ -58,6 +60,7 @@
     command{"", "status", status},
     command{"", "dump", dump},
     command{"", "metrics", metrics},
+    command{"", "explain", explain},
     command{"", "validate", validate},
     command{"config", "diff", config_diff},
     command{"config", "shard", config_shard},
--- a/tools/boragefrontctl/tests/peer_commands_test.cpp
+++ b/tools/boragefrontctl/tests/peer_commands_test.cpp
@@ -19,7 +19,8 @@
 // Answers status, dump and metrics; its revision rises by one with each status that it tells.
 class fake_process {
 public:
-    explicit fake_process(revision first, revision last) : revision_{first}, last_{last} {
+    fake_process(revision first, revision last, std::string dump = R"({"a": 1})")
+        : revision_{first}, last_{last}, dump_{std::move(dump)} {
         auto made = wire::server::listen(
             io_.get_executor(), "127.0.0.1:0",
             [this](const wire::request& asked) { return answer(asked); },
@@ -41,7 +42,7 @@
 private:
     wire::answer answer(const wire::request& asked) {
         if (std::holds_alternative<wire::dump_request>(asked)) {
-            return wire::dump_answer{R"({"a": 1})"};
+            return wire::dump_answer{dump_};
         }
         if (std::holds_alternative<wire::metrics_request>(asked)) {
             return wire::metrics_answer{"requests_total 3\n"};
@@ -62,6 +63,7 @@
     counter received_;
     revision revision_;
     revision last_;
+    std::string dump_;
     asio::io_context io_{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard_{io_.get_executor()};
     std::unique_ptr<wire::server> server_;
@@ -116,6 +118,29 @@
     REQUIRE(ctl({"metrics", process.address()}).output == "requests_total 3\n");
 }
 
+TEST_CASE("explain tells which endpoints of a pool may be chosen, and why not the others") {
+    fake_process entry{1, 1, R"({"instances": [{"id": "g-1", "pool": "engines"},
+        {"id": "g-2", "pool": "engines"}, {"id": "o-1", "pool": "orders"}],
+        "role_state": {"endpoints": [
+        {"id": "g-1", "data_centre": "d", "not_chosen_because": "none", "limit": 8,
+         "own_in_flight": 1, "reported_queued": 0, "heard_ms_ago": 12},
+        {"id": "g-2", "data_centre": "d", "not_chosen_because": "out", "limit": 8,
+         "own_in_flight": 1, "reported_queued": 0, "heard_ms_ago": 12},
+        {"id": "o-1", "data_centre": "d", "not_chosen_because": "none", "limit": 8,
+         "own_in_flight": 1, "reported_queued": 0, "heard_ms_ago": 12}]}})"};
+    const auto outcome = ctl({"explain", entry.address(), "engines"});
+    CAPTURE(outcome.errors);
+    REQUIRE(outcome.status == 0);
+    REQUIRE_THAT(outcome.output, Catch::Contains("may be chosen") && Catch::Contains("  out\n") &&
+                                     !Catch::Contains("o-1"));
+    REQUIRE(ctl({"explain", entry.address(), "no-such-pool"}).status == 1);
+    REQUIRE(ctl({"explain", entry.address()}).status == 2);
+    fake_process sidecar{1, 1};
+    const auto other = ctl({"explain", sidecar.address(), "engines"});
+    REQUIRE(other.status == 1);
+    REQUIRE_THAT(other.errors, Catch::Contains("not the dump of an entry"));
+}
+
 TEST_CASE("config rollout waits until every process holds the revision") {
     fake_process quick{9, 9};
     fake_process slow{7, 9};
