--- a/tools/boragefrontctl/src/explain.cpp
+++ b/tools/boragefrontctl/src/explain.cpp
@@ -45,7 +45,7 @@
 
 std::map<std::string, std::string> pools_by_instance(const json::value& dump) {
     std::map<std::string, std::string> pools;
-    for (const auto& instance : dump.at("instances").as_array()) {
+    for (const auto& instance : dump.at("instances").at("believed").as_array()) {
         pools.emplace(text_at(instance.as_object(), "id"), text_at(instance.as_object(), "pool"));
     }
     return pools;
--- a/tools/boragefrontctl/tests/peer_commands_test.cpp
+++ b/tools/boragefrontctl/tests/peer_commands_test.cpp
@@ -119,8 +119,8 @@
 }
 
 TEST_CASE("explain tells which endpoints of a pool may be chosen, and why not the others") {
-    fake_process entry{1, 1, R"({"instances": [{"id": "g-1", "pool": "engines"},
-        {"id": "g-2", "pool": "engines"}, {"id": "o-1", "pool": "orders"}],
+    fake_process entry{1, 1, R"({"instances": {"believed": [{"id": "g-1", "pool": "engines"},
+        {"id": "g-2", "pool": "engines"}, {"id": "o-1", "pool": "orders"}]},
         "role_state": {"endpoints": [
         {"id": "g-1", "data_centre": "d", "not_chosen_because": "none", "limit": 8,
          "own_in_flight": 1, "reported_queued": 0, "heard_ms_ago": 12},
