--- a/tests/faults/out_of_service_test.cpp
+++ b/tests/faults/out_of_service_test.cpp
@@ -12,11 +12,14 @@
 
 constexpr seconds observation{2}; ///< how long it must stay without new work
 
-load_options mixed_load() {
+// Longer than the bound: what was held up does not expire by itself.
+constexpr milliseconds long_deadline{5'000};
+
+load_options mixed_load(milliseconds deadline = milliseconds{1'500}) {
     auto order = order_request();
-    order.deadline = milliseconds{1'500};
+    order.deadline = deadline;
     auto stock = stock_request();
-    stock.deadline = milliseconds{1'500};
+    stock.deadline = deadline;
     return {.mix = {order, stock}, .callers = 6, .seed = 5};
 }
 
@@ -78,7 +81,7 @@
 TEST_CASE("requests held in a cut link do not start in a data centre that went out meanwhile",
           "[invariant]") {
     const auto deployment = start_deployment({.relayed = true});
-    running_load load{*deployment, mixed_load()};
+    running_load load{*deployment, mixed_load(long_deadline)};
     load.wait_whole(40);
     auto& relay = *deployment->slot("order-0").relay;
     REQUIRE(relay.set_faults(R"({"mode": "hold"})"));
@@ -93,7 +96,7 @@
 TEST_CASE("a sidecar that was frozen since before starts no work in a data centre out",
           "[invariant]") {
     const auto deployment = start_deployment({});
-    running_load load{*deployment, mixed_load()};
+    running_load load{*deployment, mixed_load(long_deadline)};
     load.wait_whole(40);
     auto& frozen = *deployment->slot("order-0").sidecar;
     frozen.freeze();
--- a/tests/faults/src/deployment.cpp
+++ b/tests/faults/src/deployment.cpp
@@ -20,8 +20,9 @@
 
 void running_load::wait_whole(std::size_t count) {
     const auto wanted = load_.whole() + count;
+    const bool came = wait_until(patience, [&] { return load_.whole() >= wanted; });
     INFO("whole answers " << load_.whole() << " of " << load_.ended() << ", wanted " << wanted);
-    REQUIRE(wait_until(patience, [&] { return load_.whole() >= wanted; }));
+    REQUIRE(came);
 }
 
 void publish(cluster& deployment, const std::string& key, const std::string& value) {
