Choice of endpoint: local ones by expected delay; service times on every answer

Change: the rule compares mean expected delays; each answer carries the usual service time.

sidecar_node_test gives its sidecar an instance list: since a sidecar without one vouches for no key, its keyed orders were rightly refused there. The assertions stay.

--- a/benchmarks/policy/sidecar_model.cpp
+++ b/benchmarks/policy/sidecar_model.cpp
@@ -73,7 +73,8 @@
 
 routing::load_report sidecar_model::load() const {
     return {scheduler_.limit(clock_.now()), static_cast<unsigned>(scheduler_.running()),
-            static_cast<unsigned>(scheduler_.queued())};
+            static_cast<unsigned>(scheduler_.queued()),
+            std::chrono::duration_cast<microseconds>(scheduler_.usual_service_time())};
 }
 
 sidecar::clock_reading sidecar_model::reading() const {
--- a/libs/entry/src/decision_state.cpp
+++ b/libs/entry/src/decision_state.cpp
@@ -60,6 +60,7 @@
         view.limit = report.limit;
         view.reported_in_flight = report.in_flight;
         view.reported_queued = report.queued;
+        view.service_time = report.service_time;
         view.own_when_reported = noted->second.own_in_flight;
     }
 }
--- a/libs/entry/src/work_message.cpp
+++ b/libs/entry/src/work_message.cpp
@@ -106,7 +106,7 @@
 }
 
 std::optional<routing::load_report> load_reported_by(const http::response& head) {
-    std::array<unsigned, 3> numbers{};
+    std::array<unsigned, 4> numbers{};
     auto rest = head.headers.get("Boragefront-Load");
     for (auto& number : numbers) {
         const auto word = rest.substr(0, rest.find('/'));
@@ -117,7 +117,7 @@
         number = static_cast<unsigned>(*value);
         rest.remove_prefix(std::min(rest.size(), word.size() + 1));
     }
-    return routing::load_report{numbers[0], numbers[1], numbers[2]};
+    return routing::load_report{numbers[0], numbers[1], numbers[2], microseconds{numbers[3]}};
 }
 
 work_failure read_failure(const http::response& answer, const work_id& id) {
--- a/libs/routing/include/routing/endpoint_view.hpp
+++ b/libs/routing/include/routing/endpoint_view.hpp
@@ -35,7 +35,7 @@
     unsigned limit{0};              ///< concurrency in force, as reported
     unsigned reported_in_flight{0}; ///< of all senders
     unsigned reported_queued{0};
-    milliseconds service_time{0};  ///< usual one, as reported
+    microseconds service_time{0};  ///< usual one, as reported
     unsigned own_in_flight{0};     ///< attempts of this process now ...
     unsigned own_when_reported{0}; ///< ... and when the load was reported, if that is known
     remote_time clock;             ///< reading of its sidecar's clock ...
@@ -61,6 +61,7 @@
     unsigned limit{0};
     unsigned in_flight{0};
     unsigned queued{0};
+    microseconds service_time{0}; ///< usual one
 };
 
 /// Work in progress and waiting, relative to the limit in force: what was reported, and what this
--- a/libs/routing/src/choice.cpp
+++ b/libs/routing/src/choice.cpp
@@ -54,13 +54,21 @@
     return limits == 0 ? 0 : work / limits;
 }
 
+double mean_expected_delay(const candidates& all) {
+    double sum = 0;
+    for (const auto* one : all) {
+        sum += expected_delay_of(*one);
+    }
+    return sum / static_cast<double>(all.size());
+}
+
 candidates prefer_untried(candidates all) {
     auto untried = those(all, [](const auto& one) { return !one.tried; });
     return untried.empty() ? std::move(all) : std::move(untried);
 }
 
-// The own data centre while its load is below the threshold; else all, unless the others are
-// loaded more.
+// The own data centre while its load is below the threshold; else all, unless the others would take
+// longer.
 candidates prefer_local(candidates all, const choice_request& request) {
     auto local =
         those(all, [&](const auto& one) { return one.data_centre == request.data_centre; });
@@ -68,7 +76,8 @@
         return all;
     }
     const bool has_room = joint_load(local) < request.spilling.load_threshold;
-    if (has_room || !request.spilling.enabled || joint_load(local) <= joint_load(all)) {
+    if (has_room || !request.spilling.enabled ||
+        mean_expected_delay(local) <= mean_expected_delay(all)) {
         return local;
     }
     return all;
--- a/libs/routing/src/endpoint_view.cpp
+++ b/libs/routing/src/endpoint_view.cpp
@@ -49,7 +49,7 @@
 
 double expected_delay_of(const endpoint_view& endpoint) {
     const double limit = std::max(1U, endpoint.limit);
-    const auto service_time = std::max(endpoint.service_time, milliseconds{1});
+    const auto service_time = std::max(endpoint.service_time, microseconds{1});
     return (load_of(endpoint) + 1.0 / limit) * static_cast<double>(service_time.count());
 }
 
--- a/libs/sidecar/src/traffic.hpp
+++ b/libs/sidecar/src/traffic.hpp
@@ -77,6 +77,7 @@
     service_phase wanted_phase(const config::snapshot& configuration) const;
     void count_end(const endpoint_result& ended, duration took);
     void publish_state();
+    std::string load_text() const;
     http::response head_for(const work_id& asked) const;
 
     boost::asio::any_io_executor executor_;
--- a/libs/sidecar/src/traffic_requests.cpp
+++ b/libs/sidecar/src/traffic_requests.cpp
@@ -241,6 +241,14 @@
     (void)co_await out.send(std::move(reply));
 }
 
+std::string traffic::load_text() const {
+    const auto service_time =
+        std::chrono::duration_cast<microseconds>(scheduler_.usual_service_time());
+    return std::to_string(scheduler_.limit(steady_clock::now())) + '/' +
+           std::to_string(scheduler_.running()) + '/' + std::to_string(scheduler_.queued()) + '/' +
+           std::to_string(service_time.count());
+}
+
 http::response traffic::head_for(const work_id& asked) const {
     http::response head;
     if (!asked.request.empty()) {
@@ -249,9 +257,7 @@
     head.headers.set("Boragefront-Incarnation", std::to_string(life_));
     head.headers.set("Boragefront-Revision",
                      std::to_string(control_->configuration().load()->highest));
-    head.headers.set("Boragefront-Load", std::to_string(scheduler_.limit(steady_clock::now())) +
-                                             '/' + std::to_string(scheduler_.running()) + '/' +
-                                             std::to_string(scheduler_.queued()));
+    head.headers.set("Boragefront-Load", load_text());
     return head;
 }
 
--- a/libs/sidecar/tests/sidecar_node_test.cpp
+++ b/libs/sidecar/tests/sidecar_node_test.cpp
@@ -39,6 +39,17 @@
     return configuration;
 }
 
+// Without a list a sidecar vouches for no key.
+membership::instance_list list_of_itself() {
+    membership::instance self;
+    self.id = "orders-1";
+    self.role = membership::instance_role::sidecar;
+    self.pool = "orders";
+    membership::instance_list list;
+    list.instances = {self};
+    return list;
+}
+
 // One request on its own thread and io context, as an entry would send it.
 class caller {
 public:
@@ -71,6 +82,7 @@
 public:
     fixture() {
         knowledge.configuration.publish(make_configuration());
+        knowledge.instances.publish(list_of_itself());
         settings::daemon_settings settings;
         settings.id = "orders-1";
         settings.data_centre = "centre";
