sidecar: the pace of a lane counts after sixteen turns; policy_bench: an unbounded baseline

Ruled out: the slot kept for urgent work (engines see none), refusals at the entry. Change: the pace is the mean of at least sixteen turns. Test first: admission_test, the pace of a lane.

The row counts the stages of pipelines only, as plain calls hid the amplification.

--- a/benchmarks/policy/virtual_request.cpp
+++ b/benchmarks/policy/virtual_request.cpp
@@ -10,7 +10,6 @@
 constexpr milliseconds local_delay{0};
 constexpr milliseconds early{50};
 constexpr unsigned unbounded_attempts = 20;
-constexpr double unbounded_ratio = 1e9;
 
 config::limits limits_of(const endpoint_traits& traits) {
     config::limits limits;
@@ -118,7 +117,6 @@
     profile.hedging.enabled = home_.policy().hedging;
     if (!home_.policy().bounded_retries) {
         profile.retries.max_attempts = unbounded_attempts;
-        profile.retries.budget_ratio = unbounded_ratio;
     }
     return profile;
 }
@@ -143,16 +141,25 @@
         limits.hedge_after =
             home_.decisions().quantile(key_of(stage_), wanted.hedging.quantile, now);
     }
-    ++home_.all().result.cost.stages;
+    home_.all().result.cost.stages += service_.pipeline ? 1 : 0;
     step(std::make_shared<race>(
         race{stage_, execution::idempotent_stage{limits}, times, {}, {}, false}));
 }
 
+execution::idempotent_step virtual_request::next_step(race& running, time_point now) {
+    if (home_.policy().bounded_retries) {
+        return home_.decisions().step(running.machine, key_of(running.stage), profile(), now);
+    }
+    constexpr double plenty = 1e9;
+    execution::stage_budgets unbounded{execution::attempt_budget{plenty, plenty},
+                                       execution::attempt_budget{plenty, plenty}};
+    return running.machine.next(now, unbounded);
+}
+
 void virtual_request::step(const race_ptr& running) {
     while (!running->over) {
         const auto now = home_.all().clock.now();
-        const auto next =
-            home_.decisions().step(running->machine, key_of(running->stage), profile(), now);
+        const auto next = next_step(*running, now);
         if (const auto* launched = std::get_if<execution::launch_attempt>(&next)) {
             launch(running, launched->attempt);
         } else if (std::holds_alternative<execution::use_result>(next)) {
@@ -180,7 +187,7 @@
         });
         return;
     }
-    ++home_.all().result.cost.attempts;
+    home_.all().result.cost.attempts += service_.pipeline ? 1 : 0;
     running->tried.push_back(node->id);
     sidecar::offered_work work;
     work.record.id = {id_, static_cast<std::uint32_t>(running->stage), number};
--- a/benchmarks/policy/virtual_request.hpp
+++ b/benchmarks/policy/virtual_request.hpp
@@ -94,6 +94,7 @@
 
     entry::stage_key key_of(std::size_t stage) const;
     config::profile profile() const;
+    execution::idempotent_step next_step(race& running, time_point now);
     void step(const race_ptr& running);
     void launch(const race_ptr& running, unsigned number);
     void on_outcome(const race_ptr& running, unsigned number, const ledger::outcome& what,
--- a/benchmarks/policy/world.hpp
+++ b/benchmarks/policy/world.hpp
@@ -80,7 +80,7 @@
 struct cost_tally {
     double useful{0};          ///< of results that were used
     double busy{0};            ///< in all
-    std::uint64_t stages{0};   ///< stages begun
+    std::uint64_t stages{0};   ///< stages of pipelines begun
     std::uint64_t attempts{0}; ///< attempts sent for them
     std::uint64_t falls{0};    ///< endpoints that fell over
 };
--- a/libs/admission/include/admission/lane_pace.hpp
+++ b/libs/admission/include/admission/lane_pace.hpp
@@ -16,12 +16,13 @@
     /// Work leaves the lane for the endpoint. \pre `begin` was called since the lane was empty.
     void on_turn(time_point now);
 
-    /// The mean time from one turn to the next; zero while none was seen.
-    duration per_turn() const { return per_turn_; }
+    /// The mean time from one turn to the next; zero while too few were seen to tell.
+    duration per_turn() const;
 
 private:
     time_point last_turn_{};
     duration per_turn_{0};
+    unsigned turns_{0};
 };
 
 } // namespace boragefront::admission
--- a/libs/admission/tests/admission_test.cpp
+++ b/libs/admission/tests/admission_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// The ramp, the queue and the account of abandoned work on a virtual clock.
 #include "admission/abandoned_work.hpp"
+#include "admission/lane_pace.hpp"
 #include "admission/queue.hpp"
 #include "admission/ramp.hpp"
 #include "admission/service_times.hpp"
@@ -201,3 +202,18 @@
     REQUIRE(abandoned.held(start + milliseconds{49}) == 1);
     REQUIRE(abandoned.held(start + milliseconds{50}) == 0);
 }
+
+TEST_CASE("the pace of a lane is the mean of its turns, and unknown after a few") {
+    lane_pace pace;
+    time_point now{seconds{100}};
+    pace.begin(now);
+    now += seconds{2};
+    pace.on_turn(now); // the first had to wait for a slot
+    REQUIRE(pace.per_turn() == duration{0});
+    for (int i = 0; i < 200; ++i) {
+        now += milliseconds{100};
+        pace.on_turn(now);
+    }
+    REQUIRE(pace.per_turn() > milliseconds{95});
+    REQUIRE(pace.per_turn() < milliseconds{105});
+}
