base: quantiles of a few observations are exact

Cause: the estimator behind latency_quantiles answers 0 until it has about nine observations, so the dump and the metrics of a quiet process showed latencies of nothing. The first 32 are kept and answer exactly. metrics_test, a few observations: 0 ns for 30 ms before; passes after.

--- a/benchmarks/path/main.cpp
+++ b/benchmarks/path/main.cpp
@@ -47,10 +47,10 @@
     for (const std::string pool : {"lookups", "models"}) {
         for (int i = 0; i < 4; ++i) {
             support::endpoint_spec endpoint{pool + '-' + std::to_string(i), pool, "a", common};
-            endpoint.flags.push_back(pool == "models" ? "--kind=engine" : "--kind=plain");
-            endpoint.flags.push_back("--service_ms=1");
-            endpoint.flags.push_back("--tokens=100");
-            endpoint.flags.push_back("--token_ms=20");
+            endpoint.flags.emplace_back(pool == "models" ? "--kind=engine" : "--kind=plain");
+            endpoint.flags.emplace_back("--service_ms=1");
+            endpoint.flags.emplace_back("--tokens=100");
+            endpoint.flags.emplace_back("--token_ms=20");
             spec.endpoints.push_back(std::move(endpoint));
         }
     }
--- a/libs/base/src/metrics.cpp
+++ b/libs/base/src/metrics.cpp
@@ -6,10 +6,13 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <map>
 #include <mutex>
 #include <sstream>
+#include <vector>
 
 namespace boragefront {
 namespace {
@@ -18,6 +21,9 @@
 
 constexpr std::array tracked_quantiles{0.5, 0.95, 0.99};
 
+// Below this many observations the estimate of the accumulator means nothing yet.
+constexpr std::size_t exact_observations = 32;
+
 using quantile_accumulator =
     acc::accumulator_set<double,
                          acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square>>;
@@ -37,6 +43,10 @@
     return std::chrono::duration<double>(value).count();
 }
 
+duration from_seconds(double value) {
+    return std::chrono::round<duration>(std::chrono::duration<double>{value});
+}
+
 std::string labelled(const std::string& name, std::string_view labels,
                      std::string_view extra = {}) {
     std::string text = name;
@@ -73,6 +83,7 @@
 struct latency_quantiles::state {
     mutable std::mutex mutex;
     quantile_accumulator values{acc::extended_p_square_probabilities = tracked_quantiles};
+    std::vector<double> first; ///< the first observations, in order of size
 };
 
 latency_quantiles::latency_quantiles() : state_{std::make_unique<state>()} {}
@@ -81,6 +92,11 @@
 void latency_quantiles::record(duration value) {
     const std::scoped_lock lock{state_->mutex};
     state_->values(to_seconds(value));
+    auto& first = state_->first;
+    if (first.size() < exact_observations) {
+        const auto place = std::upper_bound(first.begin(), first.end(), to_seconds(value));
+        first.insert(place, to_seconds(value));
+    }
 }
 
 std::uint64_t latency_quantiles::count() const {
@@ -96,12 +112,18 @@
 
 duration latency_quantiles::quantile(double quantile) const {
     const std::scoped_lock lock{state_->mutex};
-    if (acc::count(state_->values) == 0) {
+    const auto count = acc::count(state_->values);
+    if (count == 0) {
         return duration{0};
     }
+    if (count <= exact_observations) {
+        const auto last = static_cast<double>(count - 1);
+        return from_seconds(
+            state_->first.at(static_cast<std::size_t>(std::lround(quantile * last))));
+    }
     const auto estimates = acc::extended_p_square(state_->values);
     const double value = estimates[static_cast<std::ptrdiff_t>(nearest_tracked(quantile))];
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>{value});
+    return from_seconds(value);
 }
 
 struct metrics_registry::state {
--- a/libs/base/tests/metrics_test.cpp
+++ b/libs/base/tests/metrics_test.cpp
@@ -19,3 +19,14 @@
     REQUIRE(median > milliseconds{400});
     REQUIRE(median < milliseconds{600});
 }
+
+TEST_CASE("a few observations have quantiles of their own") {
+    latency_quantiles few;
+    REQUIRE(few.quantile(0.5) == duration{0});
+    few.record(milliseconds{30});
+    REQUIRE(few.quantile(0.5) == milliseconds{30});
+    few.record(milliseconds{10});
+    few.record(milliseconds{20});
+    REQUIRE(few.quantile(0.5) == milliseconds{20});
+    REQUIRE(few.quantile(0.99) == milliseconds{30});
+}
