--- a/boragefrontd/src/role.cpp
+++ b/boragefrontd/src/role.cpp
@@ -22,10 +22,28 @@
     result<running_role> operator()(const settings::sidecar_settings& /*role*/) const {
         return start_node<sidecar::sidecar_node>(settings, metrics);
     }
+    result<running_role> operator()(const settings::gateway_settings& /*role*/) const {
+        return start_node<gateway::gateway_node>(settings, metrics);
+    }
+};
+
+struct role_reloader {
+    const settings::daemon_settings& settings;
+
+    void operator()(const std::unique_ptr<gateway::gateway_node>& node) const {
+        node->reload(settings);
+    }
+    // The settings of these roles change only with a restart.
+    void operator()(const std::unique_ptr<entry::entry_node>& /*node*/) const {}
+    void operator()(const std::unique_ptr<sidecar::sidecar_node>& /*node*/) const {}
 };
 
 } // namespace
 
+void reload(running_role& role, const settings::daemon_settings& settings) {
+    std::visit(role_reloader{settings}, role);
+}
+
 result<running_role> start_role(const settings::daemon_settings& settings,
                                 metrics_registry& metrics) {
     return std::visit(role_starter{settings, metrics}, settings.role);
--- a/boragefrontd/src/role.hpp
+++ b/boragefrontd/src/role.hpp
@@ -5,6 +5,7 @@
 #include "base/error.hpp"
 #include "base/metrics.hpp"
 #include "entry/entry_node.hpp"
+#include "gateway/gateway_node.hpp"
 #include "settings/settings.hpp"
 #include "sidecar/sidecar_node.hpp"
 
@@ -15,7 +16,8 @@
 namespace boragefront::daemon {
 
 using running_role =
-    std::variant<std::unique_ptr<entry::entry_node>, std::unique_ptr<sidecar::sidecar_node>>;
+    std::variant<std::unique_ptr<entry::entry_node>, std::unique_ptr<sidecar::sidecar_node>,
+                 std::unique_ptr<gateway::gateway_node>>;
 
 /// Starts the role that the settings name.
 /// \param metrics outlives the role.
@@ -23,6 +25,9 @@
 result<running_role> start_role(const settings::daemon_settings& settings,
                                 metrics_registry& metrics);
 
+/// Takes over the settings that can change while the role runs.
+void reload(running_role& role, const settings::daemon_settings& settings);
+
 /// Shuts the role down gracefully and blocks until that ended.
 void shut_down(running_role& role);
 
--- /dev/null
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -0,0 +1,194 @@
+#include "balancing/endpoint_pool.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace boragefront;
+using namespace boragefront::balancing;
+
+namespace {
+
+const time_point start{seconds{1'000}};
+const cold_limit no_limit{};
+
+struct pool_fixture {
+    pool_fixture() { service.name = "model"; }
+
+    catalog::endpoint& add(const std::string& id, const std::string& data_centre = "a") {
+        catalog::endpoint made;
+        made.id = id;
+        made.service = "model";
+        made.address = "10.0.0." + std::to_string(endpoints.size() + 1) + ":80";
+        made.data_centre = data_centre;
+        made.slots = 4;
+        made.seen_at = start - seconds{60};
+        endpoints.push_back(made);
+        return endpoints.back();
+    }
+    void refresh(time_point now = start) { pool.set_endpoints(endpoints, evacuated, service, now); }
+    std::optional<chosen_endpoint> choose(choice_request request = {}, time_point now = start,
+                                          cold_limit cold = no_limit) {
+        return pool.choose(request, cold, group, now, random);
+    }
+    std::map<std::string, int> count_choices(int times, choice_request request = {},
+                                             time_point now = start) {
+        std::map<std::string, int> counts;
+        for (int i = 0; i < times; ++i) {
+            const auto chosen = choose(request, now);
+            ++counts[chosen ? chosen->id : "none"];
+        }
+        return counts;
+    }
+    void answer(const std::string& id, milliseconds latency, time_point now = start) {
+        const auto ticket = pool.started(id, no_limit, group, now);
+        pool.first_byte(id, ticket, now + latency);
+        pool.ended(id, ticket, send_outcome::answered, now + latency);
+    }
+
+    catalog::service service;
+    std::vector<catalog::endpoint> endpoints;
+    std::set<std::string, std::less<>> evacuated;
+    entry_group group{"self", {"self"}};
+    random_source random{42};
+    endpoint_pool pool;
+};
+
+} // namespace
+
+TEST_CASE_METHOD(pool_fixture, "leaving and evacuated endpoints get nothing", "[invariant]") {
+    add("stays");
+    add("leaves").state = catalog::endpoint_state::draining;
+    add("out", "b");
+    evacuated.insert("b");
+    refresh();
+    CHECK(count_choices(200) == std::map<std::string, int>{{"stays", 200}});
+}
+
+TEST_CASE_METHOD(pool_fixture, "an endpoint that left the list serves only while no other can") {
+    add("missing").removed_at = start;
+    refresh();
+    CHECK(choose().has_value());
+    add("listed");
+    refresh();
+    CHECK(count_choices(100) == std::map<std::string, int>{{"listed", 100}});
+}
+
+TEST_CASE_METHOD(pool_fixture, "an endpoint that left the list is dropped within two seconds",
+                 "[invariant]") {
+    add("missing").removed_at = start;
+    refresh();
+    CHECK_FALSE(choose({}, start + milliseconds{1'900}).has_value());
+}
+
+TEST_CASE_METHOD(pool_fixture, "an unreachable endpoint is held back, longer each time") {
+    add("dead");
+    add("sound");
+    refresh();
+    auto now = start;
+    for (int i = 0; i < 3; ++i) {
+        pool.ended("dead", pool.started("dead", no_limit, group, now), send_outcome::unreachable,
+                   now);
+        CHECK(count_choices(50, {}, now + milliseconds{200})["dead"] == 0);
+        now += milliseconds{900};
+    }
+}
+
+// Answers the pattern of an endpoint that works at a fraction of its pace with sound health.
+TEST_CASE_METHOD(pool_fixture, "a slow endpoint gets a small share") {
+    add("slow");
+    add("fast-1");
+    add("fast-2");
+    refresh();
+    for (int i = 0; i < 20; ++i) {
+        answer("slow", milliseconds{200});
+        answer("fast-1", milliseconds{20});
+        answer("fast-2", milliseconds{20});
+    }
+    CHECK(count_choices(300)["slow"] == 0);
+}
+
+// Answers the pattern of an endpoint that takes requests and never answers.
+TEST_CASE_METHOD(pool_fixture, "an endpoint that has gone silent is passed over") {
+    add("silent");
+    add("sound");
+    refresh();
+    for (int i = 0; i < 10; ++i) {
+        answer("silent", milliseconds{20});
+        answer("sound", milliseconds{20});
+    }
+    (void)pool.started("silent", no_limit, group, start);
+    CHECK(count_choices(100, {}, start + milliseconds{400})["silent"] == 0);
+}
+
+TEST_CASE_METHOD(pool_fixture, "requests that share a prompt meet at one endpoint, within bounds") {
+    for (int i = 0; i < 6; ++i) {
+        add("endpoint-" + std::to_string(i));
+    }
+    refresh();
+    choice_request shared;
+    shared.affinity = "5c1e07a2";
+    CHECK(count_choices(50, shared).size() == 1);
+    std::map<std::string, int> loaded;
+    for (int i = 0; i < 60; ++i) {
+        const auto chosen = choose(shared);
+        REQUIRE(chosen.has_value());
+        ++loaded[chosen->id];
+        (void)pool.started(chosen->id, no_limit, group, start);
+    }
+    CHECK(loaded.size() > 3); // spills once the first is well above the mean
+}
+
+TEST_CASE_METHOD(pool_fixture, "requests stay in the data centre of what they read") {
+    add("near-1", "a");
+    add("near-2", "a");
+    add("far", "b");
+    refresh();
+    choice_request request;
+    request.keep_in_data_centre = "a";
+    CHECK(count_choices(100, request)["far"] == 0);
+    for (int i = 0; i < 40; ++i) {
+        (void)pool.started("near-1", no_limit, group, start);
+        (void)pool.started("near-2", no_limit, group, start);
+    }
+    CHECK(count_choices(100, request)["far"] == 100);
+}
+
+// Answers the pattern of a data centre whose endpoints come back together, cold.
+TEST_CASE_METHOD(pool_fixture, "a cold endpoint is limited until its cold time ends",
+                 "[invariant]") {
+    auto& cold = add("cold");
+    cold.cold_for = milliseconds{3'000};
+    cold.seen_at = start;
+    service.cold_requests_per_second = 10;
+    service.cold_start = milliseconds{3'000};
+    refresh();
+    const cold_limit limit{10, 1.5, 5};
+    int sent = 0;
+    while (const auto chosen = choose({}, start, limit)) {
+        (void)pool.started(chosen->id, limit, group, start);
+        ++sent;
+        REQUIRE(sent < 100);
+    }
+    CHECK(sent >= 1);
+    CHECK(sent <= 10);
+    CHECK(choose({}, start + milliseconds{3'100}, limit).has_value());
+}
+
+TEST_CASE_METHOD(pool_fixture, "an endpoint that resets connections may have started again") {
+    add("restarted");
+    service.cold_requests_per_second = 10;
+    service.cold_start = milliseconds{3'000};
+    refresh();
+    pool.ended("restarted", pool.started("restarted", no_limit, group, start),
+               send_outcome::unreachable, start);
+    const cold_limit limit{10, 1.5, 5};
+    const auto later = start + milliseconds{600};
+    int sent = 0;
+    while (const auto chosen = choose({}, later, limit)) {
+        (void)pool.started(chosen->id, limit, group, later);
+        ++sent;
+        REQUIRE(sent < 100);
+    }
+    CHECK(sent <= 10);
+}
--- a/libs/base/include/base/error.hpp
+++ b/libs/base/include/base/error.hpp
@@ -17,6 +17,9 @@
 enum class error_kind : std::uint8_t {
     bad_request,       ///< malformed or invalid input; `field` names the part
     too_large,         ///< input beyond a size limit
+    header_too_large,  ///< a request header beyond its size limit
+    request_timeout,   ///< a request did not arrive whole in time
+    unauthorized,      ///< no known key came with the request
     unknown_service,   ///< no such service in the configuration in force
     unknown_workspace, ///< no such workspace in the configuration in force
     over_limit,        ///< a rate, concurrency or queue limit refused the work
@@ -30,6 +33,7 @@
     stage_failed,      ///< an endpoint answered with a failure
     incomplete_answer, ///< an answer or stream ended before its explicit end
     no_endpoint,       ///< no endpoint can be chosen now
+    no_capacity,       ///< the work ahead would take longer than the request has
     connect_failed,    ///< the peer could not be reached; nothing was sent
     connection_lost,   ///< the connection ended after something may have been sent
     cancelled,         ///< the attempt was cancelled by its owner
--- a/libs/base/src/logging.cpp
+++ b/libs/base/src/logging.cpp
@@ -1,18 +1,94 @@
 #include "base/logging.hpp"
 
+#include <boost/core/null_deleter.hpp>
 #include <boost/json.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/trivial.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <iostream>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
 
 namespace boragefront {
 namespace {
 
+constexpr std::size_t queue_length = 4'096; // some seconds of decisions at the usual bound
+constexpr unsigned default_decision_rate = 400;
+
+std::atomic<std::uint64_t>& left_out() {
+    static std::atomic<std::uint64_t> count{0};
+    return count;
+}
+
+// What the queue does when it is full. The names are Boost.Log's.
+class count_and_drop {
+protected:
+    template <class Lock>
+    static bool on_overflow(const boost::log::record_view& /*record*/, Lock& /*lock*/) {
+        left_out().fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+    static void on_queue_space_available() {}
+    static void interrupt() {}
+};
+
+using log_sink = boost::log::sinks::asynchronous_sink<
+    boost::log::sinks::text_ostream_backend,
+    boost::log::sinks::bounded_fifo_queue<queue_length, count_and_drop>>;
+
+boost::shared_ptr<log_sink>& current_sink() {
+    static boost::shared_ptr<log_sink> sink;
+    return sink;
+}
+
+// Decisions of the running second against their bound.
+class decision_limit {
+public:
+    void set_rate(unsigned lines_per_second) {
+        const std::scoped_lock lock{mutex_};
+        rate_ = lines_per_second;
+    }
+    // Returns whether a line may be written; if so, how many were left out since the last one.
+    std::optional<std::uint64_t> take(time_point now) {
+        const std::scoped_lock lock{mutex_};
+        if (now - begins_ >= seconds{1}) {
+            begins_ = now;
+            written_ = 0;
+        }
+        if (written_ >= rate_) {
+            left_out().fetch_add(1, std::memory_order_relaxed);
+            ++skipped_;
+            return std::nullopt;
+        }
+        ++written_;
+        return std::exchange(skipped_, 0);
+    }
+
+private:
+    std::mutex mutex_;
+    unsigned rate_{default_decision_rate};
+    unsigned written_{0};
+    std::uint64_t skipped_{0};
+    time_point begins_{};
+};
+
+decision_limit& decisions() {
+    static decision_limit limit;
+    return limit;
+}
+
 struct log_style {
     log_format format{log_format::key_value};
     std::string instance{"-"};
@@ -72,8 +148,59 @@
 void init_logging(log_format format, std::string instance) {
     style() = log_style{format, std::move(instance)};
     boost::log::core::get()->remove_all_sinks();
-    boost::log::add_console_log(std::clog, boost::log::keywords::format = "%Message%",
-                                boost::log::keywords::auto_flush = true);
+    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>{&std::cout, boost::null_deleter{}});
+    backend->auto_flush(true);
+    constexpr bool start_thread = false;
+    current_sink() = boost::make_shared<log_sink>(backend, start_thread);
+    current_sink()->set_formatter(boost::log::expressions::stream
+                                  << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(current_sink());
+}
+
+void start_log_writer() {
+    std::thread{[sink = current_sink()] { sink->run(); }}.detach();
+}
+
+void set_decision_rate(unsigned lines_per_second) {
+    decisions().set_rate(lines_per_second);
+}
+
+std::uint64_t log_lines_left_out() {
+    return left_out().load(std::memory_order_relaxed);
+}
+
+void flush_logs(milliseconds at_most) {
+    if (current_sink() == nullptr) {
+        return;
+    }
+    // The writer may be blocked for good, so another thread waits for it.
+    struct shared_flag {
+        std::mutex mutex;
+        std::condition_variable changed;
+        bool flushed{false};
+    };
+    auto flag = std::make_shared<shared_flag>();
+    std::thread{[flag, sink = current_sink()] {
+        sink->flush();
+        const std::scoped_lock lock{flag->mutex};
+        flag->flushed = true;
+        flag->changed.notify_all();
+    }}.detach();
+    std::unique_lock lock{flag->mutex};
+    flag->changed.wait_for(lock, at_most, [&] { return flag->flushed; });
+}
+
+void log_decision(std::string_view component, std::string_view event,
+                  std::initializer_list<log_field> fields) {
+    const auto skipped = decisions().take(steady_clock::now());
+    if (!skipped) {
+        return;
+    }
+    BOOST_LOG_TRIVIAL(info) << format_line("info", component, event, fields);
+    if (*skipped > 0) {
+        log_change("log", "lines_left_out", {{"count", std::to_string(*skipped)}});
+    }
 }
 
 void log_change(std::string_view component, std::string_view event,
--- /dev/null
+++ b/libs/catalog/src/replica.cpp
@@ -0,0 +1,74 @@
+#include "catalog/replica.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace boragefront::catalog {
+
+bool replica::merge(const published_item& item, time_point now) {
+    auto& kept = items_[item.key];
+    if (item.at <= kept.at) {
+        return false;
+    }
+    kept = held{item.at, item.value, now};
+    return true;
+}
+
+bool replica::apply_changes(const std::vector<published_item>& items, revision through,
+                            time_point now) {
+    bool changed = false;
+    for (const auto& item : items) {
+        changed = merge(item, now) || changed;
+    }
+    through_ = std::max(through_, through);
+    return changed;
+}
+
+bool replica::apply_listing(const std::vector<published_item>& items, revision as_of,
+                            time_point now) {
+    std::set<std::string_view> listed;
+    for (const auto& item : items) {
+        listed.insert(item.key);
+    }
+    bool changed = false;
+    for (auto& [key, kept] : items_) {
+        if (kept.value && kept.at <= as_of && !listed.contains(key)) {
+            kept = held{as_of, std::nullopt, now};
+            changed = true;
+        }
+    }
+    return apply_changes(items, as_of, now) || changed;
+}
+
+bool replica::apply(const replica_delta& delta, time_point now) {
+    if (delta.through <= through_) {
+        return false;
+    }
+    return delta.whole ? apply_listing(delta.items, delta.through, now)
+                       : apply_changes(delta.items, delta.through, now);
+}
+
+replica_delta replica::changes_since(revision since) const {
+    replica_delta delta;
+    delta.whole = since < forgotten_through_ || since == 0;
+    delta.through = through_;
+    for (const auto& [key, kept] : items_) {
+        if (delta.whole ? kept.value.has_value() : kept.at > since) {
+            delta.items.push_back({key, kept.at, kept.value});
+        }
+    }
+    return delta;
+}
+
+void replica::forget_removals(time_point horizon) {
+    std::erase_if(items_, [&](const auto& one) {
+        const auto& kept = one.second;
+        const bool forget = !kept.value && kept.changed_at < horizon;
+        if (forget) {
+            forgotten_through_ = std::max(forgotten_through_, kept.at);
+        }
+        return forget;
+    });
+}
+
+} // namespace boragefront::catalog
--- /dev/null
+++ b/libs/catalog/tests/route_table_test.cpp
@@ -0,0 +1,46 @@
+#include "catalog/route_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace boragefront::catalog;
+
+namespace {
+
+route make_route(std::string name, std::string host, std::string prefix) {
+    route made;
+    made.name = std::move(name);
+    made.host = std::move(host);
+    made.prefix = std::move(prefix);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("the longest prefix of the host's routes is chosen") {
+    const std::vector<route> routes{make_route("short", "a.example", "/x/"),
+                                    make_route("long", "a.example", "/x/y/"),
+                                    make_route("other", "b.example", "/x/y/z/")};
+    const auto table = route_table::make(routes);
+    REQUIRE(table.find("a.example", "/x/y/z/1") != nullptr);
+    CHECK(table.find("a.example", "/x/y/z/1")->name == "long");
+    CHECK(table.find("a.example", "/x/yy")->name == "short");
+    CHECK(table.find("a.example", "/x") == nullptr);
+    CHECK(table.find("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("a host is compared without its port and without regard to case") {
+    const std::vector<route> routes{make_route("one", "A.Example", "/")};
+    const auto table = route_table::make(routes);
+    CHECK(table.find("a.example:8080", "/") != nullptr);
+    CHECK(table.find("a.eXample", "/anything") != nullptr);
+}
+
+TEST_CASE("requests are divided between services by weight") {
+    route split;
+    split.services = {{"none", 0}, {"most", 90}, {"few", 10}};
+    CHECK(choose_service(split, 0.0) == "most");
+    CHECK(choose_service(split, 0.89) == "most");
+    CHECK(choose_service(split, 0.91) == "few");
+    CHECK(choose_service(split, 0.9999) == "few");
+    CHECK(choose_service(route{}, 0.5).empty());
+}
--- a/libs/control/src/plane_answers.cpp
+++ b/libs/control/src/plane_answers.cpp
@@ -27,7 +27,16 @@
             [&](const wire::metrics_request&) -> wire::answer {
                 return wire::metrics_answer{metrics_.all.exposition()};
             },
-            [&](const auto& one) -> wire::answer { return node_->answer(one, now); },
+            [&](const wire::digest_request& one) -> wire::answer {
+                return node_->answer(one, now);
+            },
+            [&](const wire::delta_request& one) -> wire::answer { return node_->answer(one, now); },
+            [&](const wire::instances_request& one) -> wire::answer {
+                return node_->answer(one, now);
+            },
+            [](const auto&) -> wire::answer {
+                return wire::refusal{"a request that only a gateway answers"};
+            },
         },
         asked);
     publish_changes(now);
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway_node.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// An entry that sends requests straight to their endpoints, with nothing beside these.
+#pragma once
+
+#include "base/error.hpp"
+#include "base/metrics.hpp"
+#include "settings/settings.hpp"
+
+#include <memory>
+#include <string>
+
+namespace boragefront::gateway {
+
+/// A running gateway: one thread for control state, one for traffic.
+class gateway_node {
+public:
+    /// Binds its addresses and starts.
+    /// \param metrics outlives the node.
+    /// \returns `bad_request` for the settings of another role, `unavailable` if an address cannot
+    /// be bound.
+    static result<std::unique_ptr<gateway_node>> start(const settings::daemon_settings& settings,
+                                                       metrics_registry& metrics);
+
+    gateway_node() = default;
+    gateway_node(const gateway_node&) = delete;
+    gateway_node& operator=(const gateway_node&) = delete;
+    virtual ~gateway_node() = default;
+
+    /// Takes over the settings that can change while it runs. Any thread.
+    virtual void reload(const settings::daemon_settings& settings) = 0;
+
+    /// Begins a graceful shutdown. Any thread; idempotent.
+    virtual void request_shutdown() = 0;
+
+    /// Blocks until the shutdown has ended.
+    virtual void wait() = 0;
+
+    virtual std::string data_address() const = 0;
+    virtual std::string control_address() const = 0;
+};
+
+} // namespace boragefront::gateway
--- /dev/null
+++ b/libs/gateway/src/traffic_state.cpp
@@ -0,0 +1,73 @@
+#include "traffic_state.hpp"
+
+#include <algorithm>
+
+namespace boragefront::gateway {
+
+traffic_state::traffic_state(settings::gateway_settings role, std::string self_id,
+                             std::string data_centre, metrics_registry& metrics)
+    : role_{std::move(role)}, self_id_{std::move(self_id)},
+      data_centre_{std::move(data_centre)}, metrics_{metrics} {
+    group_ = {self_id_, {self_id_}};
+}
+
+void traffic_state::publish(std::shared_ptr<const indexed_snapshot> next, time_point now) {
+    current_ = std::move(next);
+    const auto& published = current_->published;
+    const auto& services = published.config->services;
+    for (const auto& [name, service] : services) {
+        pools_[name].set_endpoints(published.endpoints, published.evacuated, service, now);
+    }
+    std::erase_if(pools_, [&](const auto& one) { return !services.contains(one.first); });
+}
+
+void traffic_state::set_fleet(fleet_view view, time_point /*now*/) {
+    fleet_ = std::move(view);
+    group_.members = {self_id_};
+    for (const auto& one : fleet_.serving) {
+        group_.members.push_back(one.id);
+    }
+    // Entries that are believed to be there but are not known by name count as well.
+    while (group_.members.size() < fleet_.entries_at_most) {
+        group_.members.push_back("unknown-" + std::to_string(group_.members.size()));
+    }
+}
+
+balancing::endpoint_pool* traffic_state::pool(std::string_view service) {
+    const auto found = pools_.find(service);
+    return found == pools_.end() ? nullptr : &found->second;
+}
+
+balancing::cold_limit traffic_state::cold_limit_of(std::string_view service) const {
+    const auto& services = current_->published.config->services;
+    const auto found = services.find(service);
+    const double per_second = found == services.end() ? 0 : found->second.cold_requests_per_second;
+    return {per_second, role_.cold_tolerance, role_.cold_slack};
+}
+
+balancing::retry_limit traffic_state::retry_limit() const {
+    return {role_.retry_ratio, role_.retry_slack, role_.retry_window};
+}
+
+std::string traffic_state::stage_endpoint_at(std::string_view address) const {
+    const auto& published = current_->published;
+    for (const auto& one : published.endpoints) {
+        if (one.address != address || one.removed_at) {
+            continue;
+        }
+        const auto service = published.config->services.find(one.service);
+        const bool makes_pieces =
+            service != published.config->services.end() && service->second.stages.has_value();
+        return makes_pieces ? one.id : std::string{};
+    }
+    return {};
+}
+
+std::string traffic_state::data_centre_of(std::string_view address) const {
+    const auto& endpoints = current_->published.endpoints;
+    const auto found = std::find_if(endpoints.begin(), endpoints.end(),
+                                    [&](const auto& one) { return one.address == address; });
+    return found == endpoints.end() ? std::string{} : found->data_centre;
+}
+
+} // namespace boragefront::gateway
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -36,10 +36,14 @@
 };
 
 struct call_options {
-    time_point deadline;                ///< for the whole call, connecting included
-    milliseconds connect_timeout{500};  ///< for a new connection, if sooner than `deadline`
-    bool fresh_connection{false};       ///< take no connection from the pool
-    cancel_source* cancel{nullptr};     ///< not owned; may be null
+    time_point deadline;               ///< for the whole call, connecting included
+    milliseconds connect_timeout{500}; ///< for a new connection, if sooner than `deadline`
+    bool fresh_connection{false};      ///< take no connection from the pool
+    milliseconds idle_limit{30'000};   ///< take no connection that was idle for longer
+    cancel_source* cancel{nullptr};    ///< not owned; may be null
+    /// Tells an answer to this request from a late one to an earlier request on the connection,
+    /// which is read and dropped. Empty: every answer belongs.
+    std::function<bool(const response& head)> belongs{};
     std::size_t body_limit{16U << 20U}; ///< a longer answer is `too_large`
 };
 
@@ -58,6 +62,10 @@
     /// \returns `incomplete_answer` if the connection ends first, `deadline_exceeded` on time-out.
     virtual awaitable<result<std::optional<std::string>>> next_line(time_point deadline) = 0;
 
+    /// Bytes of the body as they arrive; nothing at its explicit end. \returns errors as
+    /// `next_line`.
+    virtual awaitable<result<std::optional<std::string>>> next_bytes(time_point deadline) = 0;
+
     /// The rest of the body. \returns errors as `next_line`.
     virtual awaitable<result<std::string>> read_rest(time_point deadline) = 0;
 };
--- a/libs/http/include/http/message.hpp
+++ b/libs/http/include/http/message.hpp
@@ -20,9 +20,15 @@
     std::string_view get(std::string_view name) const;
     bool has(std::string_view name) const;
 
-    /// Sets the header, replacing one of the same name.
+    /// Sets the header, replacing all of the same name.
     void set(std::string_view name, std::string value);
 
+    /// Appends a header, keeping others of the same name.
+    void add(std::string_view name, std::string value);
+
+    /// Removes all headers of this name.
+    void remove(std::string_view name);
+
     auto begin() const { return headers_.begin(); }
     auto end() const { return headers_.end(); }
 
--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -53,8 +53,9 @@
 struct server_limits {
     std::size_t body_bytes{4U << 20U};
     std::size_t header_bytes{32U << 10U};
-    seconds idle_timeout{60};    ///< a connection without a request is closed after this
-    seconds request_timeout{30}; ///< a request must have arrived whole within this
+    milliseconds idle_timeout{60'000};    ///< a connection without a request is closed after this
+    milliseconds header_timeout{30'000};  ///< from a header's first byte to its last
+    milliseconds request_timeout{30'000}; ///< for a body to arrive, and for each write
 };
 
 /// Listens on one address until it is stopped. Requests over a limit get `too_large`, malformed
@@ -78,6 +79,13 @@
     /// Requests read and not yet wholly answered.
     virtual std::size_t open_requests() const = 0;
 
+    /// Replaces the limits; requests whose header is read later keep to the new ones.
+    virtual void set_limits(server_limits limits) = 0;
+
+    /// From now on each answer closes its connection and says so; connections without a request
+    /// stay open, because a request may be on its way on them.
+    virtual void announce_close() = 0;
+
     /// Closes the listening socket and idle connections; answers in progress go on, and their
     /// connections close after them.
     virtual void stop_accepting() = 0;
--- a/libs/http/src/beast_messages.cpp
+++ b/libs/http/src/beast_messages.cpp
@@ -3,11 +3,24 @@
 #include "base/ids.hpp"
 
 #include <limits>
+#include <netinet/tcp.h>
 
 namespace boragefront::http {
 namespace {
 constexpr unsigned http_1_1 = 11;
-}
+
+// A connection may lose its peer without a reset. Two unanswered probes a second apart tell that
+// within three seconds, the time after which machines that were cut off count as in touch again.
+constexpr int probe_after_idle_s = 1;
+constexpr int probe_interval_s = 1;
+constexpr int probes_unanswered = 2;
+constexpr int unacknowledged_limit_ms = 3'000;
+
+using probe_idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using probe_interval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using probe_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+} // namespace
 
 result<tcp::endpoint> parse_address(std::string_view text) {
     const auto colon = text.rfind(':');
@@ -27,16 +40,27 @@
     return tcp::endpoint{ip, static_cast<std::uint16_t>(*port)};
 }
 
+void detect_dead_peer(tcp::socket& socket) {
+    // The options are best effort: without them only the time-outs of calls notice a dead peer.
+    boost::system::error_code unsupported;
+    socket.set_option(tcp::no_delay{true}, unsupported);
+    socket.set_option(asio::socket_base::keep_alive{true}, unsupported);
+    socket.set_option(probe_idle{probe_after_idle_s}, unsupported);
+    socket.set_option(probe_interval{probe_interval_s}, unsupported);
+    socket.set_option(probe_count{probes_unanswered}, unsupported);
+    socket.set_option(user_timeout{unacknowledged_limit_ms}, unsupported);
+}
+
 void copy_headers(const header_list& from, beast::http::fields& to) {
     for (const auto& entry : from) {
-        to.set(entry.name, entry.value);
+        to.insert(entry.name, entry.value);
     }
 }
 
 header_list read_headers(const beast::http::fields& from) {
     header_list headers;
     for (const auto& field : from) {
-        headers.set(std::string_view{field.name_string().data(), field.name_string().size()},
+        headers.add(std::string_view{field.name_string().data(), field.name_string().size()},
                     std::string{field.value()});
     }
     return headers;
@@ -48,7 +72,9 @@
     out.target(message.target);
     out.version(http_1_1);
     copy_headers(message.headers, out);
-    out.set(beast::http::field::host, host);
+    if (out.count(beast::http::field::host) == 0) {
+        out.set(beast::http::field::host, host);
+    }
     out.body() = std::move(message.body);
     out.prepare_payload();
     return out;
--- a/libs/http/src/beast_messages.hpp
+++ b/libs/http/src/beast_messages.hpp
@@ -22,6 +22,10 @@
 /// \returns `bad_request` if it is not an address with a port.
 result<tcp::endpoint> parse_address(std::string_view text);
 
+/// Sets a socket up so that a peer that vanished without a reset is noticed: probes while it is
+/// idle, a bound on unacknowledged data while it is not. Also disables Nagle's algorithm.
+void detect_dead_peer(tcp::socket& socket);
+
 /// Copies our headers into a Beast message.
 void copy_headers(const header_list& from, beast::http::fields& to);
 
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.hpp"
 
+#include "base/ids.hpp"
 #include "beast_messages.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -20,6 +21,11 @@
 
 constexpr std::size_t read_size = 8192;
 constexpr std::size_t idle_connections_per_address = 64;
+constexpr std::size_t foreign_answers_limit = 2; // more mean that the peer is out of step
+// A body up to this size fits the socket's buffer, so that writing it cannot wait for the peer.
+constexpr std::size_t body_written_at_once = 8U << 10U;
+// A peer closes an idle connection a little before or after what it announced.
+constexpr milliseconds announced_idle_margin{500};
 constexpr seconds idle_connection_lifetime{30};
 
 auto awaitable_into(boost::system::error_code& failure) {
@@ -32,6 +38,8 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     time_point idle_since{};
+    milliseconds idle_lifetime{idle_connection_lifetime};
+    bool out_of_step{false}; ///< an answer came that belonged to no request
 };
 
 using connection_ptr = std::unique_ptr<peer_connection>;
@@ -39,12 +47,13 @@
 // Idle connections by address.
 class connection_pool {
 public:
-    connection_ptr take(const std::string& address, time_point now) {
+    connection_ptr take(const std::string& address, time_point now, milliseconds idle_limit) {
         auto& idle = idle_[address];
         while (!idle.empty()) {
             auto taken = std::move(idle.back());
             idle.pop_back();
-            if (now - taken->idle_since < idle_connection_lifetime && is_quiet(*taken)) {
+            if (now - taken->idle_since < std::min(taken->idle_lifetime, idle_limit) &&
+                is_quiet(*taken)) {
                 return taken;
             }
         }
@@ -119,6 +128,21 @@
     return make_error(error_kind::connection_lost, failure.message());
 }
 
+// What the peer says of the time that it keeps an idle connection, less a margin.
+milliseconds announced_idle_lifetime(const response& head) {
+    constexpr std::string_view parameter = "timeout=";
+    const auto text = head.headers.get("Keep-Alive");
+    const auto found = text.find(parameter);
+    if (found == std::string_view::npos) {
+        return idle_connection_lifetime;
+    }
+    const auto digits = text.substr(found + parameter.size());
+    const auto announced = parse_number(digits.substr(0, digits.find_first_not_of("0123456789")));
+    const milliseconds lifetime = announced ? milliseconds{seconds{*announced}} : milliseconds{0};
+    return std::clamp(lifetime - announced_idle_margin, milliseconds{0},
+                      milliseconds{idle_connection_lifetime});
+}
+
 using body_parser = beast::http::response_parser<beast::http::buffer_body>;
 
 class beast_stream : public response_stream {
@@ -126,27 +150,41 @@
     beast_stream(connection_ptr connection, std::string address, shared_pool pool,
                  const call_options& options)
         : connection_{std::move(connection)}, address_{std::move(address)}, pool_{std::move(pool)},
-          guard_{options.cancel, *connection_}, body_limit_{options.body_limit} {
-        parser_.body_limit(options.body_limit);
+          guard_{options.cancel, *connection_}, belongs_{options.belongs}, body_limit_{
+                                                                               options.body_limit} {
+        start_parser();
+    }
+    ~beast_stream() override {
+        if (connection_ != nullptr) {
+            connection_->stream.close();
+        }
     }
+    beast_stream(const beast_stream&) = delete;
+    beast_stream& operator=(const beast_stream&) = delete;
 
     awaitable<result<void>> exchange(request message, time_point deadline) {
         auto outgoing = to_beast(std::move(message), address_);
         boost::system::error_code failure;
-        auto& stream = connection_->stream;
-        stream.expires_at(deadline);
-        co_await beast::http::async_write(stream, outgoing, awaitable_into(failure));
-        if (!failure) {
-            co_await beast::http::async_read_header(stream, connection_->buffer, parser_,
-                                                    awaitable_into(failure));
+        connection_->stream.expires_at(deadline);
+        if (outgoing.body().size() > body_written_at_once) {
+            write_beside(std::move(outgoing));
+        } else {
+            co_await beast::http::async_write(connection_->stream, outgoing,
+                                              awaitable_into(failure));
         }
         if (failure) {
             co_return call_failure(failure, guard_.cancelled());
         }
-        head_.status = parser_.get().result_int();
-        head_.headers = read_headers(parser_.get());
-        release_if_done();
-        co_return success();
+        for (std::size_t foreign = 0; foreign <= foreign_answers_limit; ++foreign) {
+            BOOST_OUTCOME_CO_TRY(co_await read_head(deadline));
+            if (!belongs_ || belongs_(head_)) {
+                release_if_done();
+                co_return success();
+            }
+            connection_->out_of_step = true;
+            BOOST_OUTCOME_CO_TRY(co_await drop_answer(deadline));
+        }
+        co_return make_error(error_kind::connection_lost, "answers to other requests");
     }
 
     const response& head() const override { return head_; }
@@ -159,21 +197,72 @@
                 pending_.erase(0, newline + 1);
                 co_return line;
             }
-            if (parser_.is_done()) {
+            if (parser_->is_done()) {
                 co_return take_last_line();
             }
             BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
         }
     }
 
+    awaitable<result<std::optional<std::string>>> next_bytes(time_point deadline) override {
+        while (pending_.empty() && !parser_->is_done()) {
+            BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
+        }
+        co_return take_last_line();
+    }
+
     awaitable<result<std::string>> read_rest(time_point deadline) override {
-        while (!parser_.is_done()) {
+        while (!parser_->is_done()) {
             BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
         }
         co_return std::exchange(pending_, {});
     }
 
 private:
+    using outgoing_request = beast::http::request<beast::http::string_body>;
+
+    // Writes while the answer may already be read: a peer may answer before it has read a long
+    // body, and then the rest of the body must still follow on this connection, or nothing.
+    struct body_write {
+        outgoing_request message;
+        bool done{false};
+    };
+
+    void write_beside(outgoing_request message) {
+        write_ = std::make_shared<body_write>(body_write{std::move(message)});
+        beast::http::async_write(connection_->stream, write_->message,
+                                 [write = write_](boost::system::error_code failure, std::size_t) {
+                                     write->done = !failure;
+                                 });
+    }
+
+    void start_parser() {
+        parser_.emplace();
+        parser_->body_limit(body_limit_);
+    }
+
+    awaitable<result<void>> read_head(time_point deadline) {
+        boost::system::error_code failure;
+        connection_->stream.expires_at(deadline);
+        co_await beast::http::async_read_header(connection_->stream, connection_->buffer, *parser_,
+                                                awaitable_into(failure));
+        if (failure) {
+            co_return call_failure(failure, guard_.cancelled());
+        }
+        head_.status = parser_->get().result_int();
+        head_.headers = read_headers(parser_->get());
+        co_return success();
+    }
+
+    awaitable<result<void>> drop_answer(time_point deadline) {
+        while (!parser_->is_done()) {
+            BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
+        }
+        pending_.clear();
+        start_parser();
+        co_return success();
+    }
+
     std::optional<std::string> take_last_line() {
         if (pending_.empty()) {
             return std::nullopt;
@@ -183,12 +272,12 @@
 
     awaitable<result<void>> read_more(time_point deadline) {
         std::array<char, read_size> bytes{};
-        auto& body = parser_.get().body();
+        auto& body = parser_->get().body();
         body.data = bytes.data();
         body.size = bytes.size();
         boost::system::error_code failure;
         connection_->stream.expires_at(deadline);
-        co_await beast::http::async_read_some(connection_->stream, connection_->buffer, parser_,
+        co_await beast::http::async_read_some(connection_->stream, connection_->buffer, *parser_,
                                               awaitable_into(failure));
         if (failure == beast::http::error::need_buffer) {
             failure = {};
@@ -206,12 +295,17 @@
 
     // Only a connection whose answer was read to its end, in time, may serve another call.
     void release_if_done() {
-        if (!parser_.is_done() || connection_ == nullptr || guard_.cancelled()) {
+        if (!parser_->is_done() || connection_ == nullptr || guard_.cancelled() ||
+            connection_->out_of_step) {
             return;
         }
         guard_.release();
-        if (parser_.keep_alive()) {
+        const bool wrote_all = write_ == nullptr || write_->done;
+        if (!wrote_all) {
+            connection_->stream.close();
+        } else if (parser_->keep_alive()) {
             connection_->stream.expires_never();
+            connection_->idle_lifetime = announced_idle_lifetime(head_);
             pool_->give_back(address_, std::move(connection_), steady_clock::now());
         }
     }
@@ -220,8 +314,10 @@
     std::string address_;
     shared_pool pool_;
     cancel_guard guard_;
+    std::function<bool(const response&)> belongs_;
     std::size_t body_limit_;
-    body_parser parser_;
+    std::optional<body_parser> parser_;
+    std::shared_ptr<body_write> write_; // shared with the write's completion
     response head_;
     std::string pending_;
 };
@@ -247,8 +343,9 @@
             co_return make_error(error_kind::cancelled, work_ran::no,
                                  "cancelled before it was sent");
         }
-        auto connection =
-            options.fresh_connection ? nullptr : pool_->take(address, steady_clock::now());
+        auto connection = options.fresh_connection
+                              ? nullptr
+                              : pool_->take(address, steady_clock::now(), options.idle_limit);
         if (connection == nullptr) {
             BOOST_OUTCOME_CO_TRY(connection, co_await connect(address, options));
         }
@@ -276,7 +373,7 @@
         if (failure) {
             co_return make_error(error_kind::connect_failed, address + ": " + failure.message());
         }
-        made->stream.socket().set_option(tcp::no_delay{true}, failure);
+        detect_dead_peer(made->stream.socket());
         co_return made;
     }
 
--- a/libs/http/src/message.cpp
+++ b/libs/http/src/message.cpp
@@ -56,6 +56,15 @@
     headers_.push_back({std::string{name}, std::move(value)});
 }
 
+void header_list::add(std::string_view name, std::string value) {
+    headers_.push_back({std::string{name}, std::move(value)});
+}
+
+void header_list::remove(std::string_view name) {
+    std::erase_if(headers_,
+                  [&](const header& entry) { return boost::algorithm::iequals(entry.name, name); });
+}
+
 response make_json_response(unsigned status, std::string body) {
     response answer{.status = status};
     answer.headers.set("Content-Type", "application/json");
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -26,13 +26,23 @@
 namespace {
 
 constexpr milliseconds accept_retry_delay{50};
+constexpr std::size_t read_size = 4096; // most of a usual request in one system call
 
 // What the server and its connections share; it outlives the server object while answers go on.
 struct shared_state {
-    server_limits limits;
+    server_limits limits() const {
+        const std::scoped_lock lock{mutex};
+        return current_limits;
+    }
+
+    mutable std::mutex mutex;
+    server_limits current_limits;
     handler handle;
     std::atomic<std::size_t> open_requests{0};
+    std::atomic<bool> announcing_close{false};
     std::atomic<bool> stopping{false};
+
+    bool may_keep_connections() const { return !stopping && !announcing_close; }
 };
 
 auto awaitable_into(boost::system::error_code& failure) {
@@ -73,10 +83,10 @@
 
     awaitable<result<void>> send(response answer) override {
         answered_ = true;
-        const bool keep = keep_alive_ && !shared_->stopping;
+        const bool keep = keep_alive_ && shared_->may_keep_connections();
         auto message = to_beast(std::move(answer), keep);
         boost::system::error_code failure;
-        stream_.expires_after(shared_->limits.request_timeout);
+        stream_.expires_after(shared_->limits().request_timeout);
         co_await beast::http::async_write(stream_, message, awaitable_into(failure));
         complete_ = !failure;
         keep_alive_ = keep && complete_;
@@ -92,11 +102,12 @@
         message.result(head.status);
         message.version(11);
         copy_headers(head.headers, message);
-        message.keep_alive(keep_alive_ && !shared_->stopping);
+        keep_alive_ = keep_alive_ && shared_->may_keep_connections();
+        message.keep_alive(keep_alive_);
         message.chunked(true);
         beast::http::response_serializer<beast::http::empty_body> serializer{message};
         boost::system::error_code failure;
-        stream_.expires_after(shared_->limits.request_timeout);
+        stream_.expires_after(shared_->limits().request_timeout);
         co_await beast::http::async_write_header(stream_, serializer, awaitable_into(failure));
         if (failure) {
             co_return write_failure(failure);
@@ -107,7 +118,7 @@
     awaitable<result<void>> write(std::string_view data) override {
         const asio::const_buffer bytes{data.data(), data.size()};
         boost::system::error_code failure;
-        stream_.expires_after(shared_->limits.request_timeout);
+        stream_.expires_after(shared_->limits().request_timeout);
         co_await asio::async_write(stream_, beast::http::make_chunk(bytes),
                                    awaitable_into(failure));
         if (failure) {
@@ -118,7 +129,7 @@
 
     awaitable<result<void>> finish() override {
         boost::system::error_code failure;
-        stream_.expires_after(shared_->limits.request_timeout);
+        stream_.expires_after(shared_->limits().request_timeout);
         co_await asio::async_write(stream_, beast::http::make_chunk_last(),
                                    awaitable_into(failure));
         complete_ = !failure;
@@ -141,24 +152,42 @@
 
     // Returns whether the connection may serve another request.
     awaitable<bool> serve_one() {
+        if (!co_await first_bytes()) {
+            co_return false;
+        }
+        serving_ = true;
+        const auto limits = shared_->limits();
         parser_type parser;
-        parser.header_limit(static_cast<std::uint32_t>(shared_->limits.header_bytes));
-        parser.body_limit(shared_->limits.body_bytes);
+        parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+        parser.body_limit(limits.body_bytes);
         boost::system::error_code failure;
-        stream_.expires_after(shared_->limits.idle_timeout);
+        stream_.expires_after(limits.header_timeout);
         co_await beast::http::async_read_header(stream_, buffer_, parser, awaitable_into(failure));
         if (!failure) {
-            serving_ = true;
-            stream_.expires_after(shared_->limits.request_timeout);
+            stream_.expires_after(limits.request_timeout);
             co_await beast::http::async_read(stream_, buffer_, parser, awaitable_into(failure));
         }
         if (failure) {
             co_await refuse(failure);
+            serving_ = false;
             co_return false;
         }
         co_return co_await answer(parser);
     }
 
+    // Waits for a request to begin. Returns whether one did.
+    awaitable<bool> first_bytes() {
+        if (buffer_.size() > 0) {
+            co_return true;
+        }
+        boost::system::error_code failure;
+        stream_.expires_after(shared_->limits().idle_timeout);
+        const auto size =
+            co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+        buffer_.commit(size);
+        co_return !failure && size > 0;
+    }
+
     awaitable<bool> answer(parser_type& parser) {
         auto message = parser.release();
         keep_alive_ = message.keep_alive();
@@ -191,9 +220,13 @@
 
     awaitable<void> refuse(const boost::system::error_code& failure) {
         keep_alive_ = false;
-        if (failure == beast::http::error::body_limit ||
-            failure == beast::http::error::header_limit) {
+        if (failure == beast::http::error::body_limit) {
             co_await send_problem(make_error(error_kind::too_large, failure.message()));
+        } else if (failure == beast::http::error::header_limit) {
+            co_await send_problem(make_error(error_kind::header_too_large, failure.message()));
+        } else if (failure == beast::error::timeout) {
+            co_await send_problem(
+                make_error(error_kind::request_timeout, "the request did not arrive in time"));
         } else if (failure.category() ==
                        make_error_code(beast::http::error::bad_method).category() &&
                    failure != beast::http::error::end_of_stream &&
@@ -306,6 +339,13 @@
     std::uint16_t port() const override { return port_; }
     std::size_t open_requests() const override { return shared_->open_requests; }
 
+    void set_limits(server_limits limits) override {
+        const std::scoped_lock lock{shared_->mutex};
+        shared_->current_limits = limits;
+    }
+
+    void announce_close() override { shared_->announcing_close = true; }
+
     void stop_accepting() override {
         shared_->stopping = true;
         asio::post(executors_.front(), [acceptor = acceptor_] {
@@ -341,7 +381,7 @@
                 continue;
             }
             if (!failure) {
-                socket.set_option(tcp::no_delay{true}, failure);
+                detect_dead_peer(socket);
                 auto accepted = std::make_shared<connection>(shared, std::move(socket));
                 asio::co_spawn(executor, run_connection(std::move(accepted), connections),
                                asio::detached);
@@ -385,7 +425,7 @@
     BOOST_OUTCOME_TRY(const auto where, parse_address(address));
     BOOST_OUTCOME_TRY(auto acceptor, bind_exclusively(executors.front(), where));
     auto shared = std::make_shared<shared_state>();
-    shared->limits = limits;
+    shared->current_limits = limits;
     shared->handle = std::move(handle);
     auto made = std::make_unique<beast_server>(std::move(executors), std::move(acceptor),
                                                std::move(shared));
--- /dev/null
+++ b/libs/peering/include/peering/peer_table.hpp
@@ -0,0 +1,66 @@
+/// \file
+/// The other entries, as learned from seeds and from each other.
+#pragma once
+
+#include "base/random.hpp"
+#include "base/time.hpp"
+#include "wire/messages.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace boragefront::peering {
+
+/// Which entries exist and which of them are alive. Holds no connections and reads no clock.
+class peer_table {
+public:
+    /// \param self_id this entry, which is never listed.
+    /// \param seeds control addresses of other entries.
+    static peer_table make(std::string self_id, std::vector<std::string> seeds);
+
+    void set_seeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
+    /// Takes in what an entry says of itself.
+    void heard_from(const wire::entry_info& told, time_point now);
+
+    /// Takes in what another entry says of third ones.
+    void heard_of(const std::vector<wire::entry_info>& peers, time_point now);
+
+    /// Notes that a call to an address went unanswered.
+    void missed(const std::string& control_address);
+
+    /// Addresses to exchange news with now: a few random peers, and seeds that no known peer has.
+    std::vector<std::string> targets(time_point now, random_source& random) const;
+
+    /// Peers heard of lately, with the time since.
+    std::vector<wire::entry_info> known(time_point now) const;
+
+    /// Peers that answer.
+    std::vector<wire::entry_info> alive(time_point now) const;
+
+    /// Those of them that take work.
+    std::vector<wire::entry_info> serving(time_point now) const;
+
+    /// How many entries may be at work, this one included: all that were alive within the last
+    /// `window`, but at least the seeds. Limits are divided by it, so it errs on
+    /// the high side.
+    std::size_t entries_at_most(time_point now, milliseconds window) const;
+
+    std::optional<wire::entry_info> find(const std::string& id) const;
+
+private:
+    struct peer {
+        wire::entry_info info;
+        time_point heard_at{};
+        unsigned misses{0}; ///< calls that went unanswered since then
+    };
+    static bool is_alive(const peer& one, time_point now);
+
+    std::string self_id_;
+    std::vector<std::string> seeds_;
+    std::map<std::string, peer> peers_; // by control address
+};
+
+} // namespace boragefront::peering
--- /dev/null
+++ b/libs/peering/src/peer_table.cpp
@@ -0,0 +1,118 @@
+#include "peering/peer_table.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace boragefront::peering {
+namespace {
+
+constexpr std::size_t peers_per_round = 4; // keeps a process's messages constant as the fleet grows
+constexpr milliseconds alive_for{1'600};   // three rounds of half a second, and one delayed
+constexpr unsigned misses_until_dead = 2;  // one may be a pause of either side
+constexpr milliseconds known_for{60'000};  // a peer that is silent for so long is forgotten
+
+} // namespace
+
+peer_table peer_table::make(std::string self_id, std::vector<std::string> seeds) {
+    peer_table table;
+    table.self_id_ = std::move(self_id);
+    table.seeds_ = std::move(seeds);
+    return table;
+}
+
+void peer_table::heard_from(const wire::entry_info& told, time_point now) {
+    if (told.id == self_id_ || told.id.empty()) {
+        return;
+    }
+    auto& kept = peers_[told.control_address];
+    kept = {told, now, 0};
+}
+
+void peer_table::heard_of(const std::vector<wire::entry_info>& peers, time_point now) {
+    for (const auto& told : peers) {
+        if (told.id == self_id_ || told.id.empty() || told.heard > known_for) {
+            continue;
+        }
+        const auto heard_at = now - told.heard;
+        auto& kept = peers_[told.control_address];
+        if (heard_at > kept.heard_at) {
+            kept.info = told;
+            kept.heard_at = heard_at;
+        }
+    }
+    std::erase_if(peers_, [&](const auto& one) { return now - one.second.heard_at > known_for; });
+}
+
+void peer_table::missed(const std::string& control_address) {
+    const auto found = peers_.find(control_address);
+    if (found != peers_.end()) {
+        ++found->second.misses;
+    }
+}
+
+bool peer_table::is_alive(const peer& one, time_point now) {
+    return now - one.heard_at < alive_for && one.misses < misses_until_dead;
+}
+
+std::vector<std::string> peer_table::targets(time_point now, random_source& random) const {
+    std::vector<std::string> all;
+    for (const auto& [address, one] : peers_) {
+        if (now - one.heard_at < known_for) {
+            all.push_back(address);
+        }
+    }
+    std::shuffle(all.begin(), all.end(), random);
+    all.resize(std::min(all.size(), peers_per_round));
+    for (const auto& seed : seeds_) {
+        if (!peers_.contains(seed)) {
+            all.push_back(seed);
+        }
+    }
+    return all;
+}
+
+std::vector<wire::entry_info> peer_table::known(time_point now) const {
+    std::vector<wire::entry_info> all;
+    for (const auto& [address, one] : peers_) {
+        if (now - one.heard_at < known_for) {
+            all.push_back(one.info);
+            all.back().heard = std::chrono::floor<milliseconds>(now - one.heard_at);
+        }
+    }
+    return all;
+}
+
+std::vector<wire::entry_info> peer_table::alive(time_point now) const {
+    std::vector<wire::entry_info> all;
+    for (const auto& [address, one] : peers_) {
+        if (is_alive(one, now)) {
+            all.push_back(one.info);
+        }
+    }
+    return all;
+}
+
+std::vector<wire::entry_info> peer_table::serving(time_point now) const {
+    auto all = alive(now);
+    std::erase_if(all, [](const auto& one) { return !one.serving; });
+    return all;
+}
+
+std::size_t peer_table::entries_at_most(time_point now, milliseconds window) const {
+    const auto recent =
+        static_cast<std::size_t>(std::count_if(peers_.begin(), peers_.end(), [&](const auto& one) {
+            return now - one.second.heard_at < window;
+        }));
+    return std::max(recent, seeds_.size()) + 1;
+}
+
+std::optional<wire::entry_info> peer_table::find(const std::string& id) const {
+    for (const auto& [address, one] : peers_) {
+        if (one.info.id == id) {
+            return one.info;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace boragefront::peering
--- a/libs/settings/include/settings/settings.hpp
+++ b/libs/settings/include/settings/settings.hpp
@@ -7,6 +7,7 @@
 #include "base/time.hpp"
 
 #include <filesystem>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,7 +29,22 @@
     std::string endpoint_address; ///< "ip:port" of its endpoint
 };
 
-/// Settings of either role.
+/// Settings of a gateway: an entry that sends requests straight to their endpoints.
+struct gateway_settings {
+    std::string ready_address;   ///< "ip:port" at which it tells whether it takes connections
+    std::string work_address;    ///< "ip:port" at which it takes stage work of other entries
+    std::string metrics_address; ///< "ip:port" of its metrics; empty: none
+    std::map<std::string, std::string> region_of; ///< data centre -> region
+    milliseconds grace{8'000};                    ///< from SIGTERM until the process is killed
+    double retry_ratio{0.2};                      ///< most repeated sends per request
+    double retry_slack{50};                       ///< repeated sends beyond that, of all entries
+    milliseconds retry_window{10'000};            ///< over which these two hold
+    double cold_tolerance{1.5};                   ///< a cold endpoint bears its rate times this ...
+    double cold_slack{5};                         ///< ... and so many requests more, in any second
+    unsigned log_lines_per_second{400};           ///< of decisions; others are counted and left out
+};
+
+/// Settings of every role.
 struct daemon_settings {
     std::string id;
     std::string data_centre;
@@ -38,7 +54,7 @@
     std::vector<std::string> seed_peers; ///< control addresses to ask before the list is known
     log_format logs{log_format::key_value};
     milliseconds drain_timeout{30'000}; ///< the most that a graceful shutdown may take
-    std::variant<entry_settings, sidecar_settings> role;
+    std::variant<entry_settings, sidecar_settings, gateway_settings> role;
 };
 
 /// Reads settings from text.
--- a/libs/settings/src/field_reader.cpp
+++ b/libs/settings/src/field_reader.cpp
@@ -147,11 +147,49 @@
     return found->get_int64();
 }
 
+double field_reader::number(std::string_view field, double otherwise, number_range allowed) {
+    const auto* const found = find(field);
+    if (found == nullptr) {
+        return otherwise;
+    }
+    const double value = found->is_number() ? found->to_number<double>() : allowed.lowest - 1;
+    if (!(value >= allowed.lowest && value <= allowed.highest)) {
+        refuse(field, *found,
+               "a number from " + std::to_string(allowed.lowest) + " to " +
+                   std::to_string(allowed.highest));
+        return otherwise;
+    }
+    return value;
+}
+
+std::map<std::string, std::string> field_reader::names(std::string_view field) {
+    std::map<std::string, std::string> read;
+    const auto* const found = object(field, false);
+    if (found == nullptr) {
+        return read;
+    }
+    for (const auto& [key, value] : *found) {
+        if (value.is_string()) {
+            read.emplace(std::string{key}, std::string{value.get_string()});
+        } else {
+            refuse(field, value, "texts by name");
+        }
+    }
+    return read;
+}
+
 milliseconds field_reader::time(std::string_view field, milliseconds otherwise,
                                 integer_range allowed) {
     return milliseconds{integer(field, otherwise.count(), allowed)};
 }
 
+milliseconds field_reader::time_in_seconds(std::string_view field, milliseconds otherwise,
+                                           number_range allowed) {
+    const std::chrono::duration<double> fallback = otherwise;
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::duration<double>{number(field, fallback.count(), allowed)});
+}
+
 std::string_view field_reader::word(std::string_view field,
                                     std::initializer_list<std::string_view> allowed,
                                     bool required) {
--- a/libs/settings/src/field_reader.hpp
+++ b/libs/settings/src/field_reader.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,6 +31,12 @@
     std::int64_t highest;
 };
 
+/// An inclusive range of numbers.
+struct number_range {
+    double lowest;
+    double highest;
+};
+
 /// Whether port 0, "any free port", is allowed in an address.
 enum class port_rule : std::uint8_t { may_be_zero, must_be_set };
 
@@ -52,9 +59,19 @@
     /// An optional whole number.
     std::int64_t integer(std::string_view field, std::int64_t otherwise, integer_range allowed);
 
+    /// An optional number.
+    double number(std::string_view field, double otherwise, number_range allowed);
+
+    /// An optional object of texts.
+    std::map<std::string, std::string> names(std::string_view field);
+
     /// An optional duration in whole milliseconds.
     milliseconds time(std::string_view field, milliseconds otherwise, integer_range allowed);
 
+    /// An optional duration in seconds, whole or not.
+    milliseconds time_in_seconds(std::string_view field, milliseconds otherwise,
+                                 number_range allowed);
+
     /// One of the words; the first if the field is absent and not required.
     std::string_view word(std::string_view field, std::initializer_list<std::string_view> allowed,
                           bool required);
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -15,6 +15,12 @@
 constexpr integer_range grace_ms{0, 60'000};
 constexpr integer_range body_sizes{1'024, 16 << 20};
 constexpr integer_range drain_ms{100, 600'000};
+constexpr number_range grace_times{0.5, 600}; // seconds
+constexpr number_range windows{0.1, 600};     // seconds
+constexpr integer_range log_rates{0, 100'000};
+constexpr number_range ratios{0, 10};
+constexpr number_range tolerances{1, 100};
+constexpr number_range request_counts{0, 1e6};
 constexpr std::uintmax_t largest_file = 1U << 20U;
 
 error at_position(std::string_view text, std::size_t offset, const std::string& reason) {
@@ -78,8 +84,35 @@
     return read;
 }
 
-std::variant<entry_settings, sidecar_settings> read_role(field_reader& fields, fault_list& faults) {
-    if (fields.word("role", {"entry", "sidecar"}, true) == "sidecar") {
+gateway_settings read_gateway(const boost::json::object& object, fault_list& faults) {
+    gateway_settings read;
+    field_reader fields{object, "gateway", faults};
+    read.ready_address = fields.address("ready_address", port_rule::may_be_zero);
+    read.work_address = fields.address("work_address", port_rule::may_be_zero);
+    if (object.contains("metrics_address")) {
+        read.metrics_address = fields.address("metrics_address", port_rule::may_be_zero);
+    }
+    read.region_of = fields.names("regions");
+    read.grace = fields.time_in_seconds("grace_s", read.grace, grace_times);
+    read.retry_ratio = fields.number("retry_ratio", read.retry_ratio, ratios);
+    read.retry_slack = fields.number("retry_slack", read.retry_slack, request_counts);
+    read.retry_window = fields.time_in_seconds("retry_window_s", read.retry_window, windows);
+    read.cold_tolerance = fields.number("cold_tolerance", read.cold_tolerance, tolerances);
+    read.cold_slack = fields.number("cold_slack", read.cold_slack, request_counts);
+    read.log_lines_per_second = static_cast<unsigned>(
+        fields.integer("log_lines_per_second", read.log_lines_per_second, log_rates));
+    fields.refuse_unknown();
+    return read;
+}
+
+std::variant<entry_settings, sidecar_settings, gateway_settings> read_role(field_reader& fields,
+                                                                           fault_list& faults) {
+    const auto role = fields.word("role", {"entry", "sidecar", "gateway"}, true);
+    if (role == "gateway") {
+        const auto* const section = fields.object("gateway", true);
+        return section == nullptr ? gateway_settings{} : read_gateway(*section, faults);
+    }
+    if (role == "sidecar") {
         const auto* const section = fields.object("sidecar", true);
         return section == nullptr ? sidecar_settings{} : read_sidecar(*section, faults);
     }
--- /dev/null
+++ b/libs/stages/include/stages/piece.hpp
@@ -0,0 +1,54 @@
+/// \file
+/// Pieces of stage work and how they end.
+#pragma once
+
+#include "base/time.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace boragefront::stages {
+
+/// One piece of one stage of one request. It may be made again.
+struct piece {
+    std::string request_id;
+    unsigned stage{0};
+    unsigned number{0};
+    std::string key;                 ///< for a stage that reads no other; else empty
+    std::vector<std::string> inputs; ///< results that it reads, as "address/handle"
+};
+
+/// How one piece ended.
+enum class piece_outcome : std::uint8_t {
+    made,
+    late,       ///< its time had passed before its turn
+    input_gone, ///< a result that it reads is gone
+    no_room,    ///< no memory for its result
+    failed,     ///< the endpoint, or the way to it, failed
+};
+
+struct piece_result {
+    piece_outcome outcome{piece_outcome::failed};
+    std::string handle; ///< of the result, if it was made
+};
+
+/// Pieces of one stage of one request that are wanted together.
+struct piece_group {
+    std::uint64_t id{0}; ///< unique at the queue's owner
+    std::vector<piece> pieces;
+    std::uint64_t result_bytes{0}; ///< approximate size of each result
+    int priority{0};               ///< 0 is the most urgent
+    time_point wanted_by{};        ///< after this the request can no longer meet its latency goal
+    time_point useless_at{};       ///< after this the request can no longer be answered in time
+    std::string near_data_centre;  ///< where the results are read, if that is known
+};
+
+/// A group whose pieces have all ended, or that was given up.
+struct finished_group {
+    std::uint64_t id{0};
+    std::vector<piece_result> results; ///< in the order of its pieces
+    bool expired{false};               ///< given up because it was useless by then
+};
+
+} // namespace boragefront::stages
--- /dev/null
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -0,0 +1,172 @@
+/// \file
+/// The one queue of a stage service: which pieces go together into which call, where, and when.
+///
+/// Answers the pattern of a burst on a service whose calls have a high fixed time: one call per
+/// request, or a queue at each entry, makes many nearly empty calls, and the service saturates far
+/// below what full calls carry.
+#pragma once
+
+#include "base/time.hpp"
+#include "catalog/types.hpp"
+#include "stages/piece.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace boragefront::stages {
+
+/// A call to start now.
+struct stage_call {
+    std::uint64_t id{0};
+    std::string endpoint; ///< id
+    std::string address;
+    std::vector<piece> pieces;
+    std::vector<milliseconds> time_left; ///< of each piece, until it is useless
+    milliseconds expected{0};            ///< how long the call should take
+    milliseconds give_up_after{0};       ///< when its endpoint counts as silent
+};
+
+/// How a call ended as a whole.
+enum class call_outcome : std::uint8_t {
+    answered,
+    refused,     ///< the endpoint is full and did nothing
+    silent,      ///< no answer in time
+    broken,      ///< cut or malformed
+    unreachable, ///< no connection, or another endpoint has the address
+};
+
+/// Whether a group was taken in.
+struct admission {
+    bool accepted{false};
+    milliseconds expected{0};    ///< until its last piece is made
+    milliseconds retry_after{0}; ///< if it was refused: when it would be taken
+};
+
+/// Orders groups by whether they can still meet their goal, then by priority, then by the time at
+/// which they are wanted; what can no longer meet its goal yields. Packs them into full calls and
+/// gives each call to the endpoint that would end it first. Reads no clock.
+class stage_queue {
+public:
+    /// \returns an empty queue. The capacity's batch is at least one.
+    static stage_queue make(const catalog::stage_capacity& capacity);
+
+    void set_capacity(const catalog::stage_capacity& capacity);
+
+    /// Replaces the endpoints; calls at one that left go on.
+    void set_endpoints(const std::vector<catalog::endpoint>& endpoints,
+                       const std::set<std::string, std::less<>>& evacuated,
+                       const std::string& service, time_point now);
+
+    /// Takes a group in, or refuses one that cannot be made before it is useless.
+    admission offer(piece_group group, time_point now);
+
+    /// Drops a group whose caller has gone. Pieces in a call are finished and their results kept
+    /// out of `take_finished`.
+    void cancel(std::uint64_t group);
+
+    /// The calls to start now.
+    std::vector<stage_call> next_calls(time_point now);
+
+    /// Notes how a call ended.
+    /// \param results one for each piece if it was answered, else empty.
+    void call_ended(std::uint64_t call, call_outcome outcome,
+                    const std::vector<piece_result>& results, time_point now);
+
+    /// Groups that ended since the last time.
+    std::vector<finished_group> take_finished(time_point now);
+
+    /// Results that nobody waits for any more.
+    std::vector<std::string> take_orphans();
+
+    /// Notes that results were freed at their makers.
+    void release(const std::vector<std::string>& handles);
+
+    /// When `next_calls` should be asked again though no call ends; far away if never.
+    time_point next_event(time_point now) const;
+
+    std::size_t waiting_pieces() const;
+    std::size_t calls_in_progress() const { return calls_.size(); }
+    std::size_t endpoint_count() const { return endpoints_.size(); }
+
+    /// Time that a single group of this size takes on an idle, sound endpoint.
+    milliseconds service_time(std::size_t pieces) const;
+
+private:
+    struct held_result {
+        std::string endpoint;
+        std::uint64_t bytes;
+        time_point expires_at;
+    };
+    struct endpoint_state {
+        catalog::endpoint self;
+        bool in_service{true};
+        unsigned calls{0};
+        time_point busy_until{};
+        time_point held_until{};
+        unsigned failures_in_row{0};
+        std::uint64_t held_bytes{0};    // of results that were made and not released
+        std::uint64_t pending_bytes{0}; // of results that calls in progress make
+        double slowdown{1};             // of its calls against the service's nominal time
+        time_point slowdown_at{};
+    };
+    struct waiting_piece {
+        std::size_t index; // in the group
+        unsigned attempts{0};
+    };
+    struct group_state {
+        piece_group group;
+        std::vector<waiting_piece> waiting;
+        std::vector<piece_result> results;
+        std::vector<unsigned> attempts;
+        std::size_t open{0}; // pieces without a result
+    };
+    struct call_piece {
+        std::uint64_t group;
+        std::size_t index;
+    };
+    struct call_state {
+        std::string endpoint;
+        std::uint64_t life{0};
+        std::vector<call_piece> pieces;
+        time_point started{};
+        milliseconds nominal{0};
+        std::uint64_t bytes{0}; // of its results
+    };
+    struct planned_call {
+        endpoint_state* endpoint;
+        std::vector<call_piece> pieces;
+    };
+
+    double slowdown_now(const endpoint_state& one, time_point now) const;
+    double capacity_endpoints(time_point now) const;
+    milliseconds queue_time(std::size_t pieces, time_point now) const;
+    std::vector<group_state*> in_order(time_point now);
+    std::vector<call_piece> take_batch(std::vector<group_state*>& order, std::uint64_t room);
+    std::uint64_t free_room(const endpoint_state& one) const;
+    void hold_result(const std::string& endpoint, const std::string& handle, std::uint64_t bytes,
+                     time_point now);
+    void expire_results(time_point now);
+    endpoint_state* soonest(std::size_t pieces, const std::map<std::string, time_point>& planned,
+                            time_point now);
+    stage_call start(endpoint_state& where, const std::vector<call_piece>& pieces, time_point now);
+    void expire(time_point now);
+    void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
+    void retry_piece(std::uint64_t group, std::size_t index, piece_outcome reason);
+    void learn_pace(endpoint_state& one, const call_state& call, time_point now);
+    void hold(endpoint_state& one, time_point now);
+
+    catalog::stage_capacity capacity_;
+    std::map<std::string, endpoint_state> endpoints_;
+    std::map<std::uint64_t, group_state> groups_;
+    std::map<std::uint64_t, call_state> calls_;
+    std::vector<finished_group> finished_;
+    std::vector<std::string> orphans_;
+    std::map<std::string, held_result> held_; // by handle
+    std::uint64_t next_call_{1};
+};
+
+} // namespace boragefront::stages
--- /dev/null
+++ b/libs/stages/src/stage_plan.cpp
@@ -0,0 +1,178 @@
+#include "stages/stage_plan.hpp"
+
+#include <algorithm>
+
+namespace boragefront::stages {
+
+result<stage_plan> stage_plan::make(const catalog::route& route, std::string request_id,
+                                    std::string key, std::vector<unsigned> counts) {
+    stage_plan plan;
+    plan.route_ = &route;
+    plan.request_id_ = std::move(request_id);
+    plan.key_ = std::move(key);
+    counts.resize(route.stages.size());
+    for (std::size_t i = 0; i < route.stages.size(); ++i) {
+        // Stages name only earlier ones, so that no two wait for each other.
+        for (const auto before : route.stages[i].after) {
+            if (before >= i) {
+                return make_error(error_kind::bad_request,
+                                  "stage " + std::to_string(i) + " waits for stage " +
+                                      std::to_string(before) + ", allowed are earlier ones");
+            }
+        }
+        plan.stages_.push_back({std::vector<std::string>(counts[i]), false});
+    }
+    return plan;
+}
+
+bool stage_plan::made(std::size_t stage) const {
+    const auto& handles = stages_[stage].handles;
+    return std::none_of(handles.begin(), handles.end(),
+                        [](const std::string& handle) { return handle.empty(); });
+}
+
+bool stage_plan::follows(std::size_t stage, std::size_t other) const {
+    const auto& after = route_->stages[stage].after;
+    return std::find(after.begin(), after.end(), other) != after.end();
+}
+
+bool stage_plan::is_followed(std::size_t stage) const {
+    for (std::size_t i = 0; i < stages_.size(); ++i) {
+        if (!stages_[i].handles.empty() && follows(i, stage)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+std::vector<std::size_t> stage_plan::take_ready() {
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < stages_.size(); ++i) {
+        const auto& after = route_->stages[i].after;
+        const bool inputs_made = std::all_of(after.begin(), after.end(),
+                                             [&](std::size_t before) { return made(before); });
+        if (!stages_[i].taken && !made(i) && inputs_made) {
+            stages_[i].taken = true;
+            ready.push_back(i);
+        }
+    }
+    return ready;
+}
+
+std::vector<std::string> stage_plan::inputs_of(std::size_t stage) const {
+    std::vector<std::string> inputs;
+    for (const auto before : route_->stages[stage].after) {
+        const auto& handles = stages_[before].handles;
+        inputs.insert(inputs.end(), handles.begin(), handles.end());
+    }
+    return inputs;
+}
+
+std::vector<piece> stage_plan::pieces_of(std::size_t stage) const {
+    std::vector<piece> pieces;
+    const auto inputs = inputs_of(stage);
+    const auto& handles = stages_[stage].handles;
+    for (std::size_t i = 0; i < handles.size(); ++i) {
+        if (handles[i].empty()) {
+            pieces.push_back({request_id_, static_cast<unsigned>(stage), static_cast<unsigned>(i),
+                              inputs.empty() ? key_ : std::string{}, inputs});
+        }
+    }
+    return pieces;
+}
+
+void stage_plan::set_results(std::size_t stage, const std::vector<piece_result>& results) {
+    std::size_t next = 0;
+    for (auto& handle : stages_[stage].handles) {
+        if (handle.empty() && next < results.size()) {
+            handle = results[next++].handle;
+        }
+    }
+    stages_[stage].taken = made(stage);
+}
+
+void stage_plan::forget(const std::function<bool(const std::string&)>& gone) {
+    // From the last stage to the first, as a missing piece needs what it reads.
+    for (std::size_t i = stages_.size(); i-- > 0;) {
+        auto& one = stages_[i];
+        const bool was_made = made(i);
+        for (auto& handle : one.handles) {
+            if (!handle.empty() && gone(handle)) {
+                handle.clear();
+            }
+        }
+        for (std::size_t next = i + 1; next < stages_.size(); ++next) {
+            if (one.freed && follows(next, i) && !made(next)) {
+                std::fill(one.handles.begin(), one.handles.end(), std::string{});
+            }
+        }
+        if (was_made && !made(i)) {
+            one.taken = false;
+            one.freed = false;
+        }
+    }
+}
+
+bool stage_plan::complete() const {
+    for (std::size_t i = 0; i < stages_.size(); ++i) {
+        if (!is_followed(i) && !made(i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<std::string> stage_plan::final_inputs() const {
+    std::vector<std::string> inputs;
+    for (auto& [handle, stage] : final_results()) {
+        inputs.push_back(std::move(handle));
+    }
+    return inputs;
+}
+
+std::vector<std::pair<std::string, std::size_t>> stage_plan::final_results() const {
+    std::vector<std::pair<std::string, std::size_t>> results;
+    for (std::size_t i = 0; i < stages_.size(); ++i) {
+        if (!is_followed(i)) {
+            for (const auto& handle : stages_[i].handles) {
+                results.emplace_back(handle, i);
+            }
+        }
+    }
+    return results;
+}
+
+std::vector<stage_results> stage_plan::take_spent() {
+    std::vector<stage_results> spent;
+    for (std::size_t i = 0; i < stages_.size(); ++i) {
+        bool read_later = !is_followed(i);
+        for (std::size_t next = 0; next < stages_.size(); ++next) {
+            read_later = read_later || (follows(next, i) && !made(next));
+        }
+        if (!read_later && !stages_[i].freed && made(i)) {
+            stages_[i].freed = true;
+            spent.push_back({i, stages_[i].handles});
+        }
+    }
+    return spent;
+}
+
+std::vector<stage_results> stage_plan::take_all() {
+    std::vector<stage_results> all;
+    for (std::size_t i = 0; i < stages_.size(); ++i) {
+        auto& one = stages_[i];
+        stage_results held{i, {}};
+        for (const auto& handle : one.handles) {
+            if (!handle.empty() && !one.freed) {
+                held.handles.push_back(handle);
+            }
+        }
+        one.freed = true;
+        if (!held.handles.empty()) {
+            all.push_back(std::move(held));
+        }
+    }
+    return all;
+}
+
+} // namespace boragefront::stages
--- /dev/null
+++ b/libs/stages/tests/queue_fixture.hpp
@@ -0,0 +1,84 @@
+/// \file
+/// A stage queue on a virtual clock, with endpoints that answer as the test says.
+#pragma once
+
+#include "stages/stage_queue.hpp"
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace boragefront::stages {
+
+struct queue_fixture {
+    queue_fixture() {
+        capacity.calls = 1;
+        capacity.batch = 8;
+        capacity.call_time = milliseconds{150};
+        capacity.piece_time = milliseconds{16};
+        capacity.result_lifetime = milliseconds{4'000};
+        queue = stage_queue::make(capacity);
+    }
+
+    catalog::endpoint& add_endpoint(const std::string& id, const std::string& data_centre = "a") {
+        catalog::endpoint made;
+        made.id = id;
+        made.service = "stage";
+        made.address = "10.0.0." + std::to_string(endpoints.size() + 1) + ":80";
+        made.data_centre = data_centre;
+        endpoints.push_back(made);
+        refresh();
+        return endpoints.back();
+    }
+
+    void refresh() { queue.set_endpoints(endpoints, evacuated, "stage", now); }
+
+    piece_group make_group(std::uint64_t id, unsigned pieces) const {
+        piece_group group;
+        group.id = id;
+        group.wanted_by = now + seconds{1};
+        group.useless_at = now + seconds{20};
+        for (unsigned i = 0; i < pieces; ++i) {
+            group.pieces.push_back({std::to_string(id), 0, i, "key", {}});
+        }
+        return group;
+    }
+
+    void offer(std::uint64_t id, unsigned pieces, int priority = 0,
+               milliseconds wanted_in = milliseconds{2'000}, std::uint64_t bytes = 0) {
+        auto group = make_group(id, pieces);
+        group.priority = priority;
+        group.wanted_by = now + wanted_in;
+        group.result_bytes = bytes;
+        if (!queue.offer(std::move(group), now).accepted) {
+            throw std::runtime_error{"a group was refused"};
+        }
+    }
+
+    // Time passes as the call's pieces say; all of them are made.
+    void end(const stage_call& call, int slower = 1) {
+        const auto nominal = capacity.call_time + capacity.piece_time * call.pieces.size();
+        now += std::chrono::duration_cast<milliseconds>(nominal) * slower;
+        std::vector<piece_result> results;
+        for (const auto& piece : call.pieces) {
+            results.push_back({piece_outcome::made, call.address + '/' + piece.request_id + '.' +
+                                                        std::to_string(piece.number)});
+        }
+        queue.call_ended(call.id, call_outcome::answered, results, now);
+    }
+
+    // Keeps the only endpoint busy.
+    stage_call hold_endpoint() {
+        offer(999, 1);
+        auto calls = queue.next_calls(now);
+        return calls.at(0);
+    }
+
+    time_point now{seconds{1'000}};
+    catalog::stage_capacity capacity;
+    std::vector<catalog::endpoint> endpoints;
+    std::set<std::string, std::less<>> evacuated;
+    stage_queue queue;
+};
+
+} // namespace boragefront::stages
--- /dev/null
+++ b/libs/stages/tests/stage_plan_test.cpp
@@ -0,0 +1,124 @@
+#include "stages/stage_plan.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace boragefront;
+using namespace boragefront::stages;
+
+namespace {
+
+catalog::stage make_stage(std::string service, std::vector<std::size_t> after) {
+    catalog::stage made;
+    made.service = std::move(service);
+    made.after = std::move(after);
+    return made;
+}
+
+catalog::route chain() {
+    catalog::route route;
+    route.stages = {make_stage("a", {}), make_stage("b", {}), make_stage("c", {1}),
+                    make_stage("d", {2})};
+    return route;
+}
+
+std::vector<piece_result> made(std::initializer_list<const char*> handles) {
+    std::vector<piece_result> results;
+    for (const auto* const handle : handles) {
+        results.push_back({piece_outcome::made, handle});
+    }
+    return results;
+}
+
+using indices = std::vector<std::size_t>;
+using handles = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("stages run as soon as what they read is made") {
+    const auto route = chain();
+    auto plan = stage_plan::make(route, "r", "key", {2, 1, 2, 1});
+    REQUIRE(plan);
+    CHECK(plan.value().take_ready() == indices{0, 1});
+    CHECK(plan.value().take_ready().empty());
+    CHECK(plan.value().pieces_of(0).size() == 2);
+    CHECK(plan.value().pieces_of(0)[1].key == "key");
+    plan.value().set_results(1, made({"x/1"}));
+    CHECK(plan.value().take_ready() == indices{2});
+    CHECK(plan.value().pieces_of(2)[0].inputs == handles{"x/1"});
+    CHECK(plan.value().pieces_of(2)[0].key.empty());
+    plan.value().set_results(2, made({"y/1", "y/2"}));
+    CHECK(plan.value().take_ready() == indices{3});
+    plan.value().set_results(0, made({"w/1", "w/2"}));
+    CHECK_FALSE(plan.value().complete());
+    plan.value().set_results(3, made({"z/1"}));
+    CHECK(plan.value().complete());
+    CHECK(plan.value().final_inputs() == handles{"w/1", "w/2", "z/1"});
+}
+
+TEST_CASE("a stage without pieces is left out") {
+    const auto route = chain();
+    auto plan = stage_plan::make(route, "r", "key", {0, 1});
+    REQUIRE(plan);
+    CHECK(plan.value().take_ready() == indices{1});
+    plan.value().set_results(1, made({"x/1"}));
+    CHECK(plan.value().take_ready().empty());
+    CHECK(plan.value().complete());
+    CHECK(plan.value().final_inputs() == handles{"x/1"});
+}
+
+TEST_CASE("only the pieces that failed are made again") {
+    const auto route = chain();
+    auto plan = stage_plan::make(route, "r", "key", {3});
+    REQUIRE(plan);
+    CHECK(plan.value().take_ready() == indices{0});
+    plan.value().set_results(
+        0,
+        {{piece_outcome::made, "w/0"}, {piece_outcome::failed, ""}, {piece_outcome::made, "w/2"}});
+    CHECK(plan.value().take_ready() == indices{0});
+    const auto missing = plan.value().pieces_of(0);
+    REQUIRE(missing.size() == 1);
+    CHECK(missing[0].number == 1);
+    plan.value().set_results(0, made({"v/1"}));
+    CHECK(plan.value().final_inputs() == handles{"w/0", "v/1", "w/2"});
+}
+
+TEST_CASE("results are released once, when nothing more reads them") {
+    const auto route = chain();
+    auto plan = stage_plan::make(route, "r", "key", {0, 1, 1, 1});
+    REQUIRE(plan);
+    plan.value().set_results(1, made({"x"}));
+    CHECK(plan.value().take_spent().empty());
+    plan.value().set_results(2, made({"y"}));
+    const auto spent = plan.value().take_spent();
+    REQUIRE(spent.size() == 1);
+    CHECK(spent[0].stage == 1);
+    CHECK(spent[0].handles == handles{"x"});
+    CHECK(plan.value().take_spent().empty());
+    plan.value().set_results(3, made({"z"}));
+    CHECK(plan.value().take_spent().size() == 1);
+    CHECK(plan.value().take_all().size() == 1);
+    CHECK(plan.value().take_all().empty());
+}
+
+TEST_CASE("a result that is lost is made again, with what it reads") {
+    const auto route = chain();
+    auto plan = stage_plan::make(route, "r", "key", {0, 1, 1, 1});
+    REQUIRE(plan);
+    (void)plan.value().take_ready();
+    plan.value().set_results(1, made({"x"}));
+    (void)plan.value().take_ready();
+    plan.value().set_results(2, made({"y"}));
+    (void)plan.value().take_spent();
+    (void)plan.value().take_ready();
+    plan.value().set_results(3, made({"z"}));
+    (void)plan.value().take_spent();
+    plan.value().forget([](const std::string& handle) { return handle == "z"; });
+    CHECK_FALSE(plan.value().complete());
+    CHECK(plan.value().take_ready() == indices{1});
+}
+
+TEST_CASE("a stage that waits for a later one is refused") {
+    catalog::route route;
+    route.stages = {make_stage("a", {1}), make_stage("b", {})};
+    CHECK_FALSE(stage_plan::make(route, "r", "key", {1, 1}));
+}
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -5,8 +5,10 @@
 #include "base/error.hpp"
 #include "base/ids.hpp"
 #include "base/time.hpp"
+#include "catalog/replica.hpp"
 #include "config/store.hpp"
 #include "membership/instance.hpp"
+#include "stages/piece.hpp"
 
 #include <cstdint>
 #include <string>
@@ -107,15 +109,84 @@
     bool known{false};                  ///< whether the answerer has a list at all
 };
 
+/// An entry as entries tell of each other.
+struct entry_info {
+    std::string id;
+    incarnation life{0};
+    std::string data_centre;
+    std::string control_address;
+    std::string work_address; ///< where it takes stage work
+    bool serving{false};      ///< takes work; false while it starts or drains
+    milliseconds heard{0};    ///< since it was last heard of, by anyone
+};
+
+/// Exchange between entries: who is there, and what of the published state the asker lacks.
+struct gossip_request {
+    entry_info self;
+    std::vector<entry_info> others;
+    revision configuration_through{0};
+    revision endpoints_through{0};
+};
+struct gossip_answer {
+    entry_info self;
+    std::vector<entry_info> others;
+    catalog::replica_delta configuration;
+    catalog::replica_delta endpoints;
+};
+
+/// Asks the entry that dispatches for a stage service to have pieces made.
+struct make_pieces_request {
+    std::string from_address; ///< the asker's work address
+    std::string asker;        ///< id of the asking entry
+    std::uint64_t ticket{0};  ///< unique at the asker
+    std::string service;
+    stages::piece_group group; ///< its times are filled in from the two below
+    milliseconds wanted_in{0};
+    milliseconds useless_in{0};
+};
+struct make_pieces_answer {
+    bool accepted{false};
+    milliseconds expected{0};    ///< until the last piece is made
+    milliseconds retry_after{0}; ///< if refused: when they would be accepted
+};
+
+/// Tells the asker how its pieces ended.
+struct pieces_done_request {
+    std::string dispatcher;
+    std::uint64_t ticket{0};
+    bool expired{false};
+    std::vector<stages::piece_result> results;
+};
+struct pieces_done_answer {};
+
+/// Tells the dispatcher that pieces are not wanted any more.
+struct cancel_pieces_request {
+    std::string asker;
+    std::uint64_t ticket{0};
+    std::string service;
+};
+struct cancel_pieces_answer {};
+
+/// Tells the dispatcher that results are not needed any more; it frees them at their makers.
+struct release_results_request {
+    std::string service;
+    std::vector<std::string> handles;
+};
+struct release_results_answer {};
+
 /// The request could not be read.
 struct refusal {
     std::string detail;
 };
 
-using request = std::variant<digest_request, delta_request, heartbeat_request, status_request,
-                             dump_request, metrics_request, instances_request>;
-using answer = std::variant<digest_answer, delta_answer, heartbeat_answer, status_answer,
-                            dump_answer, metrics_answer, instances_answer, refusal>;
+using request =
+    std::variant<digest_request, delta_request, heartbeat_request, status_request, dump_request,
+                 metrics_request, instances_request, gossip_request, make_pieces_request,
+                 pieces_done_request, cancel_pieces_request, release_results_request>;
+using answer =
+    std::variant<digest_answer, delta_answer, heartbeat_answer, status_answer, dump_answer,
+                 metrics_answer, instances_answer, gossip_answer, make_pieces_answer,
+                 pieces_done_answer, cancel_pieces_answer, release_results_answer, refusal>;
 
 /// Longest message that is sent or read.
 inline constexpr std::size_t message_bytes_limit = 8U << 20U;
--- a/libs/wire/src/codec.cpp
+++ b/libs/wire/src/codec.cpp
@@ -1,4 +1,5 @@
 #include "control.pb.h"
+#include "entry_codec.hpp"
 #include "wire/messages.hpp"
 
 #include <google/protobuf/stubs/logging.h>
@@ -12,15 +13,6 @@
 
 constexpr std::array phase_names{std::string_view{"starting"}, std::string_view{"serving"},
                                  std::string_view{"draining"}, std::string_view{"out"}};
-constexpr std::uint64_t most_milliseconds = 1'000ULL * 3'600 * 24 * 365;
-
-error malformed(std::string detail) {
-    return make_error(error_kind::bad_request, "malformed control message: " + std::move(detail));
-}
-
-milliseconds read_milliseconds(std::uint64_t value) {
-    return milliseconds{std::min(value, most_milliseconds)};
-}
 
 result<service_phase> read_phase(std::uint32_t value) {
     if (value >= phase_names.size()) {
@@ -163,6 +155,24 @@
                                           message.bucket_hashes.end());
         body.set_age_ms(static_cast<std::uint64_t>(message.age.count()));
     }
+    void operator()(const gossip_request& message) const { write(message, *out.mutable_gossip()); }
+    void operator()(const make_pieces_request& message) const {
+        write(message, *out.mutable_make_pieces());
+    }
+    void operator()(const pieces_done_request& message) const {
+        write(message, *out.mutable_pieces_done());
+    }
+    void operator()(const cancel_pieces_request& message) const {
+        auto& body = *out.mutable_cancel_pieces();
+        body.set_asker(message.asker);
+        body.set_ticket(message.ticket);
+        body.set_service(message.service);
+    }
+    void operator()(const release_results_request& message) const {
+        auto& body = *out.mutable_release_results();
+        body.set_service(message.service);
+        body.mutable_handles()->Assign(message.handles.begin(), message.handles.end());
+    }
 };
 
 struct write_answer {
@@ -222,6 +232,15 @@
         body.mutable_buckets()->Add(message.buckets.begin(), message.buckets.end());
         body.set_known(message.known);
     }
+    void operator()(const gossip_answer& message) const { write(message, *out.mutable_gossip()); }
+    void operator()(const make_pieces_answer& message) const {
+        write(message, *out.mutable_make_pieces());
+    }
+    void operator()(const pieces_done_answer& /*message*/) const { out.mutable_pieces_done(); }
+    void operator()(const cancel_pieces_answer& /*message*/) const { out.mutable_cancel_pieces(); }
+    void operator()(const release_results_answer& /*message*/) const {
+        out.mutable_release_results();
+    }
     void operator()(const refusal& message) const { out.set_refusal(message.detail); }
 };
 
@@ -344,6 +363,19 @@
         return request{metrics_request{}};
     case pb::control_request::kInstances:
         return read_instances(in.instances());
+    case pb::control_request::kGossip:
+        return request{read(in.gossip())};
+    case pb::control_request::kMakePieces:
+        return read(in.make_pieces());
+    case pb::control_request::kPiecesDone:
+        return read(in.pieces_done());
+    case pb::control_request::kCancelPieces:
+        return request{cancel_pieces_request{
+            in.cancel_pieces().asker(), in.cancel_pieces().ticket(), in.cancel_pieces().service()}};
+    case pb::control_request::kReleaseResults:
+        return request{release_results_request{
+            in.release_results().service(),
+            {in.release_results().handles().begin(), in.release_results().handles().end()}}};
     case pb::control_request::BODY_NOT_SET:
         break;
     }
@@ -374,6 +406,18 @@
         return read_instances(in.instances());
     case pb::control_answer::kRefusal:
         return answer{refusal{in.refusal()}};
+    case pb::control_answer::kGossip:
+        return answer{read(in.gossip())};
+    case pb::control_answer::kMakePieces:
+        return answer{make_pieces_answer{in.make_pieces().accepted(),
+                                         read_milliseconds(in.make_pieces().expected_ms()),
+                                         read_milliseconds(in.make_pieces().retry_after_ms())}};
+    case pb::control_answer::kPiecesDone:
+        return answer{pieces_done_answer{}};
+    case pb::control_answer::kCancelPieces:
+        return answer{cancel_pieces_answer{}};
+    case pb::control_answer::kReleaseResults:
+        return answer{release_results_answer{}};
     case pb::control_answer::BODY_NOT_SET:
         break;
     }
--- /dev/null
+++ b/libs/wire/src/entry_codec.cpp
@@ -0,0 +1,176 @@
+#include "entry_codec.hpp"
+
+#include <algorithm>
+
+namespace boragefront::wire {
+namespace {
+
+constexpr std::uint64_t most_milliseconds = 1'000ULL * 3'600 * 24 * 365;
+constexpr int most_pieces = 4'096; // far above any route's; bounds what a broken peer can ask for
+
+std::uint64_t as_count(milliseconds value) {
+    return static_cast<std::uint64_t>(std::max(value, milliseconds{0}).count());
+}
+
+void write_entry(const entry_info& entry, pb::entry_info& out) {
+    out.set_id(entry.id);
+    out.set_incarnation(entry.life);
+    out.set_data_centre(entry.data_centre);
+    out.set_control_address(entry.control_address);
+    out.set_work_address(entry.work_address);
+    out.set_serving(entry.serving);
+    out.set_heard_ms(as_count(entry.heard));
+}
+
+entry_info read_entry(const pb::entry_info& in) {
+    return {in.id(),
+            in.incarnation(),
+            in.data_centre(),
+            in.control_address(),
+            in.work_address(),
+            in.serving(),
+            read_milliseconds(in.heard_ms())};
+}
+
+void write_delta(const catalog::replica_delta& delta, pb::replica_delta& out) {
+    out.set_whole(delta.whole);
+    out.set_through(delta.through);
+    for (const auto& item : delta.items) {
+        auto& one = *out.add_items();
+        one.set_key(item.key);
+        one.set_revision(item.at);
+        one.set_removed(!item.value);
+        one.set_value(item.value.value_or(std::string{}));
+    }
+}
+
+catalog::replica_delta read_delta(const pb::replica_delta& in) {
+    catalog::replica_delta delta{in.whole(), in.through(), {}};
+    for (const auto& one : in.items()) {
+        delta.items.push_back(
+            {one.key(), one.revision(), one.removed() ? std::nullopt : std::optional{one.value()}});
+    }
+    return delta;
+}
+
+template <class Field>
+std::vector<entry_info> read_entries_of(const Field& field) {
+    std::vector<entry_info> entries;
+    for (const auto& one : field) {
+        entries.push_back(read_entry(one));
+    }
+    return entries;
+}
+
+} // namespace
+
+error malformed(std::string detail) {
+    return make_error(error_kind::bad_request, "malformed control message: " + std::move(detail));
+}
+
+milliseconds read_milliseconds(std::uint64_t value) {
+    return milliseconds{std::min(value, most_milliseconds)};
+}
+
+void write(const gossip_request& message, pb::gossip_request& out) {
+    write_entry(message.self, *out.mutable_self());
+    for (const auto& one : message.others) {
+        write_entry(one, *out.add_others());
+    }
+    out.set_configuration_through(message.configuration_through);
+    out.set_endpoints_through(message.endpoints_through);
+}
+
+void write(const gossip_answer& message, pb::gossip_answer& out) {
+    write_entry(message.self, *out.mutable_self());
+    for (const auto& one : message.others) {
+        write_entry(one, *out.add_others());
+    }
+    write_delta(message.configuration, *out.mutable_configuration());
+    write_delta(message.endpoints, *out.mutable_endpoints());
+}
+
+gossip_request read(const pb::gossip_request& in) {
+    return {read_entry(in.self()), read_entries_of(in.others()), in.configuration_through(),
+            in.endpoints_through()};
+}
+
+gossip_answer read(const pb::gossip_answer& in) {
+    return {read_entry(in.self()), read_entries_of(in.others()), read_delta(in.configuration()),
+            read_delta(in.endpoints())};
+}
+
+// All pieces of a group share the request, the key and the inputs, so these travel once.
+void write(const make_pieces_request& message, pb::make_pieces_request& out) {
+    out.set_from_address(message.from_address);
+    out.set_asker(message.asker);
+    out.set_ticket(message.ticket);
+    out.set_service(message.service);
+    const auto& group = message.group;
+    for (const auto& piece : group.pieces) {
+        auto& one = *out.add_pieces();
+        one.set_stage(piece.stage);
+        one.set_number(piece.number);
+    }
+    if (!group.pieces.empty()) {
+        const auto& first = group.pieces.front();
+        out.set_request_id(first.request_id);
+        out.set_key(first.key);
+        out.mutable_inputs()->Assign(first.inputs.begin(), first.inputs.end());
+    }
+    out.set_priority(group.priority);
+    out.set_wanted_in_ms(as_count(message.wanted_in));
+    out.set_useless_in_ms(as_count(message.useless_in));
+    out.set_near_data_centre(group.near_data_centre);
+    out.set_result_bytes(group.result_bytes);
+}
+
+result<request> read(const pb::make_pieces_request& in) {
+    if (in.pieces().empty() || in.pieces_size() > most_pieces) {
+        return malformed("pieces");
+    }
+    make_pieces_request read{in.from_address(), in.asker(), in.ticket(), in.service(), {}, {}, {}};
+    for (const auto& one : in.pieces()) {
+        read.group.pieces.push_back({in.request_id(),
+                                     one.stage(),
+                                     one.number(),
+                                     in.key(),
+                                     {in.inputs().begin(), in.inputs().end()}});
+    }
+    read.group.priority = in.priority();
+    read.group.near_data_centre = in.near_data_centre();
+    read.group.result_bytes = in.result_bytes();
+    read.wanted_in = read_milliseconds(in.wanted_in_ms());
+    read.useless_in = read_milliseconds(in.useless_in_ms());
+    return request{std::move(read)};
+}
+
+void write(const make_pieces_answer& message, pb::make_pieces_answer& out) {
+    out.set_accepted(message.accepted);
+    out.set_expected_ms(as_count(message.expected));
+    out.set_retry_after_ms(as_count(message.retry_after));
+}
+
+void write(const pieces_done_request& message, pb::pieces_done_request& out) {
+    out.set_dispatcher(message.dispatcher);
+    out.set_ticket(message.ticket);
+    out.set_expired(message.expired);
+    for (const auto& result : message.results) {
+        auto& one = *out.add_results();
+        one.set_outcome(static_cast<std::uint32_t>(result.outcome));
+        one.set_handle(result.handle);
+    }
+}
+
+result<request> read(const pb::pieces_done_request& in) {
+    pieces_done_request read{in.dispatcher(), in.ticket(), in.expired(), {}};
+    for (const auto& one : in.results()) {
+        if (one.outcome() > static_cast<std::uint32_t>(stages::piece_outcome::failed)) {
+            return malformed("outcome");
+        }
+        read.results.push_back({static_cast<stages::piece_outcome>(one.outcome()), one.handle()});
+    }
+    return request{std::move(read)};
+}
+
+} // namespace boragefront::wire
