Stage groups wait for a near endpoint; sessions have a home data centre

Cause: every piece reads all results of the stages before it, so a chain of two stages in different data centres moves megabytes a request; and a session whose results were made elsewhere had its prompt read again by another engine.

Change: a group whose inputs or results are dear to move waits for an endpoint near them while it has the time; requests that share a prompt have a home data centre, in proportion to the endpoints that make the route's large results.

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -33,9 +33,6 @@
 constexpr int gap_factor = 2; // times the longest wanted pause until a stream counts as silent
 constexpr milliseconds least_gap{1'000};
 constexpr milliseconds no_endpoint_retry{500};
-// From this size on, moving results to another data centre costs more than reading a part of a
-// prompt there that another engine has cached.
-constexpr std::uint64_t worth_staying_near = 1'000'000;
 constexpr unsigned status_ok = 200;
 constexpr unsigned first_redirect = 300;
 constexpr unsigned first_server_error = 500;
@@ -234,6 +231,10 @@
     group.pieces = plan_->pieces_of(stage);
     group.result_bytes = route_->stages[stage].result_bytes;
     group.priority = priority_;
+    const auto inputs = plan_->inputs_of(stage);
+    group.near_data_centre = inputs.empty() && group.result_bytes >= dear_to_move_bytes
+                                 ? parts_.state.home_data_centre(*route_, shared_prompt())
+                                 : data_centre_of(inputs, group.pieces.size());
     group.wanted_by = goal_ - after;
     group.useless_at = deadline_ - after;
     answer = co_await parts_.stages.make(route_->stages[stage].service, std::move(group), wait);
@@ -245,15 +246,32 @@
     if (!plan_) {
         return {};
     }
+    return data_centre_of(plan_->final_results(), 1);
+}
+
+// The data centre that holds most of these results, if they are dear to move for so many readers.
+std::string
+request_run::data_centre_of(const std::vector<std::pair<std::string, std::size_t>>& results,
+                            std::size_t readers) const {
     std::map<std::string, std::uint64_t> bytes;
-    for (const auto& [handle, stage] : plan_->final_results()) {
+    for (const auto& [handle, stage] : results) {
         const auto where = parts_.state.data_centre_of(platform::holder_of(handle));
-        bytes[where] += route_->stages[stage].result_bytes;
+        bytes[where] += route_->stages[stage].result_bytes * readers;
     }
     const auto most =
         std::max_element(bytes.begin(), bytes.end(),
                          [](const auto& a, const auto& b) { return a.second < b.second; });
-    return most == bytes.end() || most->second < worth_staying_near ? std::string{} : most->first;
+    return most == bytes.end() || most->second < dear_to_move_bytes ? std::string{} : most->first;
+}
+
+// The part of the prompt by which requests that share it meet at one endpoint.
+std::string_view request_run::shared_prompt() const {
+    if (!route_->shares_prompts || caller_.prompt.empty()) {
+        return {};
+    }
+    // The last part is the request's own; the one before it names what it shares.
+    const auto shared = caller_.prompt.size() > 1 ? caller_.prompt.size() - 2 : 0;
+    return caller_.prompt[shared].id;
 }
 
 http::awaitable<std::optional<balancing::chosen_endpoint>> request_run::choose() {
@@ -261,13 +279,12 @@
     balancing::choice_request wanted;
     wanted.tried = &tried_;
     wanted.near_data_centre = state.data_centre();
-    const auto near_results = data_centre_of_results();
-    wanted.keep_in_data_centre = near_results;
-    if (route_->shares_prompts && !caller_.prompt.empty()) {
-        // The last part is the request's own; the one before it names what it shares.
-        const auto shared = caller_.prompt.size() > 1 ? caller_.prompt.size() - 2 : 0;
-        wanted.affinity = caller_.prompt[shared].id;
+    auto stay_in = data_centre_of_results();
+    if (stay_in.empty()) {
+        stay_in = state.home_data_centre(*route_, shared_prompt());
     }
+    wanted.keep_in_data_centre = stay_in;
+    wanted.affinity = shared_prompt();
     const auto until =
         std::min(deadline_,
                  steady_clock::now() +
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -42,6 +42,9 @@
                                          wait_source& wait, boost::asio::steady_timer& some_done);
 
     std::string data_centre_of_results() const;
+    std::string data_centre_of(const std::vector<std::pair<std::string, std::size_t>>& results,
+                               std::size_t readers) const;
+    std::string_view shared_prompt() const;
     http::awaitable<std::optional<balancing::chosen_endpoint>> choose();
     http::awaitable<next_step> send_once();
     http::awaitable<next_step> take_answer(http::response_stream& answer, const sent& where);
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -1,5 +1,7 @@
 #include "traffic_state.hpp"
 
+#include "base/hash.hpp"
+
 #include <algorithm>
 
 namespace boragefront::gateway {
@@ -63,6 +65,31 @@
     return {};
 }
 
+std::string traffic_state::home_data_centre(const catalog::route& route,
+                                            std::string_view shared) const {
+    const auto dearest = std::max_element(
+        route.stages.begin(), route.stages.end(),
+        [](const auto& a, const auto& b) { return a.result_bytes < b.result_bytes; });
+    if (shared.empty() || dearest == route.stages.end() ||
+        dearest->result_bytes < dear_to_move_bytes) {
+        return {};
+    }
+    const auto& published = current_->published;
+    std::string home;
+    std::uint64_t best = 0;
+    for (const auto& one : published.endpoints) {
+        const bool serves = one.service == dearest->service && !one.removed_at &&
+                            one.state == catalog::endpoint_state::ready &&
+                            !published.evacuated.contains(one.data_centre);
+        const auto score = serves ? rendezvous_score(shared, one.id) : 0;
+        if (score > best) {
+            best = score;
+            home = one.data_centre;
+        }
+    }
+    return home;
+}
+
 std::string traffic_state::data_centre_of(std::string_view address) const {
     const auto& endpoints = current_->published.endpoints;
     const auto found = std::find_if(endpoints.begin(), endpoints.end(),
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -19,6 +19,10 @@
 
 namespace boragefront::gateway {
 
+/// From this size on, moving results to another data centre costs more than reading a part of a
+/// prompt there that an engine elsewhere has cached, or than a wait for a nearer endpoint.
+inline constexpr std::uint64_t dear_to_move_bytes = 1'000'000;
+
 /// One published snapshot with its index of routes.
 struct indexed_snapshot {
     explicit indexed_snapshot(catalog::snapshot from)
@@ -62,6 +66,10 @@
 
     /// The id of the endpoint of a stage service at an address; empty if there is none.
     std::string stage_endpoint_at(std::string_view address) const;
+    /// The data centre in which requests with this shared prompt are at home: where the most dear
+    /// results of the route's stages can be made, in proportion to the endpoints that make them.
+    /// Empty if the route has no such stage.
+    std::string home_data_centre(const catalog::route& route, std::string_view shared) const;
     /// The data centre of the endpoint at an address; empty if there is none.
     std::string data_centre_of(std::string_view address) const;
 
--- a/libs/stages/include/stages/piece.hpp
+++ b/libs/stages/include/stages/piece.hpp
@@ -41,7 +41,8 @@
     int priority{0};               ///< 0 is the most urgent
     time_point wanted_by{};        ///< after this the request can no longer meet its latency goal
     time_point useless_at{};       ///< after this the request can no longer be answered in time
-    std::string near_data_centre;  ///< where the results are read, if that is known
+    /// Where its inputs lie or its results will be read, if moving them elsewhere is dear.
+    std::string near_data_centre;
 };
 
 /// A group whose pieces have all ended, or that was given up.
--- a/libs/stages/include/stages/stage_plan.hpp
+++ b/libs/stages/include/stages/stage_plan.hpp
@@ -31,6 +31,9 @@
     /// Stages that can run now and were not taken yet.
     std::vector<std::size_t> take_ready();
 
+    /// The results that a stage reads, each with its stage.
+    std::vector<std::pair<std::string, std::size_t>> inputs_of(std::size_t stage) const;
+
     /// The missing pieces of a stage.
     std::vector<piece> pieces_of(std::size_t stage) const;
 
@@ -80,7 +83,6 @@
     bool made(std::size_t stage) const;
     bool follows(std::size_t stage, std::size_t other) const;
     bool is_followed(std::size_t stage) const;
-    std::vector<std::string> inputs_of(std::size_t stage) const;
 
     const catalog::route* route_{nullptr};
     std::string request_id_;
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -48,7 +48,8 @@
 
 /// Orders groups by whether they can still meet their goal, then by priority, then by the time at
 /// which they are wanted; what can no longer meet its goal yields. Packs them into full calls and
-/// gives each call to the endpoint that would end it first. Reads no clock.
+/// gives each call to the endpoint that would end it first. A group that is dear to move waits for
+/// an endpoint near it as long as it has the time. Reads no clock.
 class stage_queue {
 public:
     /// \returns an empty queue. The capacity's batch is at least one.
@@ -145,13 +146,17 @@
     double capacity_endpoints(time_point now) const;
     milliseconds queue_time(std::size_t pieces, time_point now) const;
     std::vector<group_state*> in_order(time_point now);
-    std::vector<call_piece> take_batch(std::vector<group_state*>& order, std::uint64_t room);
+    std::vector<call_piece> take_batch(std::vector<group_state*>& order,
+                                       const endpoint_state& where, std::uint64_t room,
+                                       time_point now) const;
+    bool waits_for_nearer(const group_state& one, const endpoint_state& where,
+                          time_point now) const;
     std::uint64_t free_room(const endpoint_state& one) const;
     void hold_result(const std::string& endpoint, const std::string& handle, std::uint64_t bytes,
                      time_point now);
     void expire_results(time_point now);
     endpoint_state* soonest(std::size_t pieces, const std::map<std::string, time_point>& planned,
-                            time_point now);
+                            const std::set<std::string>& passed_over, time_point now);
     stage_call start(endpoint_state& where, const std::vector<call_piece>& pieces, time_point now);
     void expire(time_point now);
     void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
--- a/libs/stages/src/stage_plan.cpp
+++ b/libs/stages/src/stage_plan.cpp
@@ -59,18 +59,22 @@
     return ready;
 }
 
-std::vector<std::string> stage_plan::inputs_of(std::size_t stage) const {
-    std::vector<std::string> inputs;
+std::vector<std::pair<std::string, std::size_t>> stage_plan::inputs_of(std::size_t stage) const {
+    std::vector<std::pair<std::string, std::size_t>> inputs;
     for (const auto before : route_->stages[stage].after) {
-        const auto& handles = stages_[before].handles;
-        inputs.insert(inputs.end(), handles.begin(), handles.end());
+        for (const auto& handle : stages_[before].handles) {
+            inputs.emplace_back(handle, before);
+        }
     }
     return inputs;
 }
 
 std::vector<piece> stage_plan::pieces_of(std::size_t stage) const {
     std::vector<piece> pieces;
-    const auto inputs = inputs_of(stage);
+    std::vector<std::string> inputs;
+    for (auto& [handle, before] : inputs_of(stage)) {
+        inputs.push_back(std::move(handle));
+    }
     const auto& handles = stages_[stage].handles;
     for (std::size_t i = 0; i < handles.size(); ++i) {
         if (handles[i].empty()) {
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds longest_hold{3'000};
 constexpr milliseconds full_hold{40}; // until a full endpoint is asked again
 constexpr milliseconds room_look{25}; // until an endpoint without room is looked at again
+constexpr double near_wait_calls =
+    1.5; // full calls that a nearby endpoint may need until it is free
+constexpr double near_slowdown_limit = 2; // a slower one is not waited for
 constexpr milliseconds silence_margin{250};
 constexpr double silence_factor = 2.5;       // times the expected time until a call counts as lost
 constexpr milliseconds missing_grace{1'200}; // as for endpoints that missed the platform's list
@@ -166,8 +169,29 @@
 
 // Fills one call in order. A group that does not fit is passed over for smaller ones, so that its
 // pieces stay together; one larger than a call is split.
+// Whether a group has the time to wait for an endpoint nearer to it than this one.
+bool stage_queue::waits_for_nearer(const group_state& one, const endpoint_state& where,
+                                   time_point now) const {
+    const auto& near = one.group.near_data_centre;
+    if (near.empty() || near == where.self.data_centre) {
+        return false;
+    }
+    const auto full_call = service_time(capacity_.batch);
+    const auto slack = one.group.wanted_by - now - service_time(one.waiting.size());
+    if (slack < full_call * near_wait_calls) {
+        return false;
+    }
+    return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
+        const auto& other = entry.second;
+        return other.in_service && other.self.data_centre == near && now >= other.held_until &&
+               slowdown_now(other, now) < near_slowdown_limit;
+    });
+}
+
 std::vector<stage_queue::call_piece> stage_queue::take_batch(std::vector<group_state*>& order,
-                                                             std::uint64_t room) {
+                                                             const endpoint_state& where,
+                                                             std::uint64_t room,
+                                                             time_point now) const {
     std::vector<call_piece> batch;
     for (auto*& one : order) {
         auto space = capacity_.batch - batch.size();
@@ -181,7 +205,8 @@
         const bool larger_than_a_call = one->waiting.size() > capacity_.batch ||
                                         (capacity_.result_room_bytes > 0 &&
                                          one->waiting.size() * bytes > capacity_.result_room_bytes);
-        if (space == 0 || (one->waiting.size() > space && !(larger_than_a_call && batch.empty()))) {
+        if (space == 0 || waits_for_nearer(*one, where, now) ||
+            (one->waiting.size() > space && !(larger_than_a_call && batch.empty()))) {
             continue;
         }
         const auto count = std::min(space, one->waiting.size());
@@ -240,12 +265,13 @@
 
 stage_queue::endpoint_state* stage_queue::soonest(std::size_t pieces,
                                                   const std::map<std::string, time_point>& planned,
+                                                  const std::set<std::string>& passed_over,
                                                   time_point now) {
     const auto nominal = capacity_.call_time + capacity_.piece_time * pieces;
     endpoint_state* best = nullptr;
     auto best_end = time_point::max();
     for (auto& [id, one] : endpoints_) {
-        if (!one.in_service) {
+        if (!one.in_service || passed_over.contains(id)) {
             continue;
         }
         auto free_at = std::max(now, one.held_until);
@@ -298,6 +324,7 @@
     std::vector<stage_call> started;
     auto order = in_order(now);
     std::map<std::string, time_point> planned;
+    std::set<std::string> passed_over; // nothing that waits goes there now
     std::vector<call_piece> returned;
     // Beyond one planned call per endpoint the plan can only name busy endpoints.
     for (std::size_t step = 0; step < 2 * endpoints_.size() && !order.empty(); ++step) {
@@ -305,16 +332,17 @@
         for (const auto* one : order) {
             pieces += one->waiting.size();
         }
-        auto* const where = soonest(std::min(pieces, capacity_.batch), planned, now);
+        auto* const where = soonest(std::min(pieces, capacity_.batch), planned, passed_over, now);
         if (where == nullptr) {
             break;
         }
         const bool idle = where->calls < capacity_.calls && now >= where->held_until &&
                           !planned.contains(where->self.id);
         // A later call's room is not known yet, so a planned call counts as if it had all.
-        auto batch = take_batch(order, idle ? free_room(*where) : capacity_.result_room_bytes);
+        auto batch =
+            take_batch(order, *where, idle ? free_room(*where) : capacity_.result_room_bytes, now);
         if (batch.empty()) {
-            planned[where->self.id] = now + room_look;
+            passed_over.insert(where->self.id);
             continue;
         }
         if (idle) {
@@ -471,6 +499,9 @@
     for (const auto& [id, one] : groups_) {
         if (!one.waiting.empty()) {
             earliest = std::min(earliest, one.group.useless_at - service_time(1));
+            if (!one.group.near_data_centre.empty()) {
+                earliest = std::min(earliest, now + room_look);
+            }
         }
     }
     return earliest;
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -128,6 +128,30 @@
     CHECK(queue.next_calls(now).size() == 1);
 }
 
+// Answers the pattern of large results, which are read where they are made or moved at a price.
+TEST_CASE_METHOD(queue_fixture, "a group that is dear to move waits for a near endpoint") {
+    add_endpoint("near", "a");
+    auto busy = hold_endpoint();
+    add_endpoint("far", "b");
+    auto patient = make_group(1, 2);
+    patient.near_data_centre = "a";
+    patient.wanted_by = now + seconds{2};
+    REQUIRE(queue.offer(patient, now).accepted);
+    CHECK(queue.next_calls(now).empty());
+    auto pressed = make_group(2, 2);
+    pressed.near_data_centre = "a";
+    pressed.wanted_by = now + milliseconds{500};
+    REQUIRE(queue.offer(pressed, now).accepted);
+    const auto calls = queue.next_calls(now);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls[0].endpoint == "far");
+    CHECK(calls[0].pieces[0].request_id == "2");
+    end(busy);
+    const auto later = queue.next_calls(now);
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].endpoint == "near");
+}
+
 TEST_CASE_METHOD(queue_fixture, "what cannot be made in time is refused at once") {
     add_endpoint("one");
     (void)hold_endpoint();
