Stage queue: among equals in priority, the fewest pieces first

Cause: in a burst at the edge of the service's capacity the earliest goal first lets every group wait until just before its goal, so that any delay behind it makes all of them late. Change: the fewest waiting pieces first, then the earliest goal.

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -401,6 +401,7 @@
 http::awaitable<request_run::next_step> request_run::take_answer(http::response_stream& answer,
                                                                  const sent& where) {
     const auto head = platform::read_head(answer.head());
+    head_at_ = steady_clock::now();
     auto* const pool = parts_.state.pool(service_);
     if (head.load && pool != nullptr) {
         pool->report(where.endpoint, to_load(*head.load), steady_clock::now());
@@ -650,7 +651,8 @@
          {"stages_ms", std::to_string(stages_done_at_ == time_point{}
                                           ? 0
                                           : count_ms(stages_done_at_ - received_at_))},
-         {"first_ms",
+         {"head_ms", std::to_string(head_at_ ? count_ms(*head_at_ - received_at_) : 0)},
+         {"first_ms", 
           std::to_string(first_event_at_ ? count_ms(*first_event_at_ - received_at_) : 0)},
          {"took_ms", std::to_string(count_ms(now - received_at_))},
          {"goal_ms", std::to_string(route_ == nullptr ? 0 : route_->latency_goal.count())},
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -160,7 +160,8 @@
     }
     const auto rank = [&](const group_state* one) {
         const bool late = now + service_time(one->waiting.size()) > one->group.wanted_by;
-        return std::tuple{late, one->group.priority, one->group.wanted_by, one->group.id};
+        return std::tuple{late, one->group.priority, one->waiting.size(), one->group.wanted_by,
+                          one->group.id};
     };
     std::sort(order.begin(), order.end(),
               [&](const group_state* a, const group_state* b) { return rank(a) < rank(b); });
@@ -312,6 +313,7 @@
         bytes += groups_.at(one.group).group.result_bytes;
     }
     where.pending_bytes += bytes;
+    call.room_left = free_room(where);
     ++where.calls;
     where.busy_until = now + expected;
     calls_[call.id] = {where.self.id, where.self.life, pieces, now, scaled(nominal, 1), bytes};
@@ -363,6 +365,9 @@
     for (const auto& one : returned) {
         groups_.at(one.group).waiting.push_back({one.index});
     }
+    for (auto& call : started) {
+        call.left_waiting = waiting_pieces();
+    }
     return started;
 }
 
