Engines: unread prompts count as queue, and a shared prompt is worth some patience

Cause: at an engine prompts are read one after another, so an engine with three unread prompts is slow although it has 60 free slots; and an engine that shares a prompt was given up at the first queue, which had the prompt read again. Change: the cost of an engine grows with its unread prompts; the engine that shares the prompt is kept while half of the time to the goal allows.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -26,6 +26,7 @@
 constexpr double affinity_load_factor = 1.5; // bounded load: above this share of the mean, spill
 constexpr double affinity_load_slack = 4;    // requests
 constexpr double affinity_cost_factor = 2.5; // a preferred endpoint this much slower is passed over
+constexpr double unread_weight = 0.5; // of a prompt before it, as about half are small
 constexpr double choice_jitter = 0.1;        // so that entries do not all choose the same endpoint
 // After its cold time an endpoint's next report may still be on its way.
 constexpr milliseconds cold_report_delay{1'500};
@@ -84,6 +85,12 @@
     const double latency = one.latency_ms.value_or(typical);
     const double slots = std::max(1.0, static_cast<double>(one.self.slots));
     double cost = latency * (1 + queueing(one, now) / slots);
+    if (service_.engine) {
+        // Prompts are read one after another; requests that have begun hardly delay the next.
+        const auto unread = std::count_if(one.requests.begin(), one.requests.end(),
+                                          [](const auto& sent) { return !sent.second.began; });
+        cost = latency * (1 + unread_weight * static_cast<double>(unread));
+    }
     cost += one.failure_rate * milliseconds_of(request.failure_cost);
     const double patience = std::max(silence_factor * typical, milliseconds_of(least_silence));
     for (const auto& [ticket, sent] : one.requests) {
@@ -131,8 +138,9 @@
     std::uint64_t best_score = 0;
     for (const auto* one : ready) {
         const auto score = rendezvous_score(request.affinity, one->self.id);
-        const bool fits = queueing(*one, now) <= bound &&
-                          cost_ms(*one, request, now) <= cheapest * affinity_cost_factor;
+        const double cost = cost_ms(*one, request, now);
+        const bool fits = cost <= milliseconds_of(request.affinity_patience) ||
+                          (queueing(*one, now) <= bound && cost <= cheapest * affinity_cost_factor);
         if (fits && (best == nullptr || score > best_score)) {
             best = one;
             best_score = score;
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds connect_timeout{200}; // many round trips; longer means that nobody is there
 constexpr milliseconds choice_pause{10};     // between looks for an endpoint while all are held
 constexpr int choice_share = 8; // of the latency goal: what a request is kept for an endpoint
+constexpr int affinity_share = 2; // of the time to the goal: what may be spent on a shared prompt
 constexpr unsigned unreachable_limit = 5; // endpoints that one request finds unreachable or full
 constexpr unsigned inputs_lost_limit = 2; // times that results are made again
 // A pooled connection is used for a request that runs at most once only while it is surely open.
@@ -285,6 +286,8 @@
     }
     wanted.keep_in_data_centre = stay_in;
     wanted.affinity = shared_prompt();
+    wanted.affinity_patience = std::chrono::floor<milliseconds>(
+        std::max(goal_ - steady_clock::now(), duration{0}) / affinity_share);
     const auto until =
         std::min(deadline_,
                  steady_clock::now() +
