A restarted entry survives answers to its earlier life, and takes none for its own

Change: addresses are unknown until something is published; tickets begin at random, and an answer counts only from the dispatcher that was asked and with as many results as pieces.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -26,7 +26,7 @@
 constexpr double affinity_load_factor = 1.5; // bounded load: above this share of the mean, spill
 constexpr double affinity_load_slack = 4;    // requests
 constexpr double affinity_cost_factor = 2.5; // a preferred endpoint this much slower is passed over
-constexpr double unread_weight = 0.5; // of a prompt before it, as about half are small
+constexpr double unread_weight = 0.5;        // of a prompt before it, as about half are small
 constexpr double choice_jitter = 0.1;        // so that entries do not all choose the same endpoint
 // After its cold time an endpoint's next report may still be on its way.
 constexpr milliseconds cold_report_delay{1'500};
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds answer_margin{15}; // for an answer to travel before the caller's time is up
 constexpr milliseconds connect_timeout{200}; // many round trips; longer means that nobody is there
 constexpr milliseconds choice_pause{10};     // between looks for an endpoint while all are held
-constexpr int choice_share = 8; // of the latency goal: what a request is kept for an endpoint
+constexpr int choice_share = 8;   // of the latency goal: what a request is kept for an endpoint
 constexpr int affinity_share = 2; // of the time to the goal: what may be spent on a shared prompt
 constexpr unsigned unreachable_limit = 5; // endpoints that one request finds unreachable or full
 constexpr unsigned inputs_lost_limit = 2; // times that results are made again
@@ -655,7 +655,7 @@
                                           ? 0
                                           : count_ms(stages_done_at_ - received_at_))},
          {"head_ms", std::to_string(head_at_ ? count_ms(*head_at_ - received_at_) : 0)},
-         {"first_ms", 
+         {"first_ms",
           std::to_string(first_event_at_ ? count_ms(*first_event_at_ - received_at_) : 0)},
          {"took_ms", std::to_string(count_ms(now - received_at_))},
          {"goal_ms", std::to_string(route_ == nullptr ? 0 : route_->latency_goal.count())},
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -94,7 +94,7 @@
         last_failure_;                        // of an endpoint, to pass on if nothing better comes
     bool began_{false};                       // the head of a stream went to the caller
     std::optional<std::uint64_t> last_event_; // that went to the caller
-    std::optional<time_point> head_at_; // of the last endpoint's answer
+    std::optional<time_point> head_at_;       // of the last endpoint's answer
     std::optional<time_point> first_event_at_;
     time_point stages_done_at_{};
     std::string last_endpoint_;
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -74,8 +74,8 @@
 stage_exchange::stage_exchange(asio::any_io_executor executor, traffic_state& state,
                                http::client& endpoints, wire::client& peers, result_freer& freer,
                                std::string work_address)
-    : executor_{std::move(executor)}, state_{state},
-      endpoints_{endpoints}, peers_{peers}, freer_{freer}, work_address_{std::move(work_address)} {}
+    : executor_{std::move(executor)}, state_{state}, endpoints_{endpoints}, peers_{peers},
+      freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {}
 
 stage_exchange::service_queue* stage_exchange::queue_of(const std::string& service) {
     const auto& published = state_.current()->published;
@@ -162,6 +162,7 @@
     const auto ticket = next_id_++;
     auto own = std::make_shared<pending>(executor_);
     own->dispatcher = dispatcher.id;
+    own->pieces = group.pieces.size();
     waits_[ticket] = own;
     const auto asked_at = steady_clock::now();
     wire::make_pieces_request request{work_address_,
@@ -218,6 +219,8 @@
     const auto ticket = next_id_++;
     const auto useless_at = group.useless_at;
     auto own = std::make_shared<pending>(executor_);
+    own->dispatcher = state_.self_id();
+    own->pieces = group.pieces.size();
     waits_[ticket] = own;
     const auto id = next_id_;
     const auto admitted = offer(*queue, std::move(group), local_wait{ticket});
@@ -286,7 +289,7 @@
     const auto who = std::move(found->second);
     queue.waiters.erase(found);
     if (const auto* const local = std::get_if<local_wait>(&who)) {
-        end_wait(local->ticket, std::move(ended));
+        end_wait(local->ticket, state_.self_id(), std::move(ended));
     } else if (const auto* const remote = std::get_if<remote_wait>(&who)) {
         wire::pieces_done_request done{state_.self_id(), remote->ticket, ended.expired,
                                        std::move(ended.results)};
@@ -294,9 +297,11 @@
     }
 }
 
-void stage_exchange::end_wait(std::uint64_t ticket, stages::finished_group ended) {
+void stage_exchange::end_wait(std::uint64_t ticket, const std::string& dispatcher,
+                              stages::finished_group ended) {
     const auto found = waits_.find(ticket);
-    if (found != waits_.end()) {
+    if (found != waits_.end() && found->second->dispatcher == dispatcher &&
+        (ended.expired || found->second->pieces == ended.results.size())) {
         found->second->result = std::move(ended);
         found->second->ended.cancel();
         return;
@@ -346,9 +351,9 @@
         {{"service", service},
          {"endpoint", call.endpoint},
          {"first_request", call.pieces.front().request_id},
-                  {"pieces", std::to_string(count)},
-                  {"left_waiting", std::to_string(call.left_waiting)},
-                  {"room_left", std::to_string(call.room_left)},
+         {"pieces", std::to_string(count)},
+         {"left_waiting", std::to_string(call.left_waiting)},
+         {"room_left", std::to_string(call.room_left)},
          {"expected_ms", std::to_string(call.expected.count())},
          {"took_ms", std::to_string(std::chrono::floor<milliseconds>(now - started).count())},
          {"outcome", std::string{to_string(outcome)}},
@@ -440,7 +445,7 @@
 }
 
 void stage_exchange::take(const wire::pieces_done_request& done) {
-    end_wait(done.ticket, {done.ticket, done.results, done.expired});
+    end_wait(done.ticket, done.dispatcher, {done.ticket, done.results, done.expired});
 }
 
 void stage_exchange::take(const wire::cancel_pieces_request& cancel) {
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -94,7 +94,8 @@
     struct pending {
         explicit pending(const boost::asio::any_io_executor& executor) : ended{executor} {}
         boost::asio::steady_timer ended;
-        std::string dispatcher;
+        std::string dispatcher; // id of the entry that was asked, this one's own if none was
+        std::size_t pieces{0};
         std::optional<stages::finished_group> result;
     };
 
@@ -117,7 +118,8 @@
     stages::admission offer(service_queue& queue, stages::piece_group group, waiter who);
     void pump(const std::string& service);
     void deliver(service_queue& queue, stages::finished_group ended);
-    void end_wait(std::uint64_t ticket, stages::finished_group ended);
+    void end_wait(std::uint64_t ticket, const std::string& dispatcher,
+                  stages::finished_group ended);
     http::awaitable<void> run_call(std::string service, stages::stage_call call);
     http::awaitable<void> tell(std::string address, wire::request message);
     http::awaitable<void> send_releases();
@@ -133,7 +135,8 @@
     std::map<std::uint64_t, std::shared_ptr<pending>> waits_;    // shared with the waiting request
     std::map<std::string, std::vector<std::string>> to_release_; // by service
     bool releasing_{false};
-    std::uint64_t next_id_{1};
+    // Begins at random, so that an answer to an earlier life of this process finds no ticket.
+    std::uint64_t next_id_;
 };
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -52,6 +52,9 @@
 }
 
 std::string traffic_state::stage_endpoint_at(std::string_view address) const {
+    if (current_ == nullptr) {
+        return {};
+    }
     const auto& published = current_->published;
     for (const auto& one : published.endpoints) {
         if (one.address != address || one.removed_at) {
@@ -91,6 +94,9 @@
 }
 
 std::string traffic_state::data_centre_of(std::string_view address) const {
+    if (current_ == nullptr) {
+        return {};
+    }
     const auto& endpoints = current_->published.endpoints;
     const auto found = std::find_if(endpoints.begin(), endpoints.end(),
                                     [&](const auto& one) { return one.address == address; });
--- /dev/null
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -0,0 +1,77 @@
+#include "traffic_state.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace boragefront;
+using namespace boragefront::gateway;
+
+namespace {
+
+const time_point start{seconds{1'000}};
+
+catalog::endpoint make_endpoint(const std::string& id, const std::string& service,
+                                const std::string& address, const std::string& data_centre) {
+    catalog::endpoint made;
+    made.id = id;
+    made.service = service;
+    made.address = address;
+    made.data_centre = data_centre;
+    return made;
+}
+
+struct state_fixture {
+    state_fixture() : state{{}, "self", "a", metrics} {}
+
+    void publish() {
+        auto config = std::make_shared<catalog::configuration>();
+        catalog::service stage;
+        stage.name = "stage";
+        stage.stages = catalog::stage_capacity{};
+        catalog::service model;
+        model.name = "model";
+        config->services = {{"stage", stage}, {"model", model}};
+        catalog::snapshot published;
+        published.config = config;
+        published.endpoints = {make_endpoint("s1", "stage", "10.0.0.1:1", "a"),
+                               make_endpoint("s2", "stage", "10.0.0.2:1", "b"),
+                               make_endpoint("m1", "model", "10.0.0.3:1", "a")};
+        state.publish(std::make_shared<const indexed_snapshot>(std::move(published)), start);
+    }
+
+    metrics_registry metrics;
+    traffic_state state;
+};
+
+} // namespace
+
+// Answers the pattern of an entry that has just restarted and is told of results that its earlier
+// life asked for.
+TEST_CASE_METHOD(state_fixture, "addresses are unknown before anything is published") {
+    CHECK(state.stage_endpoint_at("10.0.0.1:1").empty());
+    CHECK(state.data_centre_of("10.0.0.1:1").empty());
+}
+
+TEST_CASE_METHOD(state_fixture, "only endpoints of stage services are asked to free results") {
+    publish();
+    CHECK(state.stage_endpoint_at("10.0.0.1:1") == "s1");
+    CHECK(state.stage_endpoint_at("10.0.0.3:1").empty());
+    CHECK(state.stage_endpoint_at("10.0.0.9:1").empty());
+    CHECK(state.data_centre_of("10.0.0.2:1") == "b");
+}
+
+TEST_CASE_METHOD(state_fixture, "prompts have homes only on routes with results dear to move") {
+    publish();
+    catalog::route route;
+    route.stages.push_back({"stage", {}, 8'000});
+    CHECK(state.home_data_centre(route, "shared").empty());
+    route.stages.push_back({"stage", {}, 3'000'000});
+    CHECK_FALSE(state.home_data_centre(route, "shared").empty());
+    CHECK(state.home_data_centre(route, "").empty());
+}
+
+TEST_CASE_METHOD(state_fixture, "limits are divided by entries that are not known by name too") {
+    wire::entry_info other;
+    other.id = "other";
+    state.set_fleet({{other}, {other}, 4}, start);
+    CHECK(state.group().size() == 4);
+}
