--- /dev/null
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -0,0 +1,91 @@
+#include "peering/peer_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace boragefront;
+using namespace boragefront::peering;
+
+namespace {
+
+const time_point start{seconds{1'000}};
+
+wire::entry_info make_peer(const std::string& id, bool serving = true,
+                           milliseconds heard = milliseconds{0}) {
+    wire::entry_info made;
+    made.id = id;
+    made.life = 1;
+    made.control_address = id + ":1";
+    made.work_address = id + ":2";
+    made.serving = serving;
+    made.heard = heard;
+    return made;
+}
+
+std::vector<std::string> ids_of(const std::vector<wire::entry_info>& peers) {
+    std::vector<std::string> ids;
+    for (const auto& one : peers) {
+        ids.push_back(one.id);
+    }
+    return ids;
+}
+
+using ids = std::vector<std::string>;
+
+} // namespace
+
+TEST_CASE("entries find each other by seeds and then by word of others") {
+    auto table = peer_table::make("self", {"a:1", "b:1"});
+    random_source random{1};
+    CHECK(table.targets(start, random).size() == 2);
+    table.heard_from(make_peer("a"), start);
+    table.heard_of({make_peer("c"), make_peer("self")}, start);
+    CHECK(ids_of(table.alive(start)) == ids{"a", "c"});
+    CHECK(table.targets(start, random).size() == 3); // a, c, and the seed b
+}
+
+TEST_CASE("an entry that is silent, or misses two calls, counts as dead until it is heard again") {
+    auto table = peer_table::make("self", {});
+    table.heard_from(make_peer("a"), start);
+    table.heard_from(make_peer("b"), start);
+    table.missed("a:1");
+    CHECK(table.alive(start).size() == 2);
+    table.missed("a:1");
+    CHECK(ids_of(table.alive(start)) == ids{"b"});
+    CHECK(table.alive(start + seconds{2}).empty());
+    table.heard_from(make_peer("a"), start + seconds{2});
+    CHECK(ids_of(table.alive(start + seconds{2})) == ids{"a"});
+}
+
+TEST_CASE("a draining entry is alive and serves nothing new") {
+    auto table = peer_table::make("self", {});
+    table.heard_from(make_peer("a", false), start);
+    CHECK(table.alive(start).size() == 1);
+    CHECK(table.serving(start).empty());
+}
+
+TEST_CASE("old news of an entry does not replace newer") {
+    auto table = peer_table::make("self", {});
+    table.heard_from(make_peer("a", false), start);
+    table.heard_of({make_peer("a", true, milliseconds{500})}, start + milliseconds{100});
+    CHECK(table.serving(start + milliseconds{100}).empty());
+}
+
+// Answers the pattern of a partition, in which each side believes that the other is gone.
+TEST_CASE("limits stay divided by entries that fell silent lately", "[invariant]") {
+    auto table = peer_table::make("self", {"a:1"});
+    CHECK(table.entries_at_most(start, seconds{12}) == 2);
+    table.heard_from(make_peer("a"), start);
+    table.heard_from(make_peer("b"), start);
+    table.heard_from(make_peer("c"), start);
+    CHECK(table.entries_at_most(start + seconds{5}, seconds{12}) == 4);
+    CHECK(table.entries_at_most(start + seconds{30}, seconds{12}) == 2);
+}
+
+TEST_CASE("the calls of one round do not grow with the fleet") {
+    auto table = peer_table::make("self", {"peer-0:1"});
+    for (int i = 0; i < 200; ++i) {
+        table.heard_from(make_peer("peer-" + std::to_string(i)), start);
+    }
+    random_source random{7};
+    CHECK(table.targets(start, random).size() <= 4);
+}
