Entries listen to the end of a drain; saturated stage queues split a group

Cause, queue: groups of 8 pieces in calls of 30 left every fourth call a fifth empty while the service was saturated.

Change: a drain plan (pure) says what is still taken: all until the balancer has noticed, then what has a bound that ends before the exit. A saturated queue splits the first group that does not fit.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -21,10 +21,6 @@
 
 namespace asio = boost::asio;
 
-// The balancer asks once a second and takes an instance out after two misses.
-constexpr milliseconds withdrawn_after{2'600};
-// What is left of the grace time when answers in progress are cut: time to exit in order.
-constexpr milliseconds exit_margin{600};
 constexpr milliseconds drain_look{20};
 constexpr milliseconds dump_at_most{300};
 constexpr unsigned status_ok = 200;
@@ -111,14 +107,18 @@
             shutdown_changed_.wait(lock, [this] { return shutdown_requested_; });
         }
         const auto begun = steady_clock::now();
+        const auto plan = drain_plan::make(begun, role_.grace);
         log_change("gateway", "draining", {{"open_requests", std::to_string(open_requests())}});
         server_->announce_close();
-        asio::post(loop_.io, [this] { state_.draining = true; });
+        asio::post(loop_.io, [this, plan] { state_.draining = plan; });
         control_->begin_draining();
-        std::this_thread::sleep_until(begun + std::min(withdrawn_after, role_.grace / 2));
+        std::this_thread::sleep_until(plan.withdrawn_at());
+        while (!drained() && steady_clock::now() < plan.exit_at()) {
+            std::this_thread::sleep_for(drain_look);
+        }
+        // Requests that have just been read are refused by now, and only their answers are left.
         server_->stop_accepting();
-        const auto until = begun + std::max(role_.grace - exit_margin, exit_margin);
-        while (!drained() && steady_clock::now() < until) {
+        while (open_requests() > 0 && steady_clock::now() < plan.exit_at()) {
             std::this_thread::sleep_for(drain_look);
         }
         log_change("gateway", "drained",
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -80,9 +80,13 @@
         }
     });
     if (auto refusal = admit()) {
-        const bool later = refusal->kind == error_kind::not_ready;
-        co_await refuse(std::move(*refusal),
-                        later ? std::optional{no_endpoint_retry} : std::nullopt);
+        std::optional<milliseconds> retry_after;
+        if (refusal->kind == error_kind::not_ready) {
+            retry_after = no_endpoint_retry;
+        } else if (refusal->kind == error_kind::shutting_down) {
+            retry_after = parts_.state.draining->retry_after(received_at_);
+        }
+        co_await refuse(std::move(*refusal), retry_after);
     } else {
         bool ready = true;
         auto step = next_step::again;
@@ -140,6 +144,13 @@
         }
         plan_ = std::move(plan.value());
     }
+    if (const auto& draining = parts_.state.draining) {
+        // A stream has no bound on its length.
+        const auto longest = route_->streaming ? std::nullopt : std::optional{left};
+        if (!draining->takes(longest, received_at_)) {
+            return make_error(error_kind::shutting_down, "this entry is about to stop");
+        }
+    }
     parts_.state.budget(service_).count_request(received_at_);
     return std::nullopt;
 }
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -9,11 +9,13 @@
 #include "base/random.hpp"
 #include "catalog/route_table.hpp"
 #include "catalog/types.hpp"
+#include "gateway/drain_plan.hpp"
 #include "settings/settings.hpp"
 #include "wire/messages.hpp"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -79,7 +81,7 @@
     metrics_registry& metrics() { return metrics_; }
     random_source& random() { return random_; }
 
-    bool draining{false};
+    std::optional<drain_plan> draining; ///< set once a shutdown was asked for
 
 private:
     settings::gateway_settings role_;
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -148,6 +148,8 @@
     double capacity_endpoints(time_point now) const;
     milliseconds queue_time(std::size_t pieces, time_point now) const;
     std::vector<group_state*> in_order(time_point now);
+    std::size_t space_for(const group_state& one, std::size_t taken, std::uint64_t room) const;
+    bool exceeds_a_call(const group_state& one) const;
     std::vector<call_piece> take_batch(std::vector<group_state*>& order,
                                        const endpoint_state& where, std::uint64_t room,
                                        time_point now) const;
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -168,8 +168,6 @@
     return order;
 }
 
-// Fills one call in order. A group that does not fit is passed over for smaller ones, so that its
-// pieces stay together; one larger than a call is split.
 // Whether a group has the time to wait for an endpoint nearer to it than this one.
 bool stage_queue::waits_for_nearer(const group_state& one, const endpoint_state& where,
                                    time_point now) const {
@@ -189,34 +187,56 @@
     });
 }
 
+// How many more pieces of a group fit into a call.
+std::size_t stage_queue::space_for(const group_state& one, std::size_t taken,
+                                   std::uint64_t room) const {
+    const auto space = capacity_.batch - taken;
+    const auto bytes = one.group.result_bytes;
+    const bool limited = capacity_.result_room_bytes > 0 && bytes > 0;
+    return limited ? std::min<std::size_t>(space, room / bytes) : space;
+}
+
+// Whether no call could take all pieces of a group.
+bool stage_queue::exceeds_a_call(const group_state& one) const {
+    const auto bytes = one.waiting.size() * one.group.result_bytes;
+    return one.waiting.size() > capacity_.batch ||
+           (capacity_.result_room_bytes > 0 && bytes > capacity_.result_room_bytes);
+}
+
+// Fills one call in order. A group that does not fit is passed over for smaller ones, so that its
+// pieces stay together. It is split only if it exceeds any call, or if what waits fills another
+// call anyway: then the service is saturated, and an unfilled call costs more than the split.
 std::vector<stage_queue::call_piece> stage_queue::take_batch(std::vector<group_state*>& order,
                                                              const endpoint_state& where,
                                                              std::uint64_t room,
                                                              time_point now) const {
     std::vector<call_piece> batch;
-    for (auto*& one : order) {
-        auto space = capacity_.batch - batch.size();
-        if (space == 0) {
-            break;
-        }
-        const auto bytes = one->group.result_bytes;
-        if (capacity_.result_room_bytes > 0 && bytes > 0) {
-            space = std::min<std::size_t>(space, room / bytes);
+    const auto take = [&](group_state& one, std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i) {
+            batch.push_back({one.group.id, one.waiting[i].index});
         }
-        const bool larger_than_a_call = one->waiting.size() > capacity_.batch ||
-                                        (capacity_.result_room_bytes > 0 &&
-                                         one->waiting.size() * bytes > capacity_.result_room_bytes);
-        if (space == 0 || waits_for_nearer(*one, where, now) ||
-            (one->waiting.size() > space && !(larger_than_a_call && batch.empty()))) {
+        one.waiting.erase(one.waiting.begin(),
+                          one.waiting.begin() + static_cast<std::ptrdiff_t>(count));
+        room -= std::min(room, count * one.group.result_bytes);
+    };
+    std::size_t passed_over = 0;
+    group_state* first_passed_over = nullptr;
+    for (auto* const one : order) {
+        if (waits_for_nearer(*one, where, now)) {
             continue;
         }
-        const auto count = std::min(space, one->waiting.size());
-        room -= std::min(room, count * bytes);
-        for (std::size_t i = 0; i < count; ++i) {
-            batch.push_back({one->group.id, one->waiting[i].index});
+        const auto space = space_for(*one, batch.size(), room);
+        const bool splits = batch.empty() && exceeds_a_call(*one);
+        if (one->waiting.size() <= space || splits) {
+            take(*one, std::min(space, one->waiting.size()));
+        } else {
+            passed_over += one->waiting.size();
+            first_passed_over = first_passed_over == nullptr ? one : first_passed_over;
         }
-        one->waiting.erase(one->waiting.begin(),
-                           one->waiting.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    if (passed_over >= capacity_.batch) {
+        const auto space = space_for(*first_passed_over, batch.size(), room);
+        take(*first_passed_over, std::min(space, first_passed_over->waiting.size()));
     }
     std::erase_if(order, [](const group_state* one) { return one->waiting.empty(); });
     return batch;
