--- a/libs/gateway/include/gateway/gateway_node.hpp
+++ b/libs/gateway/include/gateway/gateway_node.hpp
@@ -37,6 +37,7 @@
 
     virtual std::string data_address() const = 0;
     virtual std::string control_address() const = 0;
+    virtual std::string ready_address() const = 0;
 };
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -133,6 +133,9 @@
         return host_of(settings_.data_address) + ':' + std::to_string(server_->port());
     }
     std::string control_address() const override { return control_->control_address(); }
+    std::string ready_address() const override {
+        return host_of(role_.ready_address) + ':' + std::to_string(ready_server_->port());
+    }
 
 private:
     wire::byte_counters work_bytes() {
--- a/libs/peering/tests/peer_table_test.cpp
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -23,6 +23,7 @@
 
 std::vector<std::string> ids_of(const std::vector<wire::entry_info>& peers) {
     std::vector<std::string> ids;
+    ids.reserve(peers.size());
     for (const auto& one : peers) {
         ids.push_back(one.id);
     }
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -117,8 +117,7 @@
         time_point slowdown_at{};
     };
     struct waiting_piece {
-        std::size_t index; // in the group
-        unsigned attempts{0};
+        std::size_t index{0}; // in the group
     };
     struct group_state {
         piece_group group;
--- /dev/null
+++ b/tests/gateway/src/deployment.cpp
@@ -0,0 +1,145 @@
+#include "deployment.hpp"
+
+#include <stdexcept>
+
+namespace boragefront::gateway_tests {
+namespace {
+
+constexpr seconds patience{20}; // generous: a failure, not a slow machine, must end a wait
+constexpr milliseconds look{5};
+
+constexpr std::string_view configuration = R"({"version":7,"routes":[
+ {"name":"plain","host":"plain.example","prefix":"/","kind":"idempotent","service":"PLAIN",
+  "timeout_ms":3000,"target_latency_ms":500,"max_attempts":2},
+ {"name":"order","host":"order.example","prefix":"/","kind":"non_idempotent","service":"orders",
+  "timeout_ms":3000,"target_latency_ms":500,"max_attempts":1},
+ {"name":"stream","host":"stream.example","prefix":"/","kind":"streaming","service":"model",
+  "stream_resume":true,"timeout_ms":9000,"target_latency_ms":1000,"max_attempts":2,
+  "gap_aim_ms":400},
+ {"name":"once","host":"once.example","prefix":"/","kind":"streaming","service":"model",
+  "timeout_ms":9000,"target_latency_ms":1000,"max_attempts":1,"gap_aim_ms":400},
+ {"name":"staged","host":"staged.example","prefix":"/","kind":"streaming","service":"model",
+  "stream_resume":true,"timeout_ms":9000,"target_latency_ms":2000,"max_attempts":2,
+  "stages":[{"service":"first","after":[],"bytes":1000},
+            {"service":"second","after":[0],"bytes":1000}]}],
+ "services":[{"name":"plain"},{"name":"other"},{"name":"orders"},{"name":"model"},
+  {"name":"first","pieces":{"slots":1,"batch":4,"call_ms":5,"item_ms":1,"handle_s":4}},
+  {"name":"second","pieces":{"slots":1,"batch":4,"call_ms":5,"item_ms":1,"handle_s":4}}],
+ "tenants":[{"name":"team","api_keys":["key"]}]})";
+
+} // namespace
+
+deployment::deployment() : store_{std::make_unique<store_stand_in>(io_.get_executor())} {
+    thread_ = std::thread{[this] { io_.run(); }};
+}
+
+deployment::~deployment() {
+    gateways_.clear();
+    io_.stop();
+    thread_.join();
+}
+
+endpoint_stand_in& deployment::add_endpoint(const std::string& id, const std::string& service,
+                                            const std::string& data_centre) {
+    return on_loop([&]() -> std::reference_wrapper<endpoint_stand_in> {
+        endpoints_.push_back(std::make_unique<endpoint_stand_in>(io_.get_executor(), id));
+        auto& made = *endpoints_.back();
+        store_->put("servers/" + id, made.registration(service, "ready", data_centre));
+        return made;
+    });
+}
+
+void deployment::register_again(endpoint_stand_in& one, const std::string& service,
+                                const std::string& state) {
+    on_loop([&] { store_->put("servers/" + one.id(), one.registration(service, state)); });
+}
+
+void deployment::remove(const endpoint_stand_in& one) {
+    on_loop([&] { store_->put("servers/" + one.id(), std::nullopt); });
+}
+
+void deployment::publish_configuration(const std::string& plain_service) {
+    std::string text{configuration};
+    text.replace(text.find("PLAIN"), 5, plain_service);
+    on_loop([&] { store_->put("op/config", text); });
+}
+
+running_gateway& deployment::start_gateway(const std::string& store_address) {
+    settings::daemon_settings settings;
+    settings::gateway_settings role;
+    settings.id = "gateway-" + std::to_string(gateways_.size() + 1);
+    settings.data_centre = "a";
+    settings.data_address = "127.0.0.1:0";
+    settings.control_address = "127.0.0.1:0";
+    settings.platform_address = store_address.empty() ? store_->address() : store_address;
+    for (const auto& other : gateways_) {
+        settings.seed_peers.push_back(other->node->control_address());
+    }
+    role.ready_address = "127.0.0.1:0";
+    role.log_lines_per_second = 0;
+    role.work_address = "127.0.0.1:0";
+    role.grace = seconds{3};
+    settings.role = role;
+    auto made = std::make_unique<running_gateway>();
+    made->metrics = std::make_unique<metrics_registry>();
+    auto node = gateway::gateway_node::start(settings, *made->metrics);
+    if (!node) {
+        throw std::runtime_error{to_string(node.error())};
+    }
+    made->node = std::move(node.value());
+    gateways_.push_back(std::move(made));
+    return *gateways_.back();
+}
+
+running_gateway& deployment::start_ready_gateway(const std::string& store_address) {
+    auto& made = start_gateway(store_address);
+    const auto until = steady_clock::now() + patience;
+    while (!is_ready(made)) {
+        if (steady_clock::now() > until) {
+            throw std::runtime_error{"a gateway was not ready in time"};
+        }
+        std::this_thread::sleep_for(look);
+    }
+    return made;
+}
+
+bool deployment::is_ready(const running_gateway& one) {
+    const auto answer = support::get(one.node->ready_address(), "/-/readyz");
+    return answer && answer.value().status == 200;
+}
+
+http::request deployment::make_request(const std::string& host, const std::string& id) {
+    http::request message;
+    message.method = "POST";
+    message.target = "/path?query=%20";
+    message.body = "body of " + id;
+    message.headers.add("Host", host);
+    message.headers.add("Boragefront-Request-Id", id);
+    message.headers.add("Boragefront-Deadline-Ms", "8000");
+    message.headers.add("Api-Key", "key");
+    return message;
+}
+
+result<http::response> deployment::call(const running_gateway& to, http::request message) {
+    support::blocking_client client;
+    return client.call(to.node->data_address(), std::move(message), patience);
+}
+
+result<support::line_answer> deployment::call_lines(const running_gateway& to,
+                                                    http::request message) {
+    support::blocking_client client;
+    return client.call_lines(to.node->data_address(), std::move(message), patience);
+}
+
+bool deployment::becomes_true(const std::function<bool()>& condition) {
+    const auto until = steady_clock::now() + patience;
+    while (!on_loop(condition)) {
+        if (steady_clock::now() > until) {
+            return false;
+        }
+        std::this_thread::sleep_for(look);
+    }
+    return true;
+}
+
+} // namespace boragefront::gateway_tests
--- /dev/null
+++ b/tests/gateway/src/deployment.hpp
@@ -0,0 +1,98 @@
+/// \file
+/// A small deployment in one process: the store's and the endpoints' stand-ins on one event loop,
+/// gateways with their own threads, and callers that block.
+#pragma once
+
+#include "endpoint_stand_in.hpp"
+#include "gateway/gateway_node.hpp"
+#include "store_stand_in.hpp"
+#include "support/blocking_client.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace boragefront::gateway_tests {
+
+/// One gateway.
+struct running_gateway {
+    std::unique_ptr<metrics_registry> metrics;
+    std::unique_ptr<gateway::gateway_node> node;
+};
+
+class deployment {
+public:
+    deployment();
+    ~deployment();
+    deployment(const deployment&) = delete;
+    deployment& operator=(const deployment&) = delete;
+
+    /// Adds an endpoint and registers it.
+    endpoint_stand_in& add_endpoint(const std::string& id, const std::string& service,
+                                    const std::string& data_centre = "a");
+
+    /// Registers an endpoint again, as draining or ready, or removes it.
+    void register_again(endpoint_stand_in& one, const std::string& service,
+                        const std::string& state);
+    void remove(const endpoint_stand_in& one);
+
+    /// Publishes the configuration of these tests: hosts "plain.example" (idempotent),
+    /// "order.example" (runs once), "stream.example" (resumable), "once.example" (a stream that
+    /// runs once) and "staged.example" (with stages).
+    /// \param plain_service that "plain.example" goes to.
+    void publish_configuration(const std::string& plain_service = "plain");
+
+    /// Starts a gateway that knows the others as seeds.
+    /// \param store_address another store than the deployment's, as when that one is cut off.
+    running_gateway& start_gateway(const std::string& store_address = {});
+
+    /// Starts a gateway and waits until it is ready.
+    running_gateway& start_ready_gateway(const std::string& store_address = {});
+
+    bool is_ready(const running_gateway& one);
+
+    /// Runs something on the stand-ins' thread.
+    template <class Action>
+    auto on_loop(Action action) {
+        std::promise<decltype(action())> done;
+        boost::asio::post(io_, [&] {
+            if constexpr (std::is_void_v<decltype(action())>) {
+                action();
+                done.set_value();
+            } else {
+                done.set_value(action());
+            }
+        });
+        return done.get_future().get();
+    }
+
+    store_stand_in& store() { return *store_; }
+
+    /// A caller's request.
+    static http::request make_request(const std::string& host, const std::string& id);
+
+    /// Sends a request and waits for its answer.
+    result<http::response> call(const running_gateway& to, http::request message);
+    result<support::line_answer> call_lines(const running_gateway& to, http::request message);
+
+    /// Whether something becomes true on the stand-ins' thread within a generous time.
+    bool becomes_true(const std::function<bool()>& condition);
+
+private:
+    boost::asio::io_context io_{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
+        io_.get_executor()};
+    std::unique_ptr<store_stand_in> store_;
+    std::vector<std::unique_ptr<endpoint_stand_in>> endpoints_;
+    std::vector<std::unique_ptr<running_gateway>> gateways_;
+    std::thread thread_;
+};
+
+} // namespace boragefront::gateway_tests
--- /dev/null
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -0,0 +1,255 @@
+#include "endpoint_stand_in.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace boragefront::gateway_tests {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+
+constexpr milliseconds second_answer_delay{30};
+
+auto into(boost::system::error_code& failure) {
+    return asio::redirect_error(asio::use_awaitable, failure);
+}
+
+std::string head_of(unsigned status, const std::string& request_id, bool receipt) {
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
+    head += "Boragefront-Request-Id: " + request_id + "\r\n";
+    if (receipt) {
+        head += "Boragefront-Response-Signature: " + request_id + ".signed\r\n";
+    }
+    return head;
+}
+
+std::string with_body(std::string head, const std::string& body) {
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string chunk(const std::string& text) {
+    std::array<char, 20> size{};
+    (void)std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+std::string event(int number) {
+    return "id: " + std::to_string(number) + "\ndata: event-" + std::to_string(number) + "\n\n";
+}
+
+} // namespace
+
+struct endpoint_stand_in::connection {
+    explicit connection(tcp::socket from) : socket{std::move(from)} {}
+
+    asio::awaitable<bool> send(const std::string& bytes) {
+        boost::system::error_code failure;
+        co_await asio::async_write(socket, asio::buffer(bytes), into(failure));
+        co_return !failure;
+    }
+
+    // Waits, and returns whether the peer is still there.
+    asio::awaitable<bool> wait(milliseconds time) {
+        const auto until = steady_clock::now() + time;
+        do {
+            asio::steady_timer timer{socket.get_executor(), std::min(time, milliseconds{5})};
+            boost::system::error_code ignored;
+            co_await timer.async_wait(into(ignored));
+            char byte = 0;
+            boost::system::error_code failure;
+            socket.non_blocking(true, failure);
+            const auto size =
+                socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+            if (failure != asio::error::would_block && (failure || size == 0)) {
+                co_return false;
+            }
+        } while (steady_clock::now() < until);
+        co_return true;
+    }
+
+    tcp::socket socket;
+    beast::flat_buffer buffer;
+};
+
+endpoint_stand_in::endpoint_stand_in(asio::any_io_executor executor, std::string id)
+    : executor_{std::move(executor)},
+      acceptor_{executor_, tcp::endpoint{asio::ip::address_v4::loopback(), 0}}, id_{std::move(id)} {
+    asio::co_spawn(executor_, accept_loop(), asio::detached);
+}
+
+endpoint_stand_in::~endpoint_stand_in() = default;
+
+std::string endpoint_stand_in::address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+std::string endpoint_stand_in::registration(const std::string& service, const std::string& state,
+                                            const std::string& data_centre) const {
+    return json::serialize(json::object{{"service", service},
+                                        {"address", address()},
+                                        {"zone", data_centre},
+                                        {"version", "v1"},
+                                        {"slots", 4},
+                                        {"state", state},
+                                        {"cold_remaining_ms", 0},
+                                        {"sequence", 1}});
+}
+
+void endpoint_stand_in::set_mode(endpoint_mode mode, int times) {
+    mode_ = mode;
+    mode_times_ = times;
+}
+
+endpoint_mode endpoint_stand_in::take_mode() {
+    return mode_times_-- > 0 ? mode_ : endpoint_mode::sound;
+}
+
+std::size_t endpoint_stand_in::runs() const {
+    return static_cast<std::size_t>(
+        std::count_if(visits_.begin(), visits_.end(), [](const auto& one) { return one.ran; }));
+}
+
+asio::awaitable<void> endpoint_stand_in::accept_loop() {
+    for (;;) {
+        boost::system::error_code failure;
+        auto socket = co_await acceptor_.async_accept(into(failure));
+        if (failure) {
+            co_return;
+        }
+        auto accepted = std::make_shared<connection>(std::move(socket));
+        open_.push_back(accepted);
+        asio::co_spawn(executor_, serve(accepted), asio::detached);
+    }
+}
+
+asio::awaitable<void> endpoint_stand_in::serve(std::shared_ptr<connection> with) {
+    for (;;) {
+        beast::http::request<beast::http::string_body> message;
+        boost::system::error_code failure;
+        co_await beast::http::async_read(with->socket, with->buffer, message, into(failure));
+        if (failure) {
+            co_return;
+        }
+        endpoint_visit visit;
+        visit.message.method = std::string{message.method_string()};
+        visit.message.target = std::string{message.target()};
+        visit.message.body = message.body();
+        for (const auto& field : message) {
+            visit.message.headers.add(std::string{field.name_string()}, std::string{field.value()});
+        }
+        visit.id = visit.message.headers.get("Boragefront-Request-Id");
+        visits_.push_back(std::move(visit));
+        if (!co_await answer(*with, visits_.size() - 1)) {
+            with->socket.close();
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<bool> endpoint_stand_in::answer(connection& with, std::size_t visit) {
+    const auto& message = visits_[visit].message;
+    const auto expected = message.headers.get("Boragefront-Expect-Instance");
+    if (!expected.empty() && expected != id_) {
+        co_return co_await with.send(with_body(head_of(421, visits_[visit].id, false), ""));
+    }
+    if (message.target.starts_with("/-/stage-")) {
+        co_return co_await answer_pieces(with, visit);
+    }
+    const auto mode = take_mode();
+    if (mode == endpoint_mode::refusing || mode == endpoint_mode::inputs_gone) {
+        const unsigned status = mode == endpoint_mode::refusing ? 503 : 409;
+        co_return co_await with.send(with_body(
+            head_of(status, visits_[visit].id, false) + "Boragefront-Not-Executed: 1\r\n", ""));
+    }
+    visits_[visit].ran = true;
+    if (!co_await with.wait(work)) {
+        visits_[visit].left = true;
+        co_return false;
+    }
+    if (mode == endpoint_mode::resetting) {
+        co_return false;
+    }
+    if (mode == endpoint_mode::silent) {
+        while (co_await with.wait(milliseconds{20})) {
+        }
+        visits_[visit].left = true;
+        co_return false;
+    }
+    if (events > 0) {
+        co_return co_await answer_stream(with, visit, mode);
+    }
+    co_return co_await answer_plain(with, visit, mode);
+}
+
+asio::awaitable<bool> endpoint_stand_in::answer_plain(connection& with, std::size_t visit,
+                                                      endpoint_mode mode) {
+    const auto id = visits_[visit].id;
+    const unsigned status = mode == endpoint_mode::failing ? 500 : 200;
+    const std::string body = "answer to " + id;
+    const auto whole = with_body(head_of(status, id, mode != endpoint_mode::no_receipt), body);
+    if (mode == endpoint_mode::other_first) {
+        (void)co_await with.send(with_body(head_of(200, "another", true), "answer to another"));
+    }
+    if (mode == endpoint_mode::cut) {
+        (void)co_await with.send(whole.substr(0, whole.size() - 3));
+        co_return false;
+    }
+    const bool sent = co_await with.send(whole);
+    if (mode == endpoint_mode::twice) {
+        (void)co_await with.wait(second_answer_delay);
+        (void)co_await with.send(whole);
+    }
+    co_return sent;
+}
+
+asio::awaitable<bool> endpoint_stand_in::answer_stream(connection& with, std::size_t visit,
+                                                       endpoint_mode mode) {
+    const auto id = visits_[visit].id;
+    const std::string last{visits_[visit].message.headers.get("Last-Event-Id")};
+    int number = last.empty() ? 0 : std::stoi(last);
+    (void)co_await with.send(head_of(200, id, true) + "Content-Type: text/event-stream\r\n" +
+                             "Transfer-Encoding: chunked\r\n\r\n");
+    for (int sent = 0; number < events; ++sent) {
+        ++number;
+        if (mode == endpoint_mode::cut && sent == cut_after) {
+            (void)co_await with.send(chunk(event(number).substr(0, 6)));
+            co_return false;
+        }
+        if (!co_await with.send(chunk(event(number))) || !co_await with.wait(gap)) {
+            visits_[visit].left = true;
+            co_return false;
+        }
+    }
+    co_return co_await with.send("0\r\n\r\n");
+}
+
+asio::awaitable<bool> endpoint_stand_in::answer_pieces(connection& with, std::size_t visit) {
+    const auto message = visits_[visit].message;
+    if (message.target == "/-/stage-free") {
+        co_return co_await with.send(with_body(head_of(200, "", false), "{}"));
+    }
+    (void)co_await with.wait(work);
+    const auto asked = json::parse(message.body).at("items").as_array();
+    json::array items;
+    for (std::size_t i = 0; i < asked.size(); ++i) {
+        items.push_back(json::object{{"handle", address() + "/" + std::to_string(next_handle_++)}});
+    }
+    visits_[visit].ran = true;
+    const auto body = json::serialize(json::object{{"items", std::move(items)}});
+    co_return co_await with.send(with_body(head_of(200, "", false), body));
+}
+
+} // namespace boragefront::gateway_tests
--- /dev/null
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -0,0 +1,90 @@
+/// \file
+/// Stands in for an endpoint: a plain service, a model engine or a maker of pieces. Keeps a ledger
+/// of what it ran and fails as told.
+#pragma once
+
+#include "base/time.hpp"
+#include "http/message.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boragefront::gateway_tests {
+
+/// What an endpoint does with its next requests.
+enum class endpoint_mode : std::uint8_t {
+    sound,
+    refusing,    ///< states that it did not run the request
+    failing,     ///< runs it and answers 500
+    resetting,   ///< runs it and closes the connection
+    silent,      ///< runs it and never answers
+    twice,       ///< answers, and answers again a moment later on the same connection
+    other_first, ///< sends the answer to another request before its own
+    cut,         ///< breaks off in the middle of the answer
+    inputs_gone, ///< states that a result is gone and that it did not run
+    no_receipt,  ///< answers without a receipt
+};
+
+/// One request or call that reached an endpoint.
+struct endpoint_visit {
+    http::request message;
+    std::string id;
+    bool ran{false};
+    bool left{false}; ///< the connection was closed before the answer was sent
+};
+
+/// All functions on its executor's thread.
+class endpoint_stand_in {
+public:
+    endpoint_stand_in(boost::asio::any_io_executor executor, std::string id);
+    ~endpoint_stand_in();
+    endpoint_stand_in(const endpoint_stand_in&) = delete;
+    endpoint_stand_in& operator=(const endpoint_stand_in&) = delete;
+
+    std::string address() const;
+    const std::string& id() const { return id_; }
+
+    /// The value that it registers with.
+    std::string registration(const std::string& service, const std::string& state = "ready",
+                             const std::string& data_centre = "a") const;
+
+    /// The mode of the next `times` requests; sound afterwards. Calls for pieces are not counted.
+    void set_mode(endpoint_mode mode, int times = 1'000'000);
+
+    milliseconds work{0}; ///< time until it answers
+    int events{0};        ///< of a stream; 0: a plain answer
+    milliseconds gap{5};  ///< between events
+    int cut_after{2};     ///< events, in mode `cut`
+
+    const std::vector<endpoint_visit>& visits() const { return visits_; }
+    std::size_t runs() const;
+
+private:
+    struct connection;
+    boost::asio::awaitable<void> accept_loop();
+    boost::asio::awaitable<void> serve(std::shared_ptr<connection> with);
+    boost::asio::awaitable<bool> answer(connection& with, std::size_t visit);
+    boost::asio::awaitable<bool> answer_plain(connection& with, std::size_t visit,
+                                              endpoint_mode mode);
+    boost::asio::awaitable<bool> answer_stream(connection& with, std::size_t visit,
+                                               endpoint_mode mode);
+    boost::asio::awaitable<bool> answer_pieces(connection& with, std::size_t visit);
+    endpoint_mode take_mode();
+
+    boost::asio::any_io_executor executor_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::string id_;
+    endpoint_mode mode_{endpoint_mode::sound};
+    int mode_times_{0};
+    int next_handle_{1};
+    std::vector<endpoint_visit> visits_;
+    std::vector<std::weak_ptr<connection>> open_;
+};
+
+} // namespace boragefront::gateway_tests
--- /dev/null
+++ b/tests/gateway/src/store_stand_in.hpp
@@ -0,0 +1,68 @@
+/// \file
+/// Stands in for the platform's store: lists and watches keys, and fails as told.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/time.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace boragefront::gateway_tests {
+
+/// How the store answers.
+enum class store_mode : std::uint8_t {
+    sound,
+    refusing, ///< 503 to every call
+    limiting, ///< 429 to every call
+    silent,   ///< takes calls and never answers
+};
+
+/// All functions on its executor's thread.
+class store_stand_in {
+public:
+    explicit store_stand_in(boost::asio::any_io_executor executor);
+
+    std::string address() const;
+
+    /// Writes a key, or removes it.
+    void put(const std::string& key, std::optional<std::string> value);
+
+    void set_mode(store_mode mode);
+
+    /// Forgets the history up to now and cuts the watches that wait.
+    void compact();
+
+    std::size_t calls() const { return calls_; }
+
+private:
+    struct item {
+        std::string key;
+        revision at;
+        std::optional<std::string> value;
+    };
+    http::awaitable<void> handle(const http::request& message, http::responder& out);
+    http::awaitable<void> list(const http::request& message, http::responder& out);
+    http::awaitable<void> watch(const http::request& message, http::responder& out);
+    void wake_watches();
+
+    boost::asio::any_io_executor executor_;
+    std::vector<item> history_;
+    std::map<std::string, item> current_;
+    revision newest_{10};
+    revision forgotten_{0};
+    store_mode mode_{store_mode::sound};
+    std::size_t calls_{0};
+    std::set<boost::asio::steady_timer*> watches_;
+    std::unique_ptr<http::server> server_;
+};
+
+} // namespace boragefront::gateway_tests
