--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -76,6 +76,13 @@
                                           const entry_group& group, time_point now,
                                           random_source& random);
 
+    /// The endpoint with this id, if it is in service and was not given up lately.
+    std::optional<chosen_endpoint> sound(const std::string& id, time_point now) const;
+
+    /// The endpoint that requests with this shared prompt meet at when nothing stands in the way.
+    std::optional<chosen_endpoint> home_of(std::string_view affinity, std::string_view data_centre,
+                                           time_point now) const;
+
     /// Why the last `choose` found none, and when one may be found again.
     no_choice reason(time_point now) const;
     milliseconds retry_after(time_point now) const;
@@ -114,6 +121,7 @@
         time_point load_at{};
     };
 
+    static bool is_sound(const state& one, time_point now);
     bool usable(const state& one, const choice_request& request) const;
     double cost_ms(const state& one, const choice_request& request, time_point now) const;
     double queueing(const state& one, time_point now) const;
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -186,6 +186,39 @@
     return chosen_endpoint{best->self.id, best->self.address, best->self.data_centre};
 }
 
+bool endpoint_pool::is_sound(const state& one, time_point now) {
+    return one.self.state == catalog::endpoint_state::ready && !one.self.removed_at &&
+           now >= one.held_until && one.failures_in_row == 0;
+}
+
+std::optional<chosen_endpoint> endpoint_pool::sound(const std::string& id, time_point now) const {
+    const auto found = endpoints_.find(id);
+    if (found == endpoints_.end() || !is_sound(found->second, now)) {
+        return std::nullopt;
+    }
+    const auto& self = found->second.self;
+    return chosen_endpoint{self.id, self.address, self.data_centre};
+}
+
+std::optional<chosen_endpoint> endpoint_pool::home_of(std::string_view affinity,
+                                                      std::string_view data_centre,
+                                                      time_point now) const {
+    const state* home = nullptr;
+    std::uint64_t best = 0;
+    for (const auto& [id, one] : endpoints_) {
+        const bool here = data_centre.empty() || one.self.data_centre == data_centre;
+        const auto score = here && is_sound(one, now) ? rendezvous_score(affinity, id) : 0;
+        if (score > best) {
+            best = score;
+            home = &one;
+        }
+    }
+    if (home == nullptr) {
+        return std::nullopt;
+    }
+    return chosen_endpoint{home->self.id, home->self.address, home->self.data_centre};
+}
+
 no_choice endpoint_pool::reason(time_point /*now*/) const {
     const bool any = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
         return one.second.self.state == catalog::endpoint_state::ready && !one.second.evacuated &&
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -286,6 +286,25 @@
     return caller_.prompt[shared].id;
 }
 
+// The address of another engine that should have read the shared prompt, if the chosen one has not.
+std::string request_run::prompt_source(const balancing::chosen_endpoint& chosen) const {
+    const auto shared = shared_prompt();
+    auto& state = parts_.state;
+    auto* const pool = state.pool(service_);
+    if (shared.empty() || pool == nullptr) {
+        return {};
+    }
+    const auto now = steady_clock::now();
+    std::optional<balancing::chosen_endpoint> source;
+    if (const auto last = state.prompts().find(shared, now)) {
+        source = pool->sound(*last, now);
+    }
+    if (!source) {
+        source = pool->home_of(shared, state.home_data_centre(*route_, shared), now);
+    }
+    return source && source->id != chosen.id ? source->address : std::string{};
+}
+
 http::awaitable<std::optional<balancing::chosen_endpoint>> request_run::choose() {
     auto& state = parts_.state;
     balancing::choice_request wanted;
@@ -386,6 +405,7 @@
     if (plan_) {
         added.inputs = plan_->final_inputs();
     }
+    added.fetch_prompt_from = prompt_source(*chosen);
     if (last_event_) {
         added.last_event_id = std::to_string(*last_event_);
     }
@@ -490,6 +510,9 @@
         if (!first_event_at_) {
             first_event_at_ = steady_clock::now();
         }
+        if (!began_ && !shared_prompt().empty()) {
+            parts_.state.prompts().note(shared_prompt(), where.endpoint, *first_event_at_);
+        }
         if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
             pool->first_byte(where.endpoint, where.ticket, steady_clock::now());
         }
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -45,6 +45,7 @@
     std::string data_centre_of(const std::vector<std::pair<std::string, std::size_t>>& results,
                                std::size_t readers) const;
     std::string_view shared_prompt() const;
+    std::string prompt_source(const balancing::chosen_endpoint& chosen) const;
     http::awaitable<std::optional<balancing::chosen_endpoint>> choose();
     http::awaitable<next_step> send_once();
     http::awaitable<next_step> take_answer(http::response_stream& answer, const sent& where);
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -4,6 +4,7 @@
 
 #include "balancing/endpoint_pool.hpp"
 #include "balancing/entry_group.hpp"
+#include "balancing/prompt_locations.hpp"
 #include "balancing/retry_budget.hpp"
 #include "base/metrics.hpp"
 #include "base/random.hpp"
@@ -62,6 +63,7 @@
     /// The pool of a service, or null if there is no such service.
     balancing::endpoint_pool* pool(std::string_view service);
     balancing::retry_budget& budget(const std::string& service) { return budgets_[service]; }
+    balancing::prompt_locations& prompts() { return prompts_; }
 
     balancing::cold_limit cold_limit_of(std::string_view service) const;
     balancing::retry_limit retry_limit() const;
@@ -94,6 +96,7 @@
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
     std::map<std::string, balancing::retry_budget> budgets_;
+    balancing::prompt_locations prompts_;
 };
 
 } // namespace boragefront::gateway
