Reasons of refusals and failures in the logs; a piece without room is no attempt

Change: reasons on the ended line, lines for refused and expired groups, stage predictions beside what came, ages of what is believed; no room is no attempt, and pace is learned from calls that made all their pieces.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -107,6 +107,9 @@
                          '"')
         .add();
     const bool reachable = failure == nullptr || failure->kind == error_kind::expired;
+    if (reachable) {
+        heard_[std::string{part.name}] = steady_clock::now();
+    }
     if (reachable != part.reachable) {
         part.reachable = reachable;
         log_change("store", reachable ? "regained" : "lost",
@@ -307,6 +310,11 @@
                     {"limits_divided_by", std::to_string(view.entries_at_most)}});
         known_peers_ = view.alive.size();
     }
+    metrics_.get_gauge("boragefront_peers_alive").set(static_cast<double>(view.alive.size()));
+    for (const auto& [part, heard] : heard_) {
+        metrics_.get_gauge("boragefront_store_age_seconds", "part=\"" + part + '"')
+            .set(std::chrono::duration<double>(now - heard).count());
+    }
     outputs_.set_fleet(std::move(view));
 }
 
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -18,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -102,6 +103,7 @@
     published_state published_;
     std::size_t known_peers_{0};
     time_point changed_at_{};
+    std::map<std::string, time_point> heard_; // when a part of the store last answered
     bool draining_{false};
 };
 
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -197,7 +197,9 @@
                         break;
                     }
                     if (result.outcome != stages::piece_outcome::made) {
-                        failure = make_error(error_kind::no_capacity, "a stage could not be run");
+                        failure = make_error(error_kind::no_capacity,
+                                             "a piece was not made: " +
+                                                 std::string{to_string(result.outcome)});
                     }
                 }
             } else if (const auto* const refused = std::get_if<pieces_refused>(&*one->second)) {
@@ -617,6 +619,7 @@
     }
     end_.outcome = answer_for(failure.kind).name;
     end_.status = answer_for(failure.kind).http_status;
+    end_.reason = failure.detail;
     failure.ran = work_ran::no;
     auto answer = platform::refuse(failure, caller_.id, retry_after);
     end_.whole = static_cast<bool>(co_await out_.send(std::move(answer)));
@@ -624,6 +627,7 @@
 
 // Ends a request that may have run.
 http::awaitable<void> request_run::fail(const error& failure) {
+    end_.reason = to_string(failure);
     if (began_) {
         // The answer stays unfinished, and the connection is cut: the caller sees that it is not
         // whole.
@@ -683,6 +687,7 @@
          {"outcome", end_.outcome},
          {"status", std::to_string(end_.status)},
          {"whole", end_.whole ? "true" : "false"},
+         {"reason", end_.reason},
          {"sends", std::to_string(sends_)},
          {"refused", std::to_string(refusals_)},
          {"stages_ms", std::to_string(stages_done_at_ == time_point{}
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -15,9 +15,10 @@
 
 /// How a request ended, for logs and metrics.
 struct request_end {
-    std::string outcome; ///< "answered", or the name of an error kind
-    unsigned status{0};  ///< of the answer; 0: the connection was cut
-    bool whole{false};   ///< whether the caller got a whole answer
+    std::string outcome;  ///< "answered", or the name of an error kind
+    unsigned status{0};   ///< of the answer; 0: the connection was cut
+    bool whole{false};    ///< whether the caller got a whole answer
+    std::string reason{}; ///< of a refusal or failure
 };
 
 /// Runs on the traffic thread as one coroutine and ends before its references do.
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -35,6 +35,12 @@
     return std::chrono::floor<milliseconds>(std::max(until - now, duration{0}));
 }
 
+std::size_t count_of(const std::vector<stages::piece_result>& results,
+                     stages::piece_outcome outcome) {
+    return static_cast<std::size_t>(std::count_if(
+        results.begin(), results.end(), [&](const auto& one) { return one.outcome == outcome; }));
+}
+
 stages::call_outcome outcome_of(const error& failure) {
     switch (failure.kind) {
     case error_kind::connect_failed:
@@ -86,6 +92,7 @@
     auto& kept = queues_[service];
     if (kept == nullptr) {
         kept = std::make_unique<service_queue>(executor_);
+        kept->service = service;
         kept->queue = stages::stage_queue::make(*found->second.stages);
         kept->queue.set_endpoints(published.endpoints, published.evacuated, service,
                                   steady_clock::now());
@@ -140,8 +147,27 @@
     });
 }
 
+void stage_exchange::note_prediction(const std::string& service, milliseconds expected) {
+    state_.metrics()
+        .get_latency("boragefront_stage_group_expected_seconds", "service=\"" + service + '"')
+        .record(expected);
+}
+
 http::awaitable<pieces_answer> stage_exchange::make(std::string service, stages::piece_group group,
                                                     wait_source& wait) {
+    const auto began = steady_clock::now();
+    auto answer = co_await make_somewhere(service, std::move(group), wait);
+    if (std::holds_alternative<pieces_ended>(answer)) {
+        state_.metrics()
+            .get_latency("boragefront_stage_group_seconds", "service=\"" + service + '"')
+            .record(steady_clock::now() - began);
+    }
+    co_return answer;
+}
+
+http::awaitable<pieces_answer> stage_exchange::make_somewhere(const std::string& service,
+                                                              stages::piece_group group,
+                                                              wait_source& wait) {
     for (const auto& dispatcher : dispatchers(service)) {
         auto answer = co_await ask(dispatcher, service, group, wait);
         if (answer) {
@@ -183,6 +209,7 @@
         waits_.erase(ticket);
         co_return pieces_answer{pieces_refused{taken->retry_after}};
     }
+    note_prediction(service, taken->expected);
     const auto overdue_at = asked_at + taken->expected * overdue_factor + overdue_margin;
     while (!own->result && !wait.cancelled() && is_alive(dispatcher) &&
            steady_clock::now() < overdue_at) {
@@ -228,6 +255,7 @@
         waits_.erase(ticket);
         co_return pieces_refused{admitted.retry_after};
     }
+    note_prediction(service, admitted.expected);
     pump(service);
     if (!own->result && !wait.cancelled()) {
         boost::system::error_code ended;
@@ -254,9 +282,23 @@
                                         waiter who) {
     const auto id = next_id_++;
     group.id = id;
-    const auto admitted = queue.queue.offer(std::move(group), steady_clock::now());
+    const auto now = steady_clock::now();
+    const auto request = group.pieces.front().request_id;
+    const auto pieces = group.pieces.size();
+    const auto useless_in = time_left(group.useless_at, now);
+    const auto admitted = queue.queue.offer(std::move(group), now);
     if (admitted.accepted) {
         queue.waiters.emplace(id, std::move(who));
+    } else {
+        log_decision("stages", "group_refused",
+                     {{"request", request},
+                      {"service", queue.service},
+                      {"pieces", std::to_string(pieces)},
+                      {"waiting", std::to_string(queue.queue.waiting_pieces())},
+                      {"endpoints", std::to_string(queue.queue.endpoint_count())},
+                      {"expected_ms", std::to_string(admitted.expected.count())},
+                      {"useless_in_ms", std::to_string(useless_in.count())},
+                      {"retry_after_ms", std::to_string(admitted.retry_after.count())}});
     }
     return admitted;
 }
@@ -288,6 +330,13 @@
     }
     const auto who = std::move(found->second);
     queue.waiters.erase(found);
+    if (ended.expired) {
+        log_decision("stages", "group_expired",
+                     {{"request", ended.request_id},
+                      {"service", queue.service},
+                      {"waiting", std::to_string(queue.queue.waiting_pieces())},
+                      {"endpoints", std::to_string(queue.queue.endpoint_count())}});
+    }
     if (const auto* const local = std::get_if<local_wait>(&who)) {
         end_wait(local->ticket, state_.self_id(), std::move(ended));
     } else if (const auto* const remote = std::get_if<remote_wait>(&who)) {
@@ -352,6 +401,8 @@
          {"endpoint", call.endpoint},
          {"first_request", call.pieces.front().request_id},
          {"pieces", std::to_string(count)},
+         {"made", std::to_string(count_of(results, stages::piece_outcome::made))},
+         {"no_room", std::to_string(count_of(results, stages::piece_outcome::no_room))},
          {"left_waiting", std::to_string(call.left_waiting)},
          {"room_left", std::to_string(call.room_left)},
          {"expected_ms", std::to_string(call.expected.count())},
@@ -445,7 +496,7 @@
 }
 
 void stage_exchange::take(const wire::pieces_done_request& done) {
-    end_wait(done.ticket, done.dispatcher, {done.ticket, done.results, done.expired});
+    end_wait(done.ticket, done.dispatcher, {done.ticket, done.results, done.expired, {}});
 }
 
 void stage_exchange::take(const wire::cancel_pieces_request& cancel) {
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -101,11 +101,15 @@
 
     struct service_queue {
         explicit service_queue(const boost::asio::any_io_executor& executor) : wake{executor} {}
+        std::string service;
         stages::stage_queue queue;
         std::map<std::uint64_t, waiter> waiters; // by group
         boost::asio::steady_timer wake;
     };
 
+    http::awaitable<pieces_answer> make_somewhere(const std::string& service,
+                                                  stages::piece_group group, wait_source& wait);
+    void note_prediction(const std::string& service, milliseconds expected);
     service_queue* queue_of(const std::string& service);
     std::vector<wire::entry_info> dispatchers(const std::string& service) const;
     bool is_alive(const wire::entry_info& dispatcher) const;
--- a/libs/stages/include/stages/piece.hpp
+++ b/libs/stages/include/stages/piece.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace boragefront::stages {
@@ -28,6 +29,8 @@
     failed,     ///< the endpoint, or the way to it, failed
 };
 
+std::string_view to_string(piece_outcome outcome);
+
 struct piece_result {
     piece_outcome outcome{piece_outcome::failed};
     std::string handle; ///< of the result, if it was made
@@ -50,6 +53,7 @@
     std::uint64_t id{0};
     std::vector<piece_result> results; ///< in the order of its pieces
     bool expired{false};               ///< given up because it was useless by then
+    std::string request_id{};          ///< of an expired group, for logs
 };
 
 } // namespace boragefront::stages
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -163,6 +163,7 @@
     stage_call start(endpoint_state& where, const std::vector<call_piece>& pieces, time_point now);
     void expire(time_point now);
     void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
+    void forgive_attempt(std::uint64_t group, std::size_t index);
     void retry_piece(std::uint64_t group, std::size_t index, piece_outcome reason);
     void learn_pace(endpoint_state& one, const call_state& call, time_point now);
     void hold(endpoint_state& one, time_point now);
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -26,6 +26,11 @@
 constexpr milliseconds missing_grace{1'200}; // as for endpoints that missed the platform's list
 constexpr milliseconds far_away{60'000};
 
+bool all_made(const std::vector<piece_result>& results) {
+    return std::all_of(results.begin(), results.end(),
+                       [](const piece_result& one) { return one.outcome == piece_outcome::made; });
+}
+
 milliseconds scaled(microseconds time, double factor) {
     return milliseconds{
         static_cast<std::int64_t>(std::ceil(static_cast<double>(time.count()) * factor / 1'000))};
@@ -143,7 +148,7 @@
                     orphans_.push_back(result.handle);
                 }
             }
-            finished_.push_back({id, {}, true});
+            finished_.push_back({id, {}, true, one.group.pieces.front().request_id});
             entry = groups_.erase(entry);
         } else {
             ++entry;
@@ -402,11 +407,19 @@
     auto& state = found->second;
     state.results[index] = std::move(result);
     if (--state.open == 0) {
-        finished_.push_back({group, std::move(state.results), false});
+        finished_.push_back({group, std::move(state.results), false, {}});
         groups_.erase(found);
     }
 }
 
+// An endpoint that had no place for a piece says nothing against the piece.
+void stage_queue::forgive_attempt(std::uint64_t group, std::size_t index) {
+    const auto found = groups_.find(group);
+    if (found != groups_.end() && found->second.attempts[index] > 0) {
+        --found->second.attempts[index];
+    }
+}
+
 void stage_queue::retry_piece(std::uint64_t group, std::size_t index, piece_outcome reason) {
     const auto found = groups_.find(group);
     if (found == groups_.end()) {
@@ -451,7 +464,10 @@
         switch (outcome) {
         case call_outcome::answered:
             one.failures_in_row = 0;
-            learn_pace(one, ended, now);
+            // A call whose pieces were refused for want of room ends at once.
+            if (all_made(results)) {
+                learn_pace(one, ended, now);
+            }
             break;
         case call_outcome::refused:
             one.held_until = now + full_hold;
@@ -472,10 +488,7 @@
         const auto& [group, index] = ended.pieces[i];
         if (!answered) {
             if (outcome == call_outcome::refused) {
-                const auto waiting = groups_.find(group);
-                if (waiting != groups_.end()) {
-                    --waiting->second.attempts[index];
-                }
+                forgive_attempt(group, index);
             }
             retry_piece(group, index, piece_outcome::failed);
             continue;
@@ -484,8 +497,11 @@
         const bool again =
             result.outcome == piece_outcome::failed || result.outcome == piece_outcome::no_room;
         if (again) {
-            if (result.outcome == piece_outcome::no_room && place != endpoints_.end()) {
-                place->second.held_until = now + full_hold;
+            if (result.outcome == piece_outcome::no_room) {
+                forgive_attempt(group, index);
+                if (place != endpoints_.end()) {
+                    place->second.held_until = now + full_hold;
+                }
             }
             retry_piece(group, index, result.outcome);
         } else {
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -68,6 +68,20 @@
     CHECK(again[0].pieces.size() == 2);
 }
 
+// Answers the pattern of makers whose memory is full of results for a while.
+TEST_CASE_METHOD(queue_fixture, "a piece that finds no room waits on, however often") {
+    add_endpoint("one");
+    offer(1, 1);
+    for (int i = 0; i < 8; ++i) {
+        const auto calls = queue.next_calls(now);
+        REQUIRE(calls.size() == 1);
+        now += milliseconds{50};
+        queue.call_ended(calls[0].id, call_outcome::answered, {{piece_outcome::no_room, {}}}, now);
+        CHECK(queue.take_finished(now).empty());
+        now += milliseconds{50};
+    }
+}
+
 TEST_CASE_METHOD(queue_fixture, "a piece that fails everywhere fails its group") {
     add_endpoint("one");
     offer(1, 1);
