--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -57,6 +57,17 @@
     std::string data_centre;
 };
 
+/// What a pool knows of one endpoint.
+struct endpoint_description {
+    catalog::endpoint self;
+    std::string not_chosen_because; ///< "none" if it may be chosen
+    std::size_t open_requests{0};   ///< of this entry
+    reported_load load;
+    milliseconds load_age{0};
+    milliseconds latency{0}; ///< typical time to its first byte; 0: not known
+    double failure_rate{0};
+};
+
 /// Why there was no choice.
 enum class no_choice : std::uint8_t {
     none_known, ///< the service has no endpoint in service
@@ -99,8 +110,8 @@
 
     std::size_t size() const { return endpoints_.size(); }
 
-    /// One line per endpoint, for dumps.
-    std::vector<std::string> describe(time_point now) const;
+    /// All endpoints, for dumps.
+    std::vector<endpoint_description> describe(time_point now) const;
 
 private:
     struct outstanding {
@@ -121,6 +132,7 @@
         time_point load_at{};
     };
 
+    static std::string_view why_not(const state& one, time_point now);
     static bool is_sound(const state& one, time_point now);
     bool usable(const state& one, const choice_request& request) const;
     double cost_ms(const state& one, const choice_request& request, time_point now) const;
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -346,19 +346,32 @@
     return milliseconds{static_cast<std::int64_t>(std::ceil(*typical_ms_))};
 }
 
-std::vector<std::string> endpoint_pool::describe(time_point now) const {
-    std::vector<std::string> lines;
+std::string_view endpoint_pool::why_not(const state& one, time_point now) {
+    if (one.self.state != catalog::endpoint_state::ready) {
+        return "draining";
+    }
+    if (one.evacuated) {
+        return "evacuated";
+    }
+    if (one.self.removed_at) {
+        return "missing";
+    }
+    if (now < one.held_until) {
+        return "failed_lately";
+    }
+    return now < one.cold_until ? "cold" : "none";
+}
+
+std::vector<endpoint_description> endpoint_pool::describe(time_point now) const {
+    std::vector<endpoint_description> all;
+    all.reserve(endpoints_.size());
     for (const auto& [id, one] : endpoints_) {
-        lines.push_back(
-            id + ' ' + one.self.address + ' ' + one.self.data_centre +
-            (one.self.state == catalog::endpoint_state::ready ? " ready" : " draining") +
-            (one.evacuated ? " evacuated" : "") + (one.self.removed_at ? " missing" : "") +
-            (now < one.cold_until ? " cold" : "") + (now < one.held_until ? " held" : "") +
-            " open=" + std::to_string(one.requests.size()) +
-            " latency_ms=" + std::to_string(one.latency_ms.value_or(0)) +
-            " failure_rate=" + std::to_string(one.failure_rate));
+        all.push_back({one.self, std::string{why_not(one, now)}, one.requests.size(), one.load,
+                       std::chrono::floor<milliseconds>(now - one.load_at),
+                       milliseconds{static_cast<std::int64_t>(one.latency_ms.value_or(0))},
+                       one.failure_rate});
     }
-    return lines;
+    return all;
 }
 
 } // namespace boragefront::balancing
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -263,6 +263,13 @@
                  : published_.complete() ? wire::service_phase::serving
                                          : wire::service_phase::starting;
     told.ready = published_.complete() && !draining_;
+    told.highest = published_.through();
+    const auto now = steady_clock::now();
+    told.knowledge_age = milliseconds{0};
+    for (const auto& [part, heard] : heard_) {
+        told.knowledge_age =
+            std::max(told.knowledge_age, std::chrono::floor<milliseconds>(now - heard));
+    }
     told.in_flight = static_cast<std::uint32_t>(outputs_.open_requests());
     return told;
 }
@@ -286,7 +293,7 @@
     dumped["peers"] = std::move(peers);
     boost::system::error_code failure;
     auto traffic = boost::json::parse(outputs_.dump_traffic(), failure);
-    dumped["traffic"] = failure ? boost::json::value{failure.message()} : std::move(traffic);
+    dumped["role_state"] = failure ? boost::json::value{failure.message()} : std::move(traffic);
     return boost::json::serialize(dumped);
 }
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -2,13 +2,13 @@
 
 #include "base/logging.hpp"
 #include "control_loop.hpp"
+#include "dump.hpp"
 #include "http/server.hpp"
 #include "request_run.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/json.hpp>
 
 #include <atomic>
 #include <condition_variable>
@@ -241,25 +241,8 @@
     }
 
     std::string dump() {
-        const auto dumped = ask_traffic<std::string>([this] {
-            const auto now = steady_clock::now();
-            boost::json::object all;
-            if (state_.current() != nullptr) {
-                const auto& published = state_.current()->published;
-                all["config_revision"] = published.config_revision;
-                all["config_version"] = published.config->version;
-                boost::json::object pools;
-                for (const auto& [name, service] : published.config->services) {
-                    const auto lines = state_.pool(name)->describe(now);
-                    pools[name] = boost::json::array(lines.begin(), lines.end());
-                }
-                all["pools"] = std::move(pools);
-            }
-            const auto stage_lines = stages_->describe(now);
-            all["stages"] = boost::json::array(stage_lines.begin(), stage_lines.end());
-            all["limits_divided_by"] = state_.fleet().entries_at_most;
-            return boost::json::serialize(all);
-        });
+        const auto dumped = ask_traffic<std::string>(
+            [this] { return dump_traffic(state_, *stages_, steady_clock::now()); });
         return dumped.value_or("\"the traffic thread is busy\"");
     }
 
--- a/libs/gateway/src/published_state.hpp
+++ b/libs/gateway/src/published_state.hpp
@@ -5,6 +5,7 @@
 #include "catalog/replica.hpp"
 #include "catalog/types.hpp"
 
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -20,6 +21,9 @@
     /// configuration stays in force, an endpoint that cannot be read is not used.
     catalog::snapshot build(time_point now);
 
+    /// The highest revision through which anything is known.
+    revision through() const { return std::max(operators_.through(), endpoints_.through()); }
+
     /// Whether enough is known to serve.
     bool complete() const { return config_ != nullptr && endpoints_.through() > 0; }
 
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -119,6 +119,7 @@
         return make_error(error_kind::unknown_service, "no route for this host and path");
     }
     priority_ = route_->priority;
+    std::vector<std::string> home_regions; // of the workspace
     if (!route_->is_public && !config.workspaces.empty()) {
         const auto owner = config.workspace_of_key.find(caller_.key);
         if (owner == config.workspace_of_key.end()) {
@@ -127,7 +128,9 @@
         const auto& workspace = config.workspaces[owner->second];
         workspace_ = workspace.name;
         priority_ = workspace.priority.value_or(priority_);
+        home_regions = workspace.home_regions;
     }
+    homes_ = parts_.state.home_data_centres(route_->home_regions, home_regions);
     auto left = caller_.time_left.value_or(default_time_left);
     if (route_->timeout > milliseconds{0}) {
         left = std::min(left, route_->timeout);
@@ -311,6 +314,7 @@
     auto& state = parts_.state;
     balancing::choice_request wanted;
     wanted.tried = &tried_;
+    wanted.regions = homes_ ? &*homes_ : nullptr;
     wanted.near_data_centre = state.data_centre();
     auto stay_in = data_centre_of_results();
     if (stay_in.empty()) {
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -78,6 +78,7 @@
     std::shared_ptr<const indexed_snapshot> snapshot_; // shared: outlives its replacement
     const catalog::route* route_{nullptr};
     std::string workspace_;
+    std::optional<std::set<std::string>> homes_; // data centres that it is kept to
     std::string service_;
     int priority_{0};
     time_point deadline_{}; // by the caller and by the route, the sooner of the two
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -51,6 +51,24 @@
     return {role_.retry_ratio, role_.retry_slack, role_.retry_window};
 }
 
+std::optional<std::set<std::string>>
+traffic_state::home_data_centres(const std::vector<std::string>& of_route,
+                                 const std::vector<std::string>& of_workspace) const {
+    if (of_route.empty() && of_workspace.empty()) {
+        return std::nullopt;
+    }
+    const auto allows = [](const std::vector<std::string>& homes, const std::string& region) {
+        return homes.empty() || std::find(homes.begin(), homes.end(), region) != homes.end();
+    };
+    std::set<std::string> allowed;
+    for (const auto& [data_centre, region] : role_.region_of) {
+        if (allows(of_route, region) && allows(of_workspace, region)) {
+            allowed.insert(data_centre);
+        }
+    }
+    return allowed;
+}
+
 std::string traffic_state::stage_endpoint_at(std::string_view address) const {
     if (current_ == nullptr) {
         return {};
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,12 @@
     balancing::cold_limit cold_limit_of(std::string_view service) const;
     balancing::retry_limit retry_limit() const;
 
+    /// The data centres of the home regions of a route and a workspace, both of which bind;
+    /// nothing if neither has any.
+    std::optional<std::set<std::string>>
+    home_data_centres(const std::vector<std::string>& of_route,
+                      const std::vector<std::string>& of_workspace) const;
+
     /// The id of the endpoint of a stage service at an address; empty if there is none.
     std::string stage_endpoint_at(std::string_view address) const;
     /// The data centre in which requests with this shared prompt are at home: where the most dear
--- a/libs/gateway/tests/traffic_state_test.cpp
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -69,6 +69,18 @@
     CHECK(state.home_data_centre(route, "").empty());
 }
 
+TEST_CASE_METHOD(state_fixture, "a route and a workspace keep requests to their regions",
+                 "[invariant]") {
+    settings::gateway_settings role;
+    role.region_of = {{"a", "north"}, {"b", "north"}, {"c", "south"}};
+    state.set_limits(role);
+    using names = std::set<std::string>;
+    CHECK_FALSE(state.home_data_centres({}, {}).has_value());
+    CHECK(state.home_data_centres({"north"}, {}) == names{"a", "b"});
+    CHECK(state.home_data_centres({"north"}, {"south"}) == names{});
+    CHECK(state.home_data_centres({"north", "south"}, {"south"}) == names{"c"});
+}
+
 TEST_CASE_METHOD(state_fixture, "limits are divided by entries that are not known by name too") {
     wire::entry_info other;
     other.id = "other";
--- a/libs/settings/src/field_reader.cpp
+++ b/libs/settings/src/field_reader.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <sstream>
 
 namespace boragefront::settings {
 namespace {
@@ -81,6 +82,13 @@
     return text;
 }
 
+// Without the zeros that std::to_string appends.
+std::string plain_text(double value) {
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
 } // namespace
 
 field_reader::field_reader(const boost::json::object& object, std::string path, fault_list& faults)
@@ -155,8 +163,8 @@
     const double value = found->is_number() ? found->to_number<double>() : allowed.lowest - 1;
     if (!(value >= allowed.lowest && value <= allowed.highest)) {
         refuse(field, *found,
-               "a number from " + std::to_string(allowed.lowest) + " to " +
-                   std::to_string(allowed.highest));
+               "a number from " + plain_text(allowed.lowest) + " to " +
+                   plain_text(allowed.highest));
         return otherwise;
     }
     return value;
--- a/tools/boragefrontctl/src/explain.cpp
+++ b/tools/boragefrontctl/src/explain.cpp
@@ -52,12 +52,16 @@
 }
 
 std::vector<explained_endpoint> read_pool(const json::value& dump, const std::string& pool) {
-    const auto pools = pools_by_instance(dump);
+    const bool names_pools = dump.as_object().contains("instances");
+    const auto pools = names_pools ? pools_by_instance(dump) : std::map<std::string, std::string>{};
     std::vector<explained_endpoint> found;
     for (const auto& member : dump.at("role_state").at("endpoints").as_array()) {
         auto endpoint = read_endpoint(member.as_object());
         const auto known = pools.find(endpoint.id);
-        if (known != pools.end() && known->second == pool) {
+        // A gateway's endpoints name their pool themselves.
+        const auto& own_pool = names_pools ? (known == pools.end() ? std::string{} : known->second)
+                                           : text_at(member.as_object(), "pool");
+        if (own_pool == pool) {
             found.push_back(std::move(endpoint));
         }
     }
