Stage queue: plans only while an endpoint is idle, and ranks once

Change: no plan while all endpoints are busy, and none beyond the last idle one. An answer of a dispatcher that is alive counts as lost only six times its announced time and 2 s later. Orders take connections idle for 0.25 s at most, as endpoints may drop them sooner than they say.

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -27,7 +27,7 @@
 constexpr unsigned unreachable_limit = 5; // endpoints that one request finds unreachable or full
 constexpr unsigned inputs_lost_limit = 2; // times that results are made again
 // A pooled connection is used for a request that runs at most once only while it is surely open.
-constexpr milliseconds fresh_enough{1'500};
+constexpr milliseconds fresh_enough{250};
 constexpr int silence_factor = 4; // times the typical latency until another endpoint is tried
 constexpr milliseconds least_silence{60};
 constexpr milliseconds least_stream_silence{800}; // a long prompt is read for half a second
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -21,8 +21,10 @@
 constexpr milliseconds ask_timeout{150};
 constexpr std::size_t dispatchers_asked = 2; // then the entry has the pieces made itself
 constexpr milliseconds dispatcher_look{200}; // how often a waiting request looks at its dispatcher
-constexpr int overdue_factor = 3;            // times the announced time until an answer is overdue
-constexpr milliseconds overdue_margin{1'000};
+// An answer this much later than announced was lost on its way. Until then a dispatcher that is
+// alive knows best, also if its endpoints are slow.
+constexpr int overdue_factor = 6;
+constexpr milliseconds overdue_margin{2'000};
 constexpr milliseconds tell_timeout{400};
 constexpr milliseconds collect_releases{8}; // makers wait for the memory, so only a moment
 constexpr milliseconds connect_timeout{200};
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -42,7 +42,7 @@
 
     std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
 
-    result<response> call(request message, call_options options) {
+    result<response> call(request message, const call_options& options) {
         return wait(client_->call(address(), std::move(message), options));
     }
     result<response> call(request message) {
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -138,9 +138,12 @@
         milliseconds nominal{0};
         std::uint64_t bytes{0}; // of its results
     };
-    struct planned_call {
-        endpoint_state* endpoint;
-        std::vector<call_piece> pieces;
+    // One look at the queue.
+    struct planning {
+        time_point now;
+        std::set<std::string, std::less<>> near;      // data centres worth waiting for
+        std::map<std::string, time_point> busy_until; // endpoints with a call of this plan
+        std::set<std::string> passed_over;            // endpoints to which nothing goes now
     };
 
     double slowdown_now(const endpoint_state& one, time_point now) const;
@@ -151,15 +154,16 @@
     bool exceeds_a_call(const group_state& one) const;
     std::vector<call_piece> take_batch(std::vector<group_state*>& order,
                                        const endpoint_state& where, std::uint64_t room,
-                                       time_point now) const;
+                                       const planning& plan) const;
     bool waits_for_nearer(const group_state& one, const endpoint_state& where,
-                          time_point now) const;
+                          const planning& plan) const;
+    bool is_idle(const endpoint_state& one, time_point now) const;
+    std::set<std::string, std::less<>> near_data_centres(time_point now) const;
     std::uint64_t free_room(const endpoint_state& one) const;
     void hold_result(const std::string& endpoint, const std::string& handle, std::uint64_t bytes,
                      time_point now);
     void expire_results(time_point now);
-    endpoint_state* soonest(std::size_t pieces, const std::map<std::string, time_point>& planned,
-                            const std::set<std::string>& passed_over, time_point now);
+    endpoint_state* soonest(std::size_t pieces, const planning& plan);
     stage_call start(endpoint_state& where, const std::vector<call_piece>& pieces, time_point now);
     void expire(time_point now);
     void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -157,39 +157,50 @@
 }
 
 std::vector<stage_queue::group_state*> stage_queue::in_order(time_point now) {
-    std::vector<group_state*> order;
+    using rank = std::tuple<bool, int, std::size_t, time_point, std::uint64_t>;
+    std::vector<std::pair<rank, group_state*>> ranked;
+    ranked.reserve(groups_.size());
     for (auto& [id, one] : groups_) {
         if (!one.waiting.empty()) {
-            order.push_back(&one);
+            const bool late = now + service_time(one.waiting.size()) > one.group.wanted_by;
+            ranked.emplace_back(
+                rank{late, one.group.priority, one.waiting.size(), one.group.wanted_by, id}, &one);
         }
     }
-    const auto rank = [&](const group_state* one) {
-        const bool late = now + service_time(one->waiting.size()) > one->group.wanted_by;
-        return std::tuple{late, one->group.priority, one->waiting.size(), one->group.wanted_by,
-                          one->group.id};
-    };
-    std::sort(order.begin(), order.end(),
-              [&](const group_state* a, const group_state* b) { return rank(a) < rank(b); });
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<group_state*> order;
+    order.reserve(ranked.size());
+    for (const auto& [key, one] : ranked) {
+        order.push_back(one);
+    }
     return order;
 }
 
+bool stage_queue::is_idle(const endpoint_state& one, time_point now) const {
+    return one.in_service && one.calls < capacity_.calls && now >= one.held_until;
+}
+
+// The data centres with an endpoint that is worth waiting for.
+std::set<std::string, std::less<>> stage_queue::near_data_centres(time_point now) const {
+    std::set<std::string, std::less<>> usable;
+    for (const auto& [id, one] : endpoints_) {
+        if (one.in_service && now >= one.held_until &&
+            slowdown_now(one, now) < near_slowdown_limit) {
+            usable.insert(one.self.data_centre);
+        }
+    }
+    return usable;
+}
+
 // Whether a group has the time to wait for an endpoint nearer to it than this one.
 bool stage_queue::waits_for_nearer(const group_state& one, const endpoint_state& where,
-                                   time_point now) const {
+                                   const planning& plan) const {
     const auto& near = one.group.near_data_centre;
-    if (near.empty() || near == where.self.data_centre) {
-        return false;
-    }
-    const auto full_call = service_time(capacity_.batch);
-    const auto slack = one.group.wanted_by - now - service_time(one.waiting.size());
-    if (slack < full_call * near_wait_calls) {
+    if (near.empty() || near == where.self.data_centre || !plan.near.contains(near)) {
         return false;
     }
-    return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& entry) {
-        const auto& other = entry.second;
-        return other.in_service && other.self.data_centre == near && now >= other.held_until &&
-               slowdown_now(other, now) < near_slowdown_limit;
-    });
+    const auto slack = one.group.wanted_by - plan.now - service_time(one.waiting.size());
+    return slack >= service_time(capacity_.batch) * near_wait_calls;
 }
 
 // How many more pieces of a group fit into a call.
@@ -214,7 +225,7 @@
 std::vector<stage_queue::call_piece> stage_queue::take_batch(std::vector<group_state*>& order,
                                                              const endpoint_state& where,
                                                              std::uint64_t room,
-                                                             time_point now) const {
+                                                             const planning& plan) const {
     std::vector<call_piece> batch;
     const auto take = [&](group_state& one, std::size_t count) {
         for (std::size_t i = 0; i < count; ++i) {
@@ -227,7 +238,7 @@
     std::size_t passed_over = 0;
     group_state* first_passed_over = nullptr;
     for (auto* const one : order) {
-        if (waits_for_nearer(*one, where, now)) {
+        if (waits_for_nearer(*one, where, plan)) {
             continue;
         }
         const auto space = space_for(*one, batch.size(), room);
@@ -289,25 +300,22 @@
     release(expired);
 }
 
-stage_queue::endpoint_state* stage_queue::soonest(std::size_t pieces,
-                                                  const std::map<std::string, time_point>& planned,
-                                                  const std::set<std::string>& passed_over,
-                                                  time_point now) {
+stage_queue::endpoint_state* stage_queue::soonest(std::size_t pieces, const planning& plan) {
     const auto nominal = capacity_.call_time + capacity_.piece_time * pieces;
     endpoint_state* best = nullptr;
     auto best_end = time_point::max();
     for (auto& [id, one] : endpoints_) {
-        if (!one.in_service || passed_over.contains(id)) {
+        if (!one.in_service || plan.passed_over.contains(id)) {
             continue;
         }
-        auto free_at = std::max(now, one.held_until);
+        auto free_at = std::max(plan.now, one.held_until);
         if (one.calls >= capacity_.calls) {
             free_at = std::max(free_at, one.busy_until);
         }
-        if (const auto later = planned.find(id); later != planned.end()) {
+        if (const auto later = plan.busy_until.find(id); later != plan.busy_until.end()) {
             free_at = std::max(free_at, later->second);
         }
-        const auto end = free_at + scaled(nominal, slowdown_now(one, now));
+        const auto end = free_at + scaled(nominal, slowdown_now(one, plan.now));
         if (end < best_end) {
             best = &one;
             best_end = end;
@@ -345,53 +353,57 @@
     return call;
 }
 
+// Plans calls in order, each at the endpoint that would end it first, until no idle endpoint is
+// left without one. A call planned at a busy endpoint is not made now; it only keeps its pieces
+// from an idle one that is so slow that waiting is better.
 std::vector<stage_call> stage_queue::next_calls(time_point now) {
     expire(now);
     expire_results(now);
+    auto idle = static_cast<std::size_t>(
+        std::count_if(endpoints_.begin(), endpoints_.end(),
+                      [&](const auto& one) { return is_idle(one.second, now); }));
     std::vector<stage_call> started;
+    auto pieces = idle == 0 ? 0 : waiting_pieces();
+    if (pieces == 0) {
+        return started;
+    }
     auto order = in_order(now);
-    std::map<std::string, time_point> planned;
-    std::set<std::string> passed_over; // nothing that waits goes there now
+    planning plan{now, near_data_centres(now), {}, {}};
     std::vector<call_piece> returned;
-    // Beyond one planned call per endpoint the plan can only name busy endpoints.
-    for (std::size_t step = 0; step < 2 * endpoints_.size() && !order.empty(); ++step) {
-        std::size_t pieces = 0;
-        for (const auto* one : order) {
-            pieces += one->waiting.size();
-        }
-        auto* const where = soonest(std::min(pieces, capacity_.batch), planned, passed_over, now);
+    for (std::size_t step = 0; step < 2 * endpoints_.size() && idle > 0 && !order.empty(); ++step) {
+        auto* const where = soonest(std::min(pieces, capacity_.batch), plan);
         if (where == nullptr) {
             break;
         }
-        const bool idle = where->calls < capacity_.calls && now >= where->held_until &&
-                          !planned.contains(where->self.id);
+        const bool starts = is_idle(*where, now) && !plan.busy_until.contains(where->self.id);
         // A later call's room is not known yet, so a planned call counts as if it had all.
-        auto batch =
-            take_batch(order, *where, idle ? free_room(*where) : capacity_.result_room_bytes, now);
+        auto batch = take_batch(order, *where,
+                                starts ? free_room(*where) : capacity_.result_room_bytes, plan);
         if (batch.empty()) {
-            passed_over.insert(where->self.id);
+            plan.passed_over.insert(where->self.id);
+            idle -= starts ? 1 : 0;
             continue;
         }
-        if (idle) {
+        pieces -= batch.size();
+        if (starts) {
             started.push_back(start(*where, batch, now));
             if (where->calls >= capacity_.calls) {
-                planned[where->self.id] = where->busy_until;
+                plan.busy_until[where->self.id] = where->busy_until;
+                --idle;
             }
             continue;
         }
         const auto nominal = capacity_.call_time + capacity_.piece_time * batch.size();
-        auto free_at = std::max({now, where->held_until, where->busy_until});
-        if (const auto later = planned.find(where->self.id); later != planned.end()) {
-            free_at = std::max(free_at, later->second);
-        }
-        planned[where->self.id] = free_at + scaled(nominal, slowdown_now(*where, now));
+        const auto free_at =
+            std::max({now, where->held_until, where->busy_until, plan.busy_until[where->self.id]});
+        plan.busy_until[where->self.id] = free_at + scaled(nominal, slowdown_now(*where, now));
         returned.insert(returned.end(), batch.begin(), batch.end());
     }
     for (const auto& one : returned) {
         groups_.at(one.group).waiting.push_back({one.index});
     }
     for (auto& call : started) {
-        call.left_waiting = waiting_pieces();
+        call.left_waiting = pieces + returned.size();
     }
     return started;
 }
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -36,7 +36,7 @@
     return head;
 }
 
-std::string with_body(std::string head, const std::string& body) {
+std::string with_body(const std::string& head, const std::string& body) {
     return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
