A late dispatcher is left alone for a while; dispatchers by processor share

Change: an entry that got no answer in time asks that dispatcher again only after a pause that doubles, and takes its wish back; entries with more processor dispatch more services; refused calls back off; changes of endpoints are collected for 0.4 s before the next call to the store; 0.9 s of the grace time are kept for an orderly exit.

--- a/libs/base/src/hash.cpp
+++ b/libs/base/src/hash.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <cmath>
+
 namespace boragefront {
 
 std::uint64_t stable_hash(std::string_view text, std::uint64_t seed) {
@@ -12,4 +14,10 @@
     return stable_hash(candidate, stable_hash(key));
 }
 
+double weighted_rendezvous_score(std::string_view key, std::string_view candidate, double weight) {
+    constexpr double span = 18446744073709551616.0; // of a 64-bit hash
+    const double uniform = (static_cast<double>(rendezvous_score(key, candidate)) + 1) / (span + 2);
+    return -weight / std::log(uniform);
+}
+
 } // namespace boragefront
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds watch_wait{
     10'000}; // each answer is paid for, and a dead connection shows itself
 constexpr milliseconds watch_margin{2'500}; // for the answer to come after the wait
+// Endpoints' entries change many times a second when many start or leave; a leaving one must get no
+// more work two seconds later.
+constexpr milliseconds collect_endpoints{400};
 constexpr milliseconds first_retry{100};
 constexpr milliseconds longest_retry{800};   // so that a store that returns is read within a second
 constexpr milliseconds gossip_interval{300}; // several rounds within the time to apply a change
@@ -62,10 +65,12 @@
 void control_loop::run() {
     auto& published = published_;
     asio::co_spawn(io_,
-                   follow({"operators", platform::operators_prefix(), published.operators_keys()}),
+                   follow({"operators", platform::operators_prefix(), published.operators_keys(),
+                           milliseconds{0}}),
                    asio::detached);
     asio::co_spawn(io_,
-                   follow({"endpoints", platform::endpoints_prefix(), published.endpoint_keys()}),
+                   follow({"endpoints", platform::endpoints_prefix(), published.endpoint_keys(),
+                           collect_endpoints}),
                    asio::detached);
     asio::co_spawn(io_, gossip_loop(), asio::detached);
     io_.run();
@@ -147,6 +152,7 @@
                                                steady_clock::now())) {
                     publish();
                 }
+                co_await pause(part.collect);
             } else if (news.error().kind == error_kind::expired) {
                 listed = false;
                 continue;
@@ -214,9 +220,10 @@
 }
 
 wire::entry_info control_loop::self() const {
-    return {settings_.id,       life_,         settings_.data_centre,
-            server_->address(), work_address_, published_.complete() && !draining_,
-            milliseconds{0}};
+    return {settings_.id,          life_,
+            settings_.data_centre, server_->address(),
+            work_address_,         published_.complete() && !draining_,
+            milliseconds{0},       std::get<settings::gateway_settings>(settings_.role).processors};
 }
 
 wire::answer control_loop::answer_to(const wire::gossip_request& message) {
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -66,6 +66,7 @@
         std::string_view name;
         std::string_view prefix;
         catalog::replica& replica;
+        milliseconds collect; // between a change and the next call, so that one answers for several
         bool reachable{true};
     };
 
--- a/libs/gateway/src/drain_plan.cpp
+++ b/libs/gateway/src/drain_plan.cpp
@@ -8,7 +8,7 @@
 // The balancer asks once a second and takes an instance out after two misses.
 constexpr milliseconds withdrawn_after{2'600};
 // What is left of the grace time when answers in progress are cut: time to exit in order.
-constexpr milliseconds exit_margin{600};
+constexpr milliseconds exit_margin{900};
 constexpr milliseconds restart_time{900}; // from an exit until the successor serves
 
 } // namespace
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -19,6 +19,8 @@
 
 // A dispatcher answers within a few round trips; one that is busy or gone costs this much once.
 constexpr milliseconds ask_timeout{150};
+constexpr milliseconds first_pause{400}; // in which a slow dispatcher works off what it has
+constexpr milliseconds longest_pause{3'200};
 constexpr std::size_t dispatchers_asked = 2; // then the entry has the pieces made itself
 constexpr milliseconds dispatcher_look{200}; // how often a waiting request looks at its dispatcher
 // An answer this much later than announced was lost on its way. Until then a dispatcher that is
@@ -122,19 +124,36 @@
 // The entries in the order in which they dispatch for a service; this one ends the list.
 std::vector<wire::entry_info> stage_exchange::dispatchers(const std::string& service) const {
     std::vector<wire::entry_info> order;
-    const auto own = rendezvous_score(service, state_.self_id());
+    const auto score = [&](const std::string& id, double processors) {
+        return weighted_rendezvous_score(service, id, processors);
+    };
+    const auto own = score(state_.self_id(), state_.role().processors);
+    const auto now = steady_clock::now();
     for (const auto& one : state_.fleet().serving) {
-        if (state_.draining || rendezvous_score(service, one.id) > own) {
+        const auto late = late_dispatchers_.find(one.id);
+        const bool asked_in_vain = late != late_dispatchers_.end() && now < late->second.until;
+        if (!asked_in_vain && (state_.draining || score(one.id, one.processors) > own)) {
             order.push_back(one);
         }
     }
     std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
-        return rendezvous_score(service, a.id) > rendezvous_score(service, b.id);
+        return score(a.id, a.processors) > score(b.id, b.processors);
     });
     order.resize(std::min(order.size(), dispatchers_asked));
     return order;
 }
 
+// A dispatcher that does not answer in time is not asked for a while, longer each time, by none of
+// the requests: otherwise each would wait for it, and load it further.
+void stage_exchange::note_late(const std::string& dispatcher, time_point now) {
+    auto& one = late_dispatchers_[dispatcher];
+    if (now < one.until) {
+        return;
+    }
+    one.pause = std::clamp(one.pause * 2, first_pause, longest_pause);
+    one.until = now + one.pause;
+}
+
 bool stage_exchange::idle() const {
     return std::all_of(queues_.begin(), queues_.end(), [](const auto& one) {
         return one.second->queue.waiting_pieces() == 0 &&
@@ -205,8 +224,15 @@
         answer ? std::get_if<wire::make_pieces_answer>(&answer.value()) : nullptr;
     if (taken == nullptr) {
         waits_.erase(ticket);
+        note_late(dispatcher.id, steady_clock::now());
+        // It may take the pieces yet.
+        asio::co_spawn(executor_,
+                       tell(dispatcher.work_address,
+                            wire::cancel_pieces_request{state_.self_id(), ticket, service}),
+                       asio::detached);
         co_return std::nullopt;
     }
+    late_dispatchers_.erase(dispatcher.id);
     if (!taken->accepted) {
         waits_.erase(ticket);
         co_return pieces_answer{pieces_refused{taken->retry_after}};
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -113,6 +113,7 @@
     service_queue* queue_of(const std::string& service);
     std::vector<wire::entry_info> dispatchers(const std::string& service) const;
     bool is_alive(const wire::entry_info& dispatcher) const;
+    void note_late(const std::string& dispatcher, time_point now);
     http::awaitable<std::optional<pieces_answer>> ask(const wire::entry_info& dispatcher,
                                                       const std::string& service,
                                                       const stages::piece_group& group,
@@ -139,6 +140,11 @@
     std::map<std::uint64_t, std::shared_ptr<pending>> waits_;    // shared with the waiting request
     std::map<std::string, std::vector<std::string>> to_release_; // by service
     bool releasing_{false};
+    struct late_dispatcher {
+        time_point until{}; ///< not asked before
+        milliseconds pause{0};
+    };
+    std::map<std::string, late_dispatcher> late_dispatchers_; // by id
     // Begins at random, so that an answer to an earlier life of this process finds no ticket.
     std::uint64_t next_id_;
 };
--- a/libs/settings/include/settings/settings.hpp
+++ b/libs/settings/include/settings/settings.hpp
@@ -41,6 +41,7 @@
     milliseconds retry_window{10'000};            ///< over which these two hold
     double cold_tolerance{1.5};                   ///< a cold endpoint bears its rate times this ...
     double cold_slack{5};                         ///< ... and so many requests more, in any second
+    double processors{1};                         ///< its share of processor cores
     unsigned log_lines_per_second{400};           ///< of decisions; others are counted and left out
 };
 
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -19,6 +19,7 @@
 constexpr number_range windows{0.1, 600};     // seconds
 constexpr integer_range log_rates{0, 100'000};
 constexpr number_range ratios{0, 10};
+constexpr number_range processor_counts{0.01, 1'024};
 constexpr number_range tolerances{1, 100};
 constexpr number_range request_counts{0, 1e6};
 constexpr std::uintmax_t largest_file = 1U << 20U;
@@ -99,6 +100,7 @@
     read.retry_window = fields.time_in_seconds("retry_window_s", read.retry_window, windows);
     read.cold_tolerance = fields.number("cold_tolerance", read.cold_tolerance, tolerances);
     read.cold_slack = fields.number("cold_slack", read.cold_slack, request_counts);
+    read.processors = fields.number("processors", read.processors, processor_counts);
     read.log_lines_per_second = static_cast<unsigned>(
         fields.integer("log_lines_per_second", read.log_lines_per_second, log_rates));
     fields.refuse_unknown();
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -111,6 +111,7 @@
         time_point busy_until{};
         time_point held_until{};
         unsigned failures_in_row{0};
+        unsigned refusals_in_row{0};
         std::uint64_t held_bytes{0};    // of results that were made and not released
         std::uint64_t pending_bytes{0}; // of results that calls in progress make
         double slowdown{1};             // of its calls against the service's nominal time
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -16,6 +16,7 @@
 constexpr seconds slowdown_memory{6}; // an endpoint that was slow is tried again after this
 constexpr milliseconds first_hold{150};
 constexpr milliseconds longest_hold{3'000};
+constexpr unsigned most_doublings = 3;
 constexpr milliseconds full_hold{40}; // until a full endpoint is asked again
 constexpr milliseconds room_look{25}; // until an endpoint without room is looked at again
 constexpr double near_wait_calls =
@@ -476,13 +477,17 @@
         switch (outcome) {
         case call_outcome::answered:
             one.failures_in_row = 0;
+            one.refusals_in_row = 0;
             // A call whose pieces were refused for want of room ends at once.
             if (all_made(results)) {
                 learn_pace(one, ended, now);
             }
             break;
         case call_outcome::refused:
-            one.held_until = now + full_hold;
+            // Another queue uses it too, and each refusal costs both sides.
+            one.held_until =
+                now + full_hold * (1U << std::min(one.refusals_in_row, most_doublings));
+            ++one.refusals_in_row;
             break;
         case call_outcome::silent:
             learn_pace(one, ended, now);
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -118,6 +118,7 @@
     std::string work_address; ///< where it takes stage work
     bool serving{false};      ///< takes work; false while it starts or drains
     milliseconds heard{0};    ///< since it was last heard of, by anyone
+    double processors{1};     ///< its share of processor cores
 };
 
 /// Exchange between entries: who is there, and what of the published state the asker lacks.
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::uint64_t most_milliseconds = 1'000ULL * 3'600 * 24 * 365;
+constexpr double least_processors = 0.01; // also of a peer that tells none
+constexpr double most_processors = 1'024;
 constexpr int most_pieces = 4'096; // far above any route's; bounds what a broken peer can ask for
 
 std::uint64_t as_count(milliseconds value) {
@@ -20,6 +22,7 @@
     out.set_work_address(entry.work_address);
     out.set_serving(entry.serving);
     out.set_heard_ms(as_count(entry.heard));
+    out.set_processors(entry.processors);
 }
 
 entry_info read_entry(const pb::entry_info& in) {
@@ -29,7 +32,8 @@
             in.control_address(),
             in.work_address(),
             in.serving(),
-            read_milliseconds(in.heard_ms())};
+            read_milliseconds(in.heard_ms()),
+            std::clamp(in.processors(), least_processors, most_processors)};
 }
 
 void write_delta(const catalog::replica_delta& delta, pb::replica_delta& out) {
