--- /dev/null
+++ b/libs/gateway/src/request_sends.cpp
@@ -0,0 +1,393 @@
+// A request's way to its endpoints, and their answers' way back.
+#include "base/logging.hpp"
+#include "event_splitter.hpp"
+#include "request_limits.hpp"
+#include "request_run.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace boragefront::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using balancing::send_outcome;
+
+constexpr milliseconds connect_timeout{200}; // many round trips; longer means that nobody is there
+constexpr milliseconds choice_pause{10};     // between looks for an endpoint while all are held
+constexpr int choice_share = 8;   // of the latency goal: what a request is kept for an endpoint
+constexpr int affinity_share = 2; // of the time to the goal: what may be spent on a shared prompt
+constexpr unsigned unreachable_limit = 5; // endpoints that one request finds unreachable or full
+// A pooled connection is used for a request that runs at most once only while it is surely open.
+constexpr milliseconds fresh_enough{250};
+constexpr int silence_factor = 4; // times the typical latency until another endpoint is tried
+constexpr milliseconds least_silence{60};
+constexpr milliseconds least_stream_silence{800}; // a long prompt is read for half a second
+constexpr int gap_factor = 2; // times the longest wanted pause until a stream counts as silent
+constexpr milliseconds least_gap{1'000};
+constexpr unsigned first_redirect = 300;
+constexpr unsigned first_server_error = 500;
+
+http::awaitable<void> pause_for(const asio::any_io_executor& executor, milliseconds time) {
+    asio::steady_timer pause{executor, time};
+    boost::system::error_code cancelled;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
+}
+
+send_outcome outcome_of(const error& failure) {
+    switch (failure.kind) {
+    case error_kind::connect_failed:
+        return send_outcome::unreachable;
+    case error_kind::deadline_exceeded:
+        return send_outcome::silent;
+    case error_kind::cancelled:
+        return send_outcome::cancelled;
+    default:
+        return send_outcome::broken;
+    }
+}
+
+balancing::reported_load to_load(const platform::endpoint_load& load) {
+    return {load.running, load.waiting, load.slots};
+}
+
+} // namespace
+
+// The part of the prompt by which requests that share it meet at one endpoint.
+std::string_view request_run::shared_prompt() const {
+    if (!route_->shares_prompts || caller_.prompt.empty()) {
+        return {};
+    }
+    // The last part is the request's own; the one before it names what it shares.
+    const auto shared = caller_.prompt.size() > 1 ? caller_.prompt.size() - 2 : 0;
+    return caller_.prompt[shared].id;
+}
+
+// The address of another engine that should have read the shared prompt, if the chosen one has not.
+std::string request_run::prompt_source(const balancing::chosen_endpoint& chosen) const {
+    const auto shared = shared_prompt();
+    auto& state = parts_.state;
+    auto* const pool = state.pool(service_);
+    if (shared.empty() || pool == nullptr) {
+        return {};
+    }
+    const auto now = steady_clock::now();
+    std::optional<balancing::chosen_endpoint> source;
+    if (const auto last = state.prompts().find(shared, now)) {
+        source = pool->sound(*last, now);
+    }
+    if (!source) {
+        source = pool->home_of(shared, state.home_data_centre(*route_, shared), now);
+    }
+    return source && source->id != chosen.id ? source->address : std::string{};
+}
+
+http::awaitable<std::optional<balancing::chosen_endpoint>> request_run::choose() {
+    auto& state = parts_.state;
+    balancing::choice_request wanted;
+    wanted.tried = &tried_;
+    wanted.regions = homes_ ? &*homes_ : nullptr;
+    wanted.near_data_centre = state.data_centre();
+    auto stay_in = data_centre_of_results();
+    if (stay_in.empty()) {
+        stay_in = state.home_data_centre(*route_, shared_prompt());
+    }
+    wanted.keep_in_data_centre = stay_in;
+    wanted.affinity = shared_prompt();
+    wanted.affinity_patience = std::chrono::floor<milliseconds>(
+        std::max(goal_ - steady_clock::now(), duration{0}) / affinity_share);
+    const auto until =
+        std::min(deadline_,
+                 steady_clock::now() +
+                     std::chrono::duration_cast<milliseconds>(goal_ - received_at_) / choice_share);
+    for (;;) {
+        auto* const pool = state.pool(service_);
+        const auto now = steady_clock::now();
+        if (pool == nullptr) {
+            co_return std::nullopt;
+        }
+        auto found =
+            pool->choose(wanted, state.cold_limit_of(service_), state.group(), now, state.random());
+        if (found || now >= until || caller_left_ ||
+            pool->reason(now) == balancing::no_choice::none_known) {
+            co_return found;
+        }
+        co_await pause_for(parts_.executor, choice_pause);
+    }
+}
+
+bool request_run::may_run_again() const {
+    return route_->repeat == catalog::repeatability::idempotent && !caller_left_ && has_time();
+}
+
+bool request_run::has_time() const {
+    return steady_clock::now() + choice_pause < deadline_;
+}
+
+// Whether the request may go to one more endpoint, within the route's limit and the budget.
+bool request_run::take_repeat() {
+    auto& state = parts_.state;
+    return sends_ < route_->endpoint_limit &&
+           state.budget(service_).take(state.retry_limit(), state.group().size(),
+                                       steady_clock::now());
+}
+
+// When an endpoint that has not begun to answer counts as silent, if there is another to try.
+time_point request_run::patience(time_point sent_at) const {
+    auto* const pool = parts_.state.pool(service_);
+    const bool another = route_->repeat == catalog::repeatability::idempotent &&
+                         sends_ < route_->endpoint_limit && pool != nullptr && pool->size() > 1;
+    if (!another) {
+        return deadline_;
+    }
+    const auto typical = pool->typical_latency().value_or(milliseconds{0});
+    const auto least = route_->streaming ? least_stream_silence : least_silence;
+    return std::min(deadline_, sent_at + std::max(typical * silence_factor, least));
+}
+
+void request_run::note_end(const sent& where, send_outcome outcome) {
+    if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
+        pool->ended(where.endpoint, where.ticket, caller_left_ ? send_outcome::cancelled : outcome,
+                    steady_clock::now());
+    }
+}
+
+http::awaitable<request_run::next_step> request_run::send_once() {
+    if (caller_left_) {
+        end_.outcome = "cancelled";
+        co_return next_step::done;
+    }
+    const auto chosen = co_await choose();
+    if (caller_left_) {
+        end_.outcome = "cancelled";
+        co_return next_step::done;
+    }
+    auto* const pool = parts_.state.pool(service_);
+    if (!chosen || pool == nullptr) {
+        const auto now = steady_clock::now();
+        const auto later = pool == nullptr ? no_endpoint_retry : pool->retry_after(now);
+        co_await refuse(make_error(error_kind::no_endpoint, "no endpoint can take it now"), later);
+        co_return next_step::done;
+    }
+    const auto now = steady_clock::now();
+    tried_.insert(chosen->id);
+    last_endpoint_ = chosen->id;
+    platform::forwarding added;
+    added.endpoint = chosen->id;
+    added.workspace = workspace_;
+    // The caller's own time, not the route's: that one ends the request here.
+    const auto left = caller_.time_left.value_or(default_time_left);
+    added.time_left =
+        std::max(milliseconds{1}, left - std::chrono::ceil<milliseconds>(now - received_at_));
+    added.has_inputs = plan_.has_value() && !route_->stages.empty();
+    if (plan_) {
+        added.inputs = plan_->final_inputs();
+    }
+    added.fetch_prompt_from = prompt_source(*chosen);
+    if (last_event_) {
+        added.last_event_id = std::to_string(*last_event_);
+    }
+    const sent where{chosen->id, pool->started(chosen->id, parts_.state.cold_limit_of(service_),
+                                               parts_.state.group(), now)};
+    ++sends_;
+    http::call_options options;
+    options.deadline = patience(now);
+    options.connect_timeout = connect_timeout;
+    options.cancel = &cancel_;
+    if (route_->repeat == catalog::repeatability::non_idempotent) {
+        options.idle_limit = fresh_enough;
+    }
+    options.belongs = [this](const http::response& head) {
+        const auto id = platform::read_head(head).request_id;
+        return id.empty() || id == caller_.id;
+    };
+    auto answer = co_await parts_.endpoints.open(chosen->address,
+                                                 platform::forward(message_, added), options);
+    if (!answer) {
+        note_end(where, outcome_of(answer.error()));
+        co_return co_await after_failure(answer.error(), answer.error().ran != work_ran::no);
+    }
+    co_return co_await take_answer(*answer.value(), where);
+}
+
+http::awaitable<request_run::next_step> request_run::take_answer(http::response_stream& answer,
+                                                                 const sent& where) {
+    const auto head = platform::read_head(answer.head());
+    head_at_ = steady_clock::now();
+    auto* const pool = parts_.state.pool(service_);
+    if (head.load && pool != nullptr) {
+        pool->report(where.endpoint, to_load(*head.load), steady_clock::now());
+    }
+    if (head.not_run) {
+        note_end(where, head.replaced     ? send_outcome::replaced
+                        : head.input_gone ? send_outcome::cancelled
+                                          : send_outcome::refused);
+        co_return co_await after_refusal(head);
+    }
+    const bool success = head.status >= status_ok && head.status < first_redirect;
+    if (success && (!head.has_receipt || head.request_id != caller_.id)) {
+        note_end(where, send_outcome::broken);
+        co_return co_await after_failure(
+            make_error(error_kind::incomplete_answer, "an answer without a receipt"), true);
+    }
+    if (success && route_->streaming) {
+        co_return co_await take_stream(answer, where);
+    }
+    co_return co_await take_whole(answer, where);
+}
+
+http::awaitable<request_run::next_step> request_run::take_whole(http::response_stream& answer,
+                                                                const sent& where) {
+    if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
+        pool->first_byte(where.endpoint, where.ticket, steady_clock::now());
+    }
+    auto body = co_await answer.read_rest(deadline_);
+    if (!body) {
+        note_end(where, outcome_of(body.error()));
+        co_return co_await after_failure(body.error(), true);
+    }
+    http::response whole = answer.head();
+    whole.body = std::move(body.value());
+    const bool failed = whole.status >= first_server_error;
+    note_end(where, failed ? send_outcome::failed : send_outcome::answered);
+    if (failed && may_run_again() && take_repeat()) {
+        log_decision("request", "sent_again",
+                     {{"request", caller_.id},
+                      {"endpoint", where.endpoint},
+                      {"reason", "status " + std::to_string(whole.status)}});
+        last_failure_ = std::move(whole);
+        co_return next_step::again;
+    }
+    co_await answer_whole(std::move(whole));
+    co_return next_step::done;
+}
+
+http::awaitable<request_run::next_step> request_run::take_stream(http::response_stream& answer,
+                                                                 const sent& where) {
+    event_splitter events{last_event_};
+    const auto gap = std::max(route_->event_gap_goal * gap_factor, least_gap);
+    std::optional<error> failure;
+    for (;;) {
+        const auto now = steady_clock::now();
+        const auto until = events_began() ? std::min(deadline_, now + gap) : patience(now);
+        auto bytes = co_await answer.next_bytes(until);
+        if (!bytes) {
+            failure = bytes.error();
+            break;
+        }
+        if (!bytes.value()) {
+            if (events.mid_event()) {
+                failure = make_error(error_kind::incomplete_answer, "the stream ends in an event");
+            }
+            break;
+        }
+        auto batch = events.add(*bytes.value());
+        if (batch.count == 0) {
+            continue;
+        }
+        if (!first_event_at_) {
+            first_event_at_ = steady_clock::now();
+        }
+        if (!began_ && !shared_prompt().empty()) {
+            parts_.state.prompts().note(shared_prompt(), where.endpoint, *first_event_at_);
+        }
+        if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
+            pool->first_byte(where.endpoint, where.ticket, steady_clock::now());
+        }
+        if (!began_) {
+            began_ = true;
+            auto head = platform::to_caller(answer.head());
+            if (!co_await out_.begin(std::move(head))) {
+                caller_left_ = true;
+            }
+            free_results();
+        }
+        if (batch.last_id) {
+            last_event_ = batch.last_id;
+        }
+        if (caller_left_ || !co_await out_.write(batch.bytes)) {
+            caller_left_ = true;
+            note_end(where, send_outcome::cancelled);
+            end_.outcome = "cancelled";
+            co_return next_step::done;
+        }
+    }
+    if (failure) {
+        note_end(where, outcome_of(*failure));
+        co_return co_await after_failure(*failure, true);
+    }
+    note_end(where, send_outcome::answered);
+    if (!began_) {
+        began_ = true;
+        (void)co_await out_.begin(platform::to_caller(answer.head()));
+    }
+    end_.whole = static_cast<bool>(co_await out_.finish());
+    end_.outcome = "answered";
+    end_.status = status_ok;
+    co_return next_step::done;
+}
+
+http::awaitable<request_run::next_step> request_run::after_failure(const error& failure, bool ran) {
+    if (caller_left_) {
+        end_.outcome = "cancelled";
+        co_return next_step::done;
+    }
+    if (!ran) {
+        --sends_;
+        ++refusals_;
+        if (has_time() && refusals_ < unreachable_limit) {
+            log_decision("request", "endpoint_unreachable",
+                         {{"request", caller_.id},
+                          {"endpoint", last_endpoint_},
+                          {"reason", to_string(failure)}});
+            co_return next_step::again;
+        }
+        co_await refuse(make_error(error_kind::no_endpoint, failure.detail), no_endpoint_retry);
+        co_return next_step::done;
+    } else if (may_run_again() && take_repeat()) {
+        log_decision("request", "sent_again",
+                     {{"request", caller_.id},
+                      {"endpoint", last_endpoint_},
+                      {"last_event", last_event_ ? std::to_string(*last_event_) : "none"},
+                      {"reason", to_string(failure)}});
+        if (plan_ && began_) {
+            // The results were freed when the stream began, and the next endpoint reads them again.
+            plan_->forget([](const std::string&) { return true; });
+        }
+        co_return next_step::again;
+    }
+    co_await fail(failure);
+    co_return next_step::done;
+}
+
+http::awaitable<request_run::next_step>
+request_run::after_refusal(const platform::answer_head& head) {
+    --sends_;
+    ++refusals_;
+    auto& state = parts_.state;
+    if (head.input_gone && plan_ && ++inputs_lost_ <= inputs_lost_limit && has_time()) {
+        log_decision("request", "inputs_gone",
+                     {{"request", caller_.id}, {"endpoint", last_endpoint_}});
+        plan_->forget([](const std::string&) { return true; });
+        tried_.clear();
+        co_return next_step::again;
+    }
+    const bool budgeted =
+        state.budget(service_).take(state.retry_limit(), state.group().size(), steady_clock::now());
+    if (budgeted && has_time() && refusals_ < unreachable_limit && !caller_left_) {
+        log_decision("request", "endpoint_refused",
+                     {{"request", caller_.id},
+                      {"endpoint", last_endpoint_},
+                      {"status", std::to_string(head.status)}});
+        co_return next_step::again;
+    }
+    auto* const pool = state.pool(service_);
+    co_await refuse(make_error(error_kind::no_endpoint, "the endpoints asked are full"),
+                    pool == nullptr ? no_endpoint_retry : pool->retry_after(steady_clock::now()));
+    co_return next_step::done;
+}
+
+} // namespace boragefront::gateway
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -2,8 +2,6 @@
 
 #include "base/hash.hpp"
 #include "base/logging.hpp"
-#include "platform/requests.hpp"
-#include "platform/stage_calls.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -29,7 +27,6 @@
 constexpr milliseconds overdue_margin{2'000};
 constexpr milliseconds tell_timeout{400};
 constexpr milliseconds collect_releases{8}; // makers wait for the memory, so only a moment
-constexpr milliseconds connect_timeout{200};
 
 auto redirected(boost::system::error_code& failure) {
     return asio::redirect_error(asio::use_awaitable, failure);
@@ -39,39 +36,6 @@
     return std::chrono::floor<milliseconds>(std::max(until - now, duration{0}));
 }
 
-std::size_t count_of(const std::vector<stages::piece_result>& results,
-                     stages::piece_outcome outcome) {
-    return static_cast<std::size_t>(std::count_if(
-        results.begin(), results.end(), [&](const auto& one) { return one.outcome == outcome; }));
-}
-
-stages::call_outcome outcome_of(const error& failure) {
-    switch (failure.kind) {
-    case error_kind::connect_failed:
-        return stages::call_outcome::unreachable;
-    case error_kind::deadline_exceeded:
-        return stages::call_outcome::silent;
-    default:
-        return stages::call_outcome::broken;
-    }
-}
-
-std::string_view to_string(stages::call_outcome outcome) {
-    switch (outcome) {
-    case stages::call_outcome::answered:
-        return "answered";
-    case stages::call_outcome::refused:
-        return "refused";
-    case stages::call_outcome::silent:
-        return "silent";
-    case stages::call_outcome::broken:
-        return "broken";
-    case stages::call_outcome::unreachable:
-        return "unreachable";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 void wait_source::cancel() {
@@ -104,23 +68,6 @@
     return kept.get();
 }
 
-void stage_exchange::refresh(time_point now) {
-    const auto& published = state_.current()->published;
-    for (auto& [service, one] : queues_) {
-        const auto found = published.config->services.find(service);
-        if (found != published.config->services.end() && found->second.stages) {
-            one->queue.set_capacity(*found->second.stages);
-        }
-        one->queue.set_endpoints(published.endpoints, published.evacuated, service, now);
-        pump(service);
-    }
-}
-
-milliseconds stage_exchange::service_time(const std::string& service, std::size_t pieces) {
-    auto* const queue = queue_of(service);
-    return queue == nullptr ? milliseconds{0} : queue->queue.service_time(pieces);
-}
-
 // The entries in the order in which they dispatch for a service; this one ends the list.
 std::vector<wire::entry_info> stage_exchange::dispatchers(const std::string& service) const {
     std::vector<wire::entry_info> order;
@@ -154,13 +101,6 @@
     one.until = now + one.pause;
 }
 
-bool stage_exchange::idle() const {
-    return std::all_of(queues_.begin(), queues_.end(), [](const auto& one) {
-        return one.second->queue.waiting_pieces() == 0 &&
-               one.second->queue.calls_in_progress() == 0;
-    });
-}
-
 bool stage_exchange::is_alive(const wire::entry_info& dispatcher) const {
     const auto& alive = state_.fleet().alive;
     return std::any_of(alive.begin(), alive.end(), [&](const auto& one) {
@@ -306,74 +246,6 @@
     co_return pieces_refused{};
 }
 
-stages::admission stage_exchange::offer(service_queue& queue, stages::piece_group group,
-                                        waiter who) {
-    const auto id = next_id_++;
-    group.id = id;
-    const auto now = steady_clock::now();
-    const auto request = group.pieces.front().request_id;
-    const auto pieces = group.pieces.size();
-    const auto useless_in = time_left(group.useless_at, now);
-    const auto admitted = queue.queue.offer(std::move(group), now);
-    if (admitted.accepted) {
-        queue.waiters.emplace(id, std::move(who));
-    } else {
-        log_decision("stages", "group_refused",
-                     {{"request", request},
-                      {"service", queue.service},
-                      {"pieces", std::to_string(pieces)},
-                      {"waiting", std::to_string(queue.queue.waiting_pieces())},
-                      {"endpoints", std::to_string(queue.queue.endpoint_count())},
-                      {"expected_ms", std::to_string(admitted.expected.count())},
-                      {"useless_in_ms", std::to_string(useless_in.count())},
-                      {"retry_after_ms", std::to_string(admitted.retry_after.count())}});
-    }
-    return admitted;
-}
-
-void stage_exchange::pump(const std::string& service) {
-    auto& one = *queues_.at(service);
-    const auto now = steady_clock::now();
-    for (auto& call : one.queue.next_calls(now)) {
-        asio::co_spawn(executor_, run_call(service, std::move(call)), asio::detached);
-    }
-    for (auto& ended : one.queue.take_finished(now)) {
-        deliver(one, std::move(ended));
-    }
-    const auto orphans = one.queue.take_orphans();
-    one.queue.release(orphans);
-    freer_.free(orphans);
-    one.wake.expires_at(one.queue.next_event(now));
-    one.wake.async_wait([this, service](boost::system::error_code failure) {
-        if (!failure) {
-            pump(service);
-        }
-    });
-}
-
-void stage_exchange::deliver(service_queue& queue, stages::finished_group ended) {
-    const auto found = queue.waiters.find(ended.id);
-    if (found == queue.waiters.end()) {
-        return;
-    }
-    const auto who = std::move(found->second);
-    queue.waiters.erase(found);
-    if (ended.expired) {
-        log_decision("stages", "group_expired",
-                     {{"request", ended.request_id},
-                      {"service", queue.service},
-                      {"waiting", std::to_string(queue.queue.waiting_pieces())},
-                      {"endpoints", std::to_string(queue.queue.endpoint_count())}});
-    }
-    if (const auto* const local = std::get_if<local_wait>(&who)) {
-        end_wait(local->ticket, state_.self_id(), std::move(ended));
-    } else if (const auto* const remote = std::get_if<remote_wait>(&who)) {
-        wire::pieces_done_request done{state_.self_id(), remote->ticket, ended.expired,
-                                       std::move(ended.results)};
-        asio::co_spawn(executor_, tell(remote->address, std::move(done)), asio::detached);
-    }
-}
-
 void stage_exchange::end_wait(std::uint64_t ticket, const std::string& dispatcher,
                               stages::finished_group ended) {
     const auto found = waits_.find(ticket);
@@ -392,55 +264,6 @@
     freer_.free(unwanted);
 }
 
-http::awaitable<void> stage_exchange::run_call(std::string service, stages::stage_call call) {
-    const auto count = call.pieces.size();
-    http::call_options options;
-    const auto started = steady_clock::now();
-    options.deadline = started + call.give_up_after;
-    options.connect_timeout = connect_timeout;
-    auto answer = co_await endpoints_.call(
-        call.address, platform::make_pieces(call.endpoint, call.pieces, call.time_left), options);
-    auto outcome = stages::call_outcome::answered;
-    std::vector<stages::piece_result> results;
-    std::string reason;
-    if (!answer) {
-        outcome = outcome_of(answer.error());
-        reason = to_string(answer.error());
-    } else if (const auto head = platform::read_head(answer.value()); head.not_run) {
-        outcome = head.replaced ? stages::call_outcome::unreachable : stages::call_outcome::refused;
-        reason = "status " + std::to_string(head.status);
-    } else if (auto read = platform::read_pieces(answer.value(), count); read) {
-        results = std::move(read.value());
-    } else {
-        outcome = stages::call_outcome::broken;
-        reason = "status " + std::to_string(head.status) + ", " + to_string(read.error());
-    }
-    const auto now = steady_clock::now();
-    state_.metrics()
-        .get_counter("boragefront_stage_calls_total", "service=\"" + service + "\",outcome=\"" +
-                                                          std::string{to_string(outcome)} + '"')
-        .add();
-    state_.metrics()
-        .get_counter("boragefront_stage_pieces_total", "service=\"" + service + '"')
-        .add(count);
-    log_decision(
-        "stages", "call_ended",
-        {{"service", service},
-         {"endpoint", call.endpoint},
-         {"first_request", call.pieces.front().request_id},
-         {"pieces", std::to_string(count)},
-         {"made", std::to_string(count_of(results, stages::piece_outcome::made))},
-         {"no_room", std::to_string(count_of(results, stages::piece_outcome::no_room))},
-         {"left_waiting", std::to_string(call.left_waiting)},
-         {"room_left", std::to_string(call.room_left)},
-         {"expected_ms", std::to_string(call.expected.count())},
-         {"took_ms", std::to_string(std::chrono::floor<milliseconds>(now - started).count())},
-         {"outcome", std::string{to_string(outcome)}},
-         {"reason", reason}});
-    queues_.at(service)->queue.call_ended(call.id, outcome, results, now);
-    pump(service);
-}
-
 void stage_exchange::release(const std::string& service, std::vector<std::string> handles) {
     auto& waiting = to_release_[service];
     waiting.insert(waiting.end(), std::make_move_iterator(handles.begin()),
@@ -473,22 +296,6 @@
     }
 }
 
-void stage_exchange::release_here(const std::string& service,
-                                  const std::vector<std::string>& handles) {
-    freer_.free(handles);
-    const auto found = queues_.find(service);
-    if (found != queues_.end()) {
-        found->second->queue.release(handles);
-        pump(service);
-    }
-}
-
-void stage_exchange::take(const wire::release_results_request& release) {
-    if (state_.current() != nullptr) {
-        release_here(release.service, release.handles);
-    }
-}
-
 http::awaitable<void> stage_exchange::tell(std::string address, wire::request message) {
     constexpr int tries = 2;
     for (int i = 0; i < tries; ++i) {
@@ -503,55 +310,4 @@
     }
 }
 
-wire::answer stage_exchange::take(const wire::make_pieces_request& request) {
-    if (state_.current() == nullptr || state_.draining) {
-        return wire::refusal{"takes no stage work now"};
-    }
-    auto* const queue = queue_of(request.service);
-    if (queue == nullptr) {
-        return wire::refusal{"no such stage service: " + request.service};
-    }
-    const auto now = steady_clock::now();
-    auto group = request.group;
-    group.wanted_by = now + request.wanted_in;
-    group.useless_at = now + request.useless_in;
-    const auto admitted = offer(*queue, std::move(group),
-                                remote_wait{request.from_address, request.asker, request.ticket});
-    if (admitted.accepted) {
-        pump(request.service);
-    }
-    return wire::make_pieces_answer{admitted.accepted, admitted.expected, admitted.retry_after};
-}
-
-void stage_exchange::take(const wire::pieces_done_request& done) {
-    end_wait(done.ticket, done.dispatcher, {done.ticket, done.results, done.expired, {}});
-}
-
-void stage_exchange::take(const wire::cancel_pieces_request& cancel) {
-    const auto found = queues_.find(cancel.service);
-    if (found == queues_.end()) {
-        return;
-    }
-    auto& one = *found->second;
-    for (auto entry = one.waiters.begin(); entry != one.waiters.end(); ++entry) {
-        const auto* const remote = std::get_if<remote_wait>(&entry->second);
-        if (remote != nullptr && remote->asker == cancel.asker && remote->ticket == cancel.ticket) {
-            one.queue.cancel(entry->first);
-            one.waiters.erase(entry);
-            pump(cancel.service);
-            return;
-        }
-    }
-}
-
-std::vector<std::string> stage_exchange::describe(time_point /*now*/) const {
-    std::vector<std::string> lines;
-    for (const auto& [service, one] : queues_) {
-        lines.push_back(service + " waiting=" + std::to_string(one->queue.waiting_pieces()) +
-                        " calls=" + std::to_string(one->queue.calls_in_progress()) +
-                        " endpoints=" + std::to_string(one->queue.endpoint_count()));
-    }
-    return lines;
-}
-
 } // namespace boragefront::gateway
