--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.hpp"
 
+#include "published_configuration.hpp"
+
 #include <stdexcept>
 
 namespace boragefront::gateway_tests {
@@ -8,25 +10,6 @@
 constexpr seconds patience{20}; // generous: a failure, not a slow machine, must end a wait
 constexpr milliseconds look{5};
 
-constexpr std::string_view configuration = R"({"version":7,"routes":[
- {"name":"plain","host":"plain.example","prefix":"/","kind":"idempotent","service":"PLAIN",
-  "timeout_ms":3000,"target_latency_ms":500,"max_attempts":2},
- {"name":"order","host":"order.example","prefix":"/","kind":"non_idempotent","service":"orders",
-  "timeout_ms":3000,"target_latency_ms":500,"max_attempts":1},
- {"name":"stream","host":"stream.example","prefix":"/","kind":"streaming","service":"model",
-  "stream_resume":true,"timeout_ms":9000,"target_latency_ms":1000,"max_attempts":2,
-  "gap_aim_ms":400},
- {"name":"once","host":"once.example","prefix":"/","kind":"streaming","service":"model",
-  "timeout_ms":9000,"target_latency_ms":1000,"max_attempts":1,"gap_aim_ms":400},
- {"name":"staged","host":"staged.example","prefix":"/","kind":"streaming","service":"model",
-  "stream_resume":true,"timeout_ms":9000,"target_latency_ms":2000,"max_attempts":2,
-  "stages":[{"service":"first","after":[],"bytes":1000},
-            {"service":"second","after":[0],"bytes":1000}]}],
- "services":[{"name":"plain"},{"name":"other"},{"name":"orders"},{"name":"model"},
-  {"name":"first","pieces":{"slots":1,"batch":4,"call_ms":5,"item_ms":1,"handle_s":4}},
-  {"name":"second","pieces":{"slots":1,"batch":4,"call_ms":5,"item_ms":1,"handle_s":4}}],
- "tenants":[{"name":"team","api_keys":["key"]}]})";
-
 } // namespace
 
 deployment::deployment() : store_{std::make_unique<store_stand_in>(io_.get_executor())} {
@@ -59,9 +42,7 @@
 }
 
 void deployment::publish_configuration(const std::string& plain_service) {
-    std::string text{configuration};
-    text.replace(text.find("PLAIN"), 5, plain_service);
-    on_loop([&] { store_->put("op/config", text); });
+    on_loop([&] { store_->put("op/config", configuration_text(plain_service)); });
 }
 
 running_gateway& deployment::start_gateway(const std::string& store_address) {
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -85,15 +85,27 @@
 };
 
 endpoint_stand_in::endpoint_stand_in(asio::any_io_executor executor, std::string id)
-    : executor_{std::move(executor)},
-      acceptor_{executor_, tcp::endpoint{asio::ip::address_v4::loopback(), 0}}, id_{std::move(id)} {
+    : executor_{std::move(executor)}, acceptor_{executor_,
+                                                tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
+      id_{std::move(id)}, port_{acceptor_.local_endpoint().port()} {
     asio::co_spawn(executor_, accept_loop(), asio::detached);
 }
 
 endpoint_stand_in::~endpoint_stand_in() = default;
 
 std::string endpoint_stand_in::address() const {
-    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    return advertised_.empty() ? "127.0.0.1:" + std::to_string(port_) : advertised_;
+}
+
+void endpoint_stand_in::stop() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    for (const auto& weak : open_) {
+        if (const auto open = weak.lock()) {
+            open->socket.close(ignored);
+        }
+    }
+    open_.clear();
 }
 
 std::string endpoint_stand_in::registration(const std::string& service, const std::string& state,
@@ -150,6 +162,7 @@
         for (const auto& field : message) {
             visit.message.headers.add(std::string{field.name_string()}, std::string{field.value()});
         }
+        visit.at = steady_clock::now();
         visit.id = visit.message.headers.get("Boragefront-Request-Id");
         visits_.push_back(std::move(visit));
         if (!co_await answer(*with, visits_.size() - 1)) {
@@ -212,6 +225,7 @@
         (void)co_await with.wait(second_answer_delay);
         (void)co_await with.send(whole);
     }
+    visits_[visit].answered = sent;
     co_return sent;
 }
 
@@ -233,7 +247,8 @@
             co_return false;
         }
     }
-    co_return co_await with.send("0\r\n\r\n");
+    visits_[visit].answered = co_await with.send("0\r\n\r\n");
+    co_return visits_[visit].answered;
 }
 
 asio::awaitable<bool> endpoint_stand_in::answer_pieces(connection& with, std::size_t visit) {
@@ -244,8 +259,10 @@
     (void)co_await with.wait(work);
     const auto asked = json::parse(message.body).at("items").as_array();
     json::array items;
-    for (std::size_t i = 0; i < asked.size(); ++i) {
-        items.push_back(json::object{{"handle", address() + "/" + std::to_string(next_handle_++)}});
+    for (const auto& item : asked) {
+        const auto handle = address() + "/" + id_ + "." + std::to_string(next_handle_++);
+        visits_[visit].made.push_back({std::string{item.at("id").as_string()}, handle});
+        items.push_back(json::object{{"handle", handle}});
     }
     visits_[visit].ran = true;
     const auto body = json::serialize(json::object{{"items", std::move(items)}});
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -31,12 +31,21 @@
     no_receipt,  ///< answers without a receipt
 };
 
+/// A result of stage work.
+struct made_result {
+    std::string request_id; ///< for which it was made
+    std::string handle;
+};
+
 /// One request or call that reached an endpoint.
 struct endpoint_visit {
     http::request message;
     std::string id;
+    time_point at{};
     bool ran{false};
-    bool left{false}; ///< the connection was closed before the answer was sent
+    bool answered{false};            ///< a whole answer was sent
+    bool left{false};                ///< the connection was closed before the answer was sent
+    std::vector<made_result> made{}; ///< of a call for pieces
 };
 
 /// All functions on its executor's thread.
@@ -47,7 +56,15 @@
     endpoint_stand_in(const endpoint_stand_in&) = delete;
     endpoint_stand_in& operator=(const endpoint_stand_in&) = delete;
 
+    /// Where it can be reached: its own address, or the advertised one.
     std::string address() const;
+
+    /// Registers with another address than its own, as behind a relay.
+    void advertise(std::string address) { advertised_ = std::move(address); }
+
+    /// Closes its port and all connections, as a process that ends.
+    void stop();
+
     const std::string& id() const { return id_; }
 
     /// The value that it registers with.
@@ -80,6 +97,8 @@
     boost::asio::any_io_executor executor_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::string id_;
+    std::uint16_t port_;
+    std::string advertised_;
     endpoint_mode mode_{endpoint_mode::sound};
     int mode_times_{0};
     int next_handle_{1};
--- a/tests/stand_ins/include/stand_ins/relay.hpp
+++ b/tests/stand_ins/include/stand_ins/relay.hpp
@@ -22,6 +22,8 @@
     cut,                 ///< connections are closed, new ones refused
     swallow,             ///< connections, new ones too, are silent for good
     swallow_established, ///< established connections are silent for good, new ones pass
+    swallow_requests,    ///< what goes to the target is lost on all connections until they close
+    swallow_answers,     ///< what comes from the target is lost on all connections until they close
 };
 
 /// A relay from its own address to one target. All members run on one thread.
@@ -34,6 +36,18 @@
 
     std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
 
+    /// Switches to a mode; connections that it silenced stay silent.
+    void set_mode(relay_mode mode);
+
+    /// Closes the connections that were silenced.
+    void close_silent();
+
+    /// Passes new connections to another target. \param target "ip:port"
+    result<void> set_target(const std::string& target);
+
+    /// Holds each part of an answer for this long.
+    void set_answer_delay(milliseconds delay) { answer_delay_ = delay; }
+
     /// Answers `POST /stand_in/faults`.
     http::awaitable<void> handle(const http::request& incoming, http::responder& out);
 
@@ -42,7 +56,6 @@
 
     relay(boost::asio::ip::tcp::acceptor acceptor, boost::asio::ip::tcp::endpoint target);
 
-    void set_mode(relay_mode mode);
     http::awaitable<void> accept_loop();
     http::awaitable<void> serve(std::shared_ptr<link> served);
     http::awaitable<void> pump(std::shared_ptr<link> served, bool towards_target);
--- a/tests/stand_ins/src/relay.cpp
+++ b/tests/stand_ins/src/relay.cpp
@@ -33,6 +33,8 @@
         std::pair{"cut", relay_mode::cut},
         std::pair{"swallow", relay_mode::swallow},
         std::pair{"swallow_established", relay_mode::swallow_established},
+        std::pair{"swallow_requests", relay_mode::swallow_requests},
+        std::pair{"swallow_answers", relay_mode::swallow_answers},
     };
     for (const auto& [text, mode] : names) {
         if (name == text) {
@@ -67,9 +69,18 @@
         far.close(ignored);
     }
 
+    // Silences one direction or both, as the mode says.
+    void silence(relay_mode mode) {
+        const bool both = mode == relay_mode::swallow || mode == relay_mode::swallow_established;
+        silent_to_target = silent_to_target || both || mode == relay_mode::swallow_requests;
+        silent_from_target = silent_from_target || both || mode == relay_mode::swallow_answers;
+    }
+    bool silent() const { return silent_to_target || silent_from_target; }
+
     tcp::socket near;
     tcp::socket far;
-    bool silent{false};
+    bool silent_to_target{false};
+    bool silent_from_target{false};
 };
 
 relay::relay(tcp::acceptor acceptor, tcp::endpoint target)
@@ -106,13 +117,24 @@
         if (mode == relay_mode::cut) {
             open->close();
         }
-        if (mode == relay_mode::swallow || mode == relay_mode::swallow_established) {
-            open->silent = true;
-        }
+        open->silence(mode);
     }
     std::erase_if(links_, [](const auto& weak) { return weak.expired(); });
 }
 
+void relay::close_silent() {
+    for (const auto& weak : links_) {
+        if (const auto open = weak.lock(); open != nullptr && open->silent()) {
+            open->close();
+        }
+    }
+}
+
+result<void> relay::set_target(const std::string& target) {
+    BOOST_OUTCOME_TRY(target_, parse_endpoint(target));
+    return success();
+}
+
 http::awaitable<void> relay::accept_loop() {
     for (;;) {
         boost::system::error_code failure;
@@ -124,7 +146,9 @@
             continue;
         }
         auto made = std::make_shared<link>(std::move(accepted));
-        made->silent = mode_ == relay_mode::swallow;
+        if (mode_ != relay_mode::swallow_established) {
+            made->silence(mode_);
+        }
         links_.push_back(made);
         asio::co_spawn(acceptor_.get_executor(), serve(std::move(made)), asio::detached);
     }
@@ -160,7 +184,7 @@
     // The other end of a silent connection is not told that this one has gone.
     boost::system::error_code ignored;
     from.close(ignored);
-    if (!served->silent) {
+    if (!served->silent()) {
         into.close(ignored);
     }
 }
@@ -178,7 +202,7 @@
         pause.expires_after(hold_check_interval);
         co_await pause.async_wait(awaitable_into(failure));
     }
-    if (served->silent) {
+    if (towards_target ? served->silent_to_target : served->silent_from_target) {
         co_return true;
     }
     const auto held = asio::buffer(bytes, size);
--- a/tests/support/include/support/caller.hpp
+++ b/tests/support/include/support/caller.hpp
@@ -51,10 +51,20 @@
 /// Makes one call and waits for its end.
 call_record make_call(blocking_client& client, const std::string& entry, caller_request asked);
 
+/// Where an entry takes callers, and where it says whether it wants them.
+struct probed_entry {
+    std::string address;
+    std::string probe_address;
+    std::string probe_path{"/readyz"};
+};
+
 /// The entries that want callers, as the platform's balancer sees them: by their readiness probe.
 class balancer {
 public:
-    explicit balancer(std::vector<std::string> entries);
+    explicit balancer(std::vector<probed_entry> entries);
+
+    /// Entries that are probed where they take callers.
+    explicit balancer(const std::vector<std::string>& entries);
     ~balancer();
     balancer(const balancer&) = delete;
     balancer& operator=(const balancer&) = delete;
@@ -64,10 +74,11 @@
 
 private:
     void probe(const std::atomic<bool>& stopping);
+    std::vector<std::string> all() const;
 
-    std::vector<std::string> entries_;
+    std::vector<probed_entry> entries_;
     mutable std::mutex mutex_;
-    std::vector<std::string> ready_;
+    std::vector<std::string> ready_; ///< addresses; all if none is ready
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
--- a/tests/support/include/support/process.hpp
+++ b/tests/support/include/support/process.hpp
@@ -7,11 +7,13 @@
 
 #include <boost/json/object.hpp>
 
+#include <cstdint>
 #include <filesystem>
 #include <memory>
 #include <optional>
 #include <string>
 #include <sys/types.h>
+#include <thread>
 #include <vector>
 
 namespace boragefront::support {
@@ -19,11 +21,18 @@
 /// One process. Killed and reaped on destruction; also killed by the kernel if the test dies.
 class process {
 public:
+    /// What becomes of its standard output after the first line.
+    enum class further_output : std::uint8_t {
+        unread, ///< fills the pipe
+        logged, ///< goes to the log file
+    };
+
     /// Starts a program and waits for the one line of JSON that it prints once bound.
     /// \param command program and arguments
     /// \param log file that receives its standard error
     static result<process> start(const std::vector<std::string>& command,
-                                 const std::filesystem::path& log, milliseconds patience);
+                                 const std::filesystem::path& log, milliseconds patience,
+                                 further_output output = further_output::unread);
 
     process(const process&) = delete;
     process& operator=(const process&) = delete;
@@ -50,11 +59,13 @@
     process(pid_t pid, int output) : pid_{pid}, output_{output} {}
     result<void> read_first_line(milliseconds patience);
     void close_output();
+    void log_output(const std::filesystem::path& log);
 
     pid_t pid_{-1}; ///< -1 once it has been reaped
     int output_{-1};
     std::optional<int> status_;
     boost::json::object first_line_;
+    std::thread copier_; ///< of its output to its log, until the output ends
 };
 
 } // namespace boragefront::support
--- a/tests/support/src/caller.cpp
+++ b/tests/support/src/caller.cpp
@@ -148,8 +148,25 @@
     return record;
 }
 
-balancer::balancer(std::vector<std::string> entries)
-    : entries_{std::move(entries)}, ready_{entries_}, thread_{[this] { probe(stopping_); }} {}
+balancer::balancer(std::vector<probed_entry> entries)
+    : entries_{std::move(entries)}, ready_{all()}, thread_{[this] { probe(stopping_); }} {}
+
+balancer::balancer(const std::vector<std::string>& entries)
+    : balancer{[&] {
+          std::vector<probed_entry> probed;
+          for (const auto& entry : entries) {
+              probed.push_back({entry, entry});
+          }
+          return probed;
+      }()} {}
+
+std::vector<std::string> balancer::all() const {
+    std::vector<std::string> addresses;
+    for (const auto& entry : entries_) {
+        addresses.push_back(entry.address);
+    }
+    return addresses;
+}
 
 balancer::~balancer() {
     stopping_ = true;
@@ -160,11 +177,14 @@
     while (!stopping) {
         std::vector<std::string> ready;
         for (const auto& entry : entries_) {
-            const auto answer = get(entry, "/readyz", probe_patience);
+            const auto answer = get(entry.probe_address, entry.probe_path, probe_patience);
             if (answer && answer.value().status == 200) {
-                ready.push_back(entry);
+                ready.push_back(entry.address);
             }
         }
+        if (ready.empty()) {
+            ready = all();
+        }
         {
             const std::scoped_lock lock{mutex_};
             ready_ = std::move(ready);
@@ -175,9 +195,8 @@
 
 std::string balancer::pick(random_source& random) const {
     const std::scoped_lock lock{mutex_};
-    const auto& from = ready_.empty() ? entries_ : ready_;
-    std::uniform_int_distribution<std::size_t> index{0, from.size() - 1};
-    return from.at(index(random));
+    std::uniform_int_distribution<std::size_t> index{0, ready_.size() - 1};
+    return ready_.at(index(random));
 }
 
 caller_load::caller_load(load_options options, const balancer& entries)
--- a/tests/support/src/process.cpp
+++ b/tests/support/src/process.cpp
@@ -34,6 +34,8 @@
     }
     ::dup2(output, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // Sockets of the test would stay open in the child after the test has closed them.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(arguments[0], arguments);
     ::_exit(exec_failed_status);
 }
@@ -41,7 +43,8 @@
 } // namespace
 
 result<process> process::start(const std::vector<std::string>& command,
-                               const std::filesystem::path& log, milliseconds patience) {
+                               const std::filesystem::path& log, milliseconds patience,
+                               further_output output_use) {
     std::vector<std::string> words{command};
     std::vector<char*> arguments;
     arguments.reserve(words.size() + 1);
@@ -68,12 +71,16 @@
     }
     process started{child, output[0]};
     BOOST_OUTCOME_TRY(started.read_first_line(patience));
+    if (output_use == further_output::logged) {
+        started.log_output(log);
+    }
     return started;
 }
 
 process::process(process&& other) noexcept
     : pid_{std::exchange(other.pid_, -1)}, output_{std::exchange(other.output_, -1)},
-      status_{other.status_}, first_line_{std::move(other.first_line_)} {}
+      status_{other.status_}, first_line_{std::move(other.first_line_)}, copier_{std::move(
+                                                                             other.copier_)} {}
 
 process& process::operator=(process&& other) noexcept {
     if (this != &other) {
@@ -83,6 +90,7 @@
         output_ = std::exchange(other.output_, -1);
         status_ = other.status_;
         first_line_ = std::move(other.first_line_);
+        copier_ = std::move(other.copier_);
     }
     return *this;
 }
@@ -92,12 +100,29 @@
     close_output();
 }
 
+// The output ends with the process, which has ended by now.
 void process::close_output() {
+    if (copier_.joinable()) {
+        copier_.join();
+    }
     if (output_ >= 0) {
         ::close(std::exchange(output_, -1));
     }
 }
 
+void process::log_output(const std::filesystem::path& log) {
+    const int log_file =
+        ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, log_permissions);
+    copier_ = std::thread{[from = output_, log_file] {
+        std::array<char, 4'096> bytes{};
+        ssize_t size = 0;
+        while ((size = ::read(from, bytes.data(), bytes.size())) > 0) {
+            (void)!::write(log_file, bytes.data(), static_cast<std::size_t>(size));
+        }
+        ::close(log_file);
+    }};
+}
+
 void process::send_signal(int number) const {
     if (pid_ > 0) {
         ::kill(pid_, number);
