--- a/libs/ledger/src/work_ledger.cpp
+++ b/libs/ledger/src/work_ledger.cpp
@@ -33,8 +33,10 @@
     if (used != nullptr && used->body_hash != work.body_hash) {
         return make_error(error_kind::conflict, "the key was used with another request");
     }
-    const bool unseen = std::holds_alternative<unused_key>(state);
-    if (std::holds_alternative<unvouched_key>(state) || (unseen && !work.key_vouched)) {
+    if (std::holds_alternative<unvouched_key>(state)) {
+        return make_error(error_kind::outcome_unknown, "the key is older than the record of keys");
+    }
+    if (std::holds_alternative<unused_key>(state) && !work.key_vouched) {
         return make_error(error_kind::outcome_unknown, "the key may have been used elsewhere");
     }
     if (std::holds_alternative<early_key>(state)) {
--- a/tests/support/src/cluster.cpp
+++ b/tests/support/src/cluster.cpp
@@ -77,7 +77,8 @@
     process_.reset();
     const auto until = steady_clock::now() + start_patience;
     for (;;) {
-        auto started = process::start(command, folder_ / (id_ + ".log"), start_patience);
+        auto started = process::start(command, folder_ / (id_ + ".log"), start_patience,
+                                      process::further_output::logged);
         if (started) {
             process_.emplace(std::move(started.value()));
             ran_before_ = true;
