peering: messages between entries stay bounded as the fleet grows

Cause: each exchange of news carried all known peers. Change: at most 64 peers in a message, a random sample of those heard of lately; the time after which a peer counts as dead grows with the fleet beyond 100 entries, up to 6 s, as news take longer by as much. Test first: a fleet of 3 to 300 on a virtual clock; before, 299 peers in a message.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -184,7 +184,7 @@
 }
 
 http::awaitable<void> control_loop::gossip_with(std::string address) {
-    wire::gossip_request request{self(), peers_.known(steady_clock::now()),
+    wire::gossip_request request{self(), peers_.news(steady_clock::now(), random_),
                                  published_.operators_keys().through(),
                                  published_.endpoint_keys().through()};
     const auto answer = co_await peers_client_->call(address, std::move(request), gossip_timeout);
@@ -232,7 +232,7 @@
     peers_.heard_of(message.others, now);
     wire::gossip_answer news;
     news.self = self();
-    news.others = peers_.known(now);
+    news.others = peers_.news(now, random_);
     const auto& operators = published_.operators_keys();
     const auto& endpoints = published_.endpoint_keys();
     if (message.configuration_through < operators.through()) {
--- a/libs/peering/include/peering/peer_table.hpp
+++ b/libs/peering/include/peering/peer_table.hpp
@@ -34,6 +34,10 @@
     /// Addresses to exchange news with now: a few random peers, and seeds that no known peer has.
     std::vector<std::string> targets(time_point now, random_source& random) const;
 
+    /// What to tell another entry: peers heard of lately, with the time since; of many a random
+    /// sample, so that messages stay bounded as the fleet grows.
+    std::vector<wire::entry_info> news(time_point now, random_source& random) const;
+
     /// Peers heard of lately, with the time since.
     std::vector<wire::entry_info> known(time_point now) const;
 
@@ -56,7 +60,8 @@
         time_point heard_at{};
         unsigned misses{0}; ///< calls that went unanswered since then
     };
-    static bool is_alive(const peer& one, time_point now);
+    bool is_alive(const peer& one, time_point now) const;
+    milliseconds alive_for() const;
 
     std::string self_id_;
     std::vector<std::string> seeds_;
--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -7,9 +7,14 @@
 namespace {
 
 constexpr std::size_t peers_per_round = 4; // keeps a process's messages constant as the fleet grows
-constexpr milliseconds alive_for{1'600};   // three rounds of half a second, and one delayed
-constexpr unsigned misses_until_dead = 2;  // one may be a pause of either side
-constexpr milliseconds known_for{60'000};  // a peer that is silent for so long is forgotten
+constexpr std::size_t told_at_most = 64;   // entries in a message, some 6 kB
+// Three rounds of half a second, and one delayed. Beyond a hundred peers, of which each message
+// tells but a part, news of one takes as much longer as there are more of them (`peer_table_test`).
+constexpr milliseconds alive_for_least{1'600};
+constexpr std::int64_t peers_with_fast_news = 100;
+constexpr milliseconds alive_for_most{6'000};
+constexpr unsigned misses_until_dead = 2; // one may be a pause of either side
+constexpr milliseconds known_for{60'000}; // a peer that is silent for so long is forgotten
 
 } // namespace
 
@@ -50,8 +55,13 @@
     }
 }
 
-bool peer_table::is_alive(const peer& one, time_point now) {
-    return now - one.heard_at < alive_for && one.misses < misses_until_dead;
+milliseconds peer_table::alive_for() const {
+    const auto more = std::max(static_cast<std::int64_t>(peers_.size()), peers_with_fast_news);
+    return std::min(alive_for_least * more / peers_with_fast_news, alive_for_most);
+}
+
+bool peer_table::is_alive(const peer& one, time_point now) const {
+    return now - one.heard_at < alive_for() && one.misses < misses_until_dead;
 }
 
 std::vector<std::string> peer_table::targets(time_point now, random_source& random) const {
@@ -82,6 +92,17 @@
     return all;
 }
 
+std::vector<wire::entry_info> peer_table::news(time_point now, random_source& random) const {
+    auto all = known(now);
+    if (all.size() > told_at_most) {
+        // Old news of a peer would only take the place of new.
+        std::erase_if(all, [&](const auto& one) { return one.heard >= alive_for(); });
+        std::shuffle(all.begin(), all.end(), random);
+        all.resize(std::min(all.size(), told_at_most));
+    }
+    return all;
+}
+
 std::vector<wire::entry_info> peer_table::alive(time_point now) const {
     std::vector<wire::entry_info> all;
     for (const auto& [address, one] : peers_) {
--- a/libs/peering/tests/peer_table_test.cpp
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace boragefront;
 using namespace boragefront::peering;
 
@@ -90,3 +92,65 @@
     random_source random{7};
     CHECK(table.targets(start, random).size() <= 4);
 }
+
+// Answers the pattern of a fleet of hundreds, in which full lists of peers were most of what
+// entries sent each other.
+TEST_CASE("in a fleet of hundreds messages stay small, all know all, and a dead one is dropped",
+          "[load]") {
+    const auto entries =
+        GENERATE(std::size_t{3}, std::size_t{12}, std::size_t{100}, std::size_t{300});
+    constexpr milliseconds round{300};
+    random_source random{entries};
+    std::vector<peer_table> tables;
+    for (std::size_t i = 0; i < entries; ++i) {
+        tables.push_back(peer_table::make("e" + std::to_string(i), {"e0:1", "e1:1", "e2:1"}));
+    }
+    auto now = start;
+    std::size_t dead = entries;
+    std::size_t largest = 0;
+    const auto exchange_all = [&] {
+        for (std::size_t i = 0; i < entries; ++i) {
+            for (const auto& address : tables[i].targets(now, random)) {
+                const auto other = std::stoul(address.substr(1));
+                if (i == dead || other == i) {
+                    continue;
+                }
+                if (other == dead) {
+                    tables[i].missed(address);
+                    continue;
+                }
+                const auto told = tables[i].news(now, random);
+                const auto answered = tables[other].news(now, random);
+                largest = std::max({largest, told.size(), answered.size()});
+                tables[other].heard_from(make_peer("e" + std::to_string(i)), now);
+                tables[other].heard_of(told, now);
+                tables[i].heard_from(make_peer("e" + std::to_string(other)), now);
+                tables[i].heard_of(answered, now);
+            }
+        }
+        now += round;
+    };
+    const auto fewest_alive = [&] {
+        std::size_t fewest = entries;
+        for (std::size_t i = 0; i < entries; ++i) {
+            fewest = i == dead ? fewest : std::min(fewest, tables[i].alive(now).size());
+        }
+        return fewest;
+    };
+    for (int i = 0; i < 8; ++i) {
+        exchange_all();
+    }
+    for (int i = 0; i < 6; ++i) {
+        exchange_all();
+        CHECK(fewest_alive() == entries - 1);
+    }
+    CHECK(largest <= 64);
+    dead = entries - 1;
+    for (int i = 0; i < 22; ++i) { // 6.6 s
+        exchange_all();
+    }
+    const bool dropped = std::all_of(tables.begin(), tables.end() - 1, [&](const auto& one) {
+        return one.alive(now).size() == entries - 2;
+    });
+    CHECK(dropped);
+}
