--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/logging.hpp"
+#include "stage_patience.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,10 +22,8 @@
 constexpr milliseconds longest_pause{3'200};
 constexpr std::size_t dispatchers_asked = 2; // then the entry has the pieces made itself
 constexpr milliseconds dispatcher_look{200}; // how often a waiting request looks at its dispatcher
-// An answer this much later than announced was lost on its way. Until then a dispatcher that is
-// alive knows best, also if its endpoints are slow.
-constexpr int overdue_factor = 6;
-constexpr milliseconds overdue_margin{2'000};
+// A group is given up by its own queue when it is useless; past this its end was lost.
+constexpr milliseconds end_margin{2'000};
 constexpr milliseconds tell_timeout{400};
 constexpr milliseconds collect_releases{8}; // makers wait for the memory, so only a moment
 
@@ -178,7 +177,7 @@
         co_return pieces_answer{pieces_refused{taken->retry_after}};
     }
     note_prediction(service, taken->expected);
-    const auto overdue_at = asked_at + taken->expected * overdue_factor + overdue_margin;
+    const auto overdue_at = asked_at + overdue_after(taken->expected);
     while (!own->result && !wait.cancelled() && is_alive(dispatcher) &&
            steady_clock::now() < overdue_at) {
         boost::system::error_code ended;
@@ -227,7 +226,7 @@
     pump(service);
     if (!own->result && !wait.cancelled()) {
         boost::system::error_code ended;
-        own->ended.expires_at(useless_at + overdue_margin);
+        own->ended.expires_at(useless_at + end_margin);
         wait.arm(own->ended);
         co_await own->ended.async_wait(redirected(ended));
         wait.disarm(own->ended);
--- a/libs/stages/tests/burst_test.cpp
+++ b/libs/stages/tests/burst_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <queue>
 #include <random>
@@ -16,7 +17,15 @@
 constexpr seconds burst_begins{5};
 constexpr seconds burst_ends{11};
 
+// Who queues pieces for whom.
+enum class queueing : std::uint8_t {
+    shared,         ///< each queue sends to all endpoints
+    owned,          ///< each endpoint has a queue; an arriving group takes one at random
+    owned_shortest, ///< as before; it takes the shortest, as if all entries knew all queues
+};
+
 struct load {
+    queueing how{queueing::shared};
     std::size_t queues{1}; ///< 1: one dispatcher for the service; more: each entry for itself
     std::size_t endpoints{5};
     std::size_t lost{0}; ///< endpoints that are gone from the start
@@ -46,9 +55,11 @@
             one.address = one.id;
             endpoints_.push_back(one);
         }
-        for (std::size_t i = 0; i < of.queues; ++i) {
+        const bool shared = of.how == queueing::shared;
+        for (std::size_t i = 0; i < (shared ? of.queues : endpoints_.size()); ++i) {
+            const std::vector<catalog::endpoint> own{endpoints_[shared ? 0 : i]};
             queues_.push_back(stage_queue::make(capacity_));
-            queues_.back().set_endpoints(endpoints_, {}, "stage", now_);
+            queues_.back().set_endpoints(shared ? endpoints_ : own, {}, "stage", now_);
         }
     }
 
@@ -94,7 +105,14 @@
         const auto id = group.id;
         waiting_[id] = {group.wanted_by, group.priority};
         ++shares_[group.priority].asked;
-        (void)queues_[random_() % queues_.size()].offer(std::move(group), now_);
+        auto& queue =
+            load_.how == queueing::owned_shortest
+                ? *std::min_element(queues_.begin(), queues_.end(),
+                                    [](const auto& one, const auto& other) {
+                                        return one.waiting_pieces() < other.waiting_pieces();
+                                    })
+                : queues_[random_() % queues_.size()];
+        (void)queue.offer(std::move(group), now_);
     }
 
     void step() {
@@ -158,6 +176,23 @@
     CHECK(one > each);
 }
 
+// The pattern: a burst that meets groups which have been given to endpoints one by one, so that one
+// endpoint idles while pieces wait for another.
+TEST_CASE("one queue serves a burst that a queue at each endpoint does not", "[load]") {
+    const auto seed = GENERATE(1U, 2U, 3U, 4U);
+    load burst;
+    const auto one = all_of(stage_world{burst, seed}.run(seconds{20})).of_all();
+    burst.how = queueing::owned;
+    const auto owned = all_of(stage_world{burst, seed}.run(seconds{20})).of_all();
+    burst.how = queueing::owned_shortest;
+    const auto shortest = all_of(stage_world{burst, seed}.run(seconds{20})).of_all();
+    INFO("seed " << seed << ": one queue " << one << ", a queue at each endpoint " << owned
+                 << ", the shortest of these " << shortest);
+    CHECK(one >= 0.95);
+    CHECK(one > owned);
+    CHECK(one >= shortest);
+}
+
 // The pattern: two entries both believe that they dispatch, as after a partition.
 TEST_CASE("two dispatchers at once cost time and no request", "[load]") {
     load usual;
--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -132,6 +132,20 @@
     CHECK(std::count(inputs.begin(), inputs.end(), ',') == 2);
 }
 
+TEST_CASE_METHOD(pipeline, "when one of two stages is refused, the caller learns that") {
+    register_again(second, "second", "draining");
+    auto& gateway = start_ready_gateway();
+    on_loop([&] { first.work = seconds{2}; }); // still at work when the other is given up
+    auto message = staged_request("r1");
+    message.headers.set("Host", "parallel.example");
+    message.headers.set("Boragefront-Deadline-Ms", "240");
+    const auto answer = call(gateway, std::move(message));
+    REQUIRE(answer);
+    CHECK(answer.value().status == 503);
+    CHECK(answer.value().headers.has("Retry-After"));
+    CHECK(on_loop([&] { return model.runs(); }) == 0);
+}
+
 TEST_CASE_METHOD(pipeline, "results are freed at their makers once they were read") {
     auto& gateway = start_ready_gateway();
     REQUIRE(call_lines(gateway, staged_request("r1")));
