--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -63,8 +63,8 @@
     std::string not_chosen_because; ///< "none" if it may be chosen
     std::size_t open_requests{0};   ///< of this entry
     reported_load load;
-    milliseconds load_age{0};
-    milliseconds latency{0}; ///< typical time to its first byte; 0: not known
+    std::optional<milliseconds> load_age; ///< nothing: it has not told of its load
+    milliseconds latency{0};              ///< typical time to its first byte; 0: not known
     double failure_rate{0};
 };
 
@@ -95,7 +95,7 @@
                                            time_point now) const;
 
     /// Why the last `choose` found none, and when one may be found again.
-    no_choice reason(time_point now) const;
+    no_choice reason() const;
     milliseconds retry_after(time_point now) const;
 
     /// Notes that a request was sent. \returns a ticket for `first_byte` and `ended`.
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -219,7 +219,7 @@
     return chosen_endpoint{home->self.id, home->self.address, home->self.data_centre};
 }
 
-no_choice endpoint_pool::reason(time_point /*now*/) const {
+no_choice endpoint_pool::reason() const {
     const bool any = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
         return one.second.self.state == catalog::endpoint_state::ready && !one.second.evacuated &&
                !one.second.self.removed_at;
@@ -367,7 +367,9 @@
     all.reserve(endpoints_.size());
     for (const auto& [id, one] : endpoints_) {
         all.push_back({one.self, std::string{why_not(one, now)}, one.requests.size(), one.load,
-                       std::chrono::floor<milliseconds>(now - one.load_at),
+                       one.load_at == time_point{}
+                           ? std::nullopt
+                           : std::optional{std::chrono::floor<milliseconds>(now - one.load_at)},
                        milliseconds{static_cast<std::int64_t>(one.latency_ms.value_or(0))},
                        one.failure_rate});
     }
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -11,6 +11,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace boragefront::gateway {
 namespace {
@@ -28,6 +29,8 @@
 constexpr milliseconds longest_retry{800};   // so that a store that returns is read within a second
 constexpr milliseconds gossip_interval{300}; // several rounds within the time to apply a change
 constexpr milliseconds gossip_timeout{400};
+constexpr unsigned asked_for_all_at_most = 2; // one, and another in case that one is gone
+constexpr auto wants_no_changes = std::numeric_limits<revision>::max();
 // Limits stay divided by an entry for so long after it was last heard of: the windows of the
 // limits are ten seconds.
 constexpr milliseconds counted_for{12'000};
@@ -187,7 +190,14 @@
     wire::gossip_request request{self(), peers_.news(steady_clock::now(), random_),
                                  published_.operators_keys().through(),
                                  published_.endpoint_keys().through()};
+    // At a start the answer is all that is published, so few peers are asked for it at a time.
+    const bool asks_for_all = !published_.complete() && asked_for_all_ < asked_for_all_at_most;
+    if (!published_.complete() && !asks_for_all) {
+        request.configuration_through = request.endpoints_through = wants_no_changes;
+    }
+    asked_for_all_ += asks_for_all ? 1 : 0;
     const auto answer = co_await peers_client_->call(address, std::move(request), gossip_timeout);
+    asked_for_all_ -= asks_for_all ? 1 : 0;
     if (!answer) {
         peers_.missed(address);
         co_return;
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -103,6 +103,7 @@
     peering::peer_table peers_;
     published_state published_;
     std::size_t known_peers_{0};
+    unsigned asked_for_all_{0}; ///< exchanges in progress whose answer is all that is published
     time_point changed_at_{};
     std::map<std::string, time_point> heard_; // when a part of the store last answered
     bool draining_{false};
--- a/libs/gateway/src/dump.cpp
+++ b/libs/gateway/src/dump.cpp
@@ -17,7 +17,7 @@
     made["limit"] = one.self.slots;
     made["own_in_flight"] = one.open_requests;
     made["reported_queued"] = one.load.waiting;
-    made["heard_ms_ago"] = one.load_age.count();
+    made["heard_ms_ago"] = one.load_age ? json::value(one.load_age->count()) : json::value();
     made["latency_ms"] = one.latency.count();
     made["failure_rate"] = one.failure_rate;
     return made;
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -150,7 +150,7 @@
         };
         to_traffic.set_fleet = [this](fleet_view view) {
             asio::post(loop_.io, [this, view = std::move(view)]() mutable {
-                state_.set_fleet(std::move(view), steady_clock::now());
+                state_.set_fleet(std::move(view));
             });
         };
         to_traffic.dump_traffic = [this] { return dump(); };
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -23,7 +23,7 @@
     std::erase_if(pools_, [&](const auto& one) { return !services.contains(one.first); });
 }
 
-void traffic_state::set_fleet(fleet_view view, time_point /*now*/) {
+void traffic_state::set_fleet(fleet_view view) {
     fleet_ = std::move(view);
     group_.members = {self_id_};
     for (const auto& one : fleet_.serving) {
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -53,7 +53,7 @@
 
     /// Takes over a snapshot.
     void publish(std::shared_ptr<const indexed_snapshot> next, time_point now);
-    void set_fleet(fleet_view view, time_point now);
+    void set_fleet(fleet_view view);
     void set_limits(const settings::gateway_settings& role) { role_ = role; }
 
     /// Null until enough is known to serve.
--- a/tools/boragefrontctl/src/explain.cpp
+++ b/tools/boragefrontctl/src/explain.cpp
@@ -25,7 +25,7 @@
     std::int64_t limit{0};
     std::int64_t own_in_flight{0};
     std::int64_t reported_queued{0};
-    std::int64_t heard_ms_ago{0};
+    std::string heard_ms_ago; ///< "-" if it has not told of its load
 };
 
 std::string text_at(const json::object& from, std::string_view name) {
@@ -34,13 +34,14 @@
 
 // \throws if a member is absent or of another type.
 explained_endpoint read_endpoint(const json::object& from) {
+    const auto& heard = from.at("heard_ms_ago");
     return {text_at(from, "id"),
             text_at(from, "data_centre"),
             text_at(from, "not_chosen_because"),
             from.at("limit").to_number<std::int64_t>(),
             from.at("own_in_flight").to_number<std::int64_t>(),
             from.at("reported_queued").to_number<std::int64_t>(),
-            from.at("heard_ms_ago").to_number<std::int64_t>()};
+            heard.is_null() ? "-" : std::to_string(heard.to_number<std::int64_t>())};
 }
 
 std::map<std::string, std::string> pools_by_instance(const json::value& dump) {
