--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -17,6 +17,7 @@
 
 std::vector<support::probed_entry> probes_of(const std::vector<gateway_addresses>& gateways) {
     std::vector<support::probed_entry> probed;
+    probed.reserve(gateways.size());
     for (const auto& one : gateways) {
         probed.push_back({one.callers, one.ready, "/-/readyz"});
     }
--- a/tests/support/src/caller.cpp
+++ b/tests/support/src/caller.cpp
@@ -154,6 +154,7 @@
 balancer::balancer(const std::vector<std::string>& entries)
     : balancer{[&] {
           std::vector<probed_entry> probed;
+          probed.reserve(entries.size());
           for (const auto& entry : entries) {
               probed.push_back({entry, entry});
           }
@@ -162,6 +163,7 @@
 
 std::vector<std::string> balancer::all() const {
     std::vector<std::string> addresses;
+    addresses.reserve(entries_.size());
     for (const auto& entry : entries_) {
         addresses.push_back(entry.address);
     }
