--- a/libs/sidecar/src/traffic.cpp
+++ b/libs/sidecar/src/traffic.cpp
@@ -63,8 +63,7 @@
       pool_{std::get<settings::sidecar_settings>(settings.role).pool}, metrics_{metrics},
       life_{new_incarnation()}, client_{http::client::make(executor_)},
       endpoint_{*client_, std::get<settings::sidecar_settings>(settings.role).endpoint_address},
-      started_{now().wall}, scheduler_{scheduler_policy{}, life_, now()}, homes_{home_policy{}, id_,
-                                                                                 pool_} {}
+      scheduler_{scheduler_policy{}, life_, now()}, homes_{home_policy{}, id_, pool_} {}
 
 void traffic::start(control::control_plane& control) {
     control_ = &control;
@@ -223,10 +222,7 @@
     // Without an instance list it knows no other sidecar, and so could vouch for no key.
     const bool known = control_->ready() && configuration.find_pool(pool_) != nullptr &&
                        !listed_->instances.empty();
-    // Until then it could vouch for no new key: by its clock, an earlier life may have been given
-    // it.
-    const bool vouches = now().wall >= started_ + ledger::key_policy{}.clock_skew;
-    return known && vouches ? service_phase::serving : service_phase::starting;
+    return known ? service_phase::serving : service_phase::starting;
 }
 
 void traffic::publish_state() {
--- a/libs/sidecar/src/traffic.hpp
+++ b/libs/sidecar/src/traffic.hpp
@@ -88,7 +88,6 @@
     incarnation life_;
     std::unique_ptr<http::client> client_;
     endpoint_adapter endpoint_;
-    wall_time started_;
     work_scheduler scheduler_;
     home_history homes_;
     std::unordered_map<work_id, shared_work> live_;
--- a/tests/gateway/src/published_configuration.hpp
+++ b/tests/gateway/src/published_configuration.hpp
@@ -6,8 +6,8 @@
 
 namespace boragefront::gateway_tests {
 
-/// Events of a stream and pieces of the two stages that its requests ask for are the tests' own.
 /// \param plain_service that host "plain.example" goes to.
+/// \param version of the configuration; operators count it up.
 inline std::string configuration_text(const std::string& plain_service, unsigned version = 7) {
     std::string text = R"({"version":VERSION,"routes":[
  {"name":"plain","host":"plain.example","prefix":"/","kind":"idempotent","service":"PLAIN",
