http: a connection of the server has a file of its own

server.cpp held two jobs, the listening server and one connection. Functions moved; the awaiting of an operation with its failure stands once. No behaviour changed: http_test passes.

--- a/libs/http/src/beast_messages.hpp
+++ b/libs/http/src/beast_messages.hpp
@@ -6,6 +6,8 @@
 #include "http/message.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -18,6 +20,11 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+/// Awaits an operation and keeps its failure instead of throwing it.
+inline auto awaitable_into(boost::system::error_code& failure) {
+    return asio::redirect_error(asio::use_awaitable, failure);
+}
+
 /// Parses "ip:port".
 /// \returns `bad_request` if it is not an address with a port.
 result<tcp::endpoint> parse_address(std::string_view text);
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -3,8 +3,6 @@
 #include "base/ids.hpp"
 #include "beast_messages.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
@@ -28,10 +26,6 @@
 constexpr milliseconds announced_idle_margin{500};
 constexpr seconds idle_connection_lifetime{30};
 
-auto awaitable_into(boost::system::error_code& failure) {
-    return asio::redirect_error(asio::use_awaitable, failure);
-}
-
 // One connection to a peer, owned by a call or idle in the pool.
 struct peer_connection {
     explicit peer_connection(const asio::any_io_executor& executor) : stream{executor} {}
--- /dev/null
+++ b/libs/http/src/server_connection.cpp
@@ -0,0 +1,240 @@
+#include "server_connection.hpp"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace boragefront::http {
+namespace {
+
+constexpr std::size_t read_size = 4096; // most of a usual request in one system call
+
+error write_failure(const boost::system::error_code& failure) {
+    return make_error(error_kind::connection_lost, failure.message());
+}
+
+} // namespace
+
+awaitable<void> server_connection::run() {
+    bool reusable = true;
+    while (reusable && !shared_->stopping) {
+        reusable = co_await serve_one();
+    }
+    close();
+}
+
+void server_connection::close_if_idle() {
+    asio::post(stream_.get_executor(), [self = shared_from_this()] {
+        if (!self->serving_) {
+            self->close();
+        }
+    });
+}
+
+void server_connection::close_now() {
+    asio::post(stream_.get_executor(), [self = shared_from_this()] { self->close(); });
+}
+
+awaitable<result<void>> server_connection::send(response answer) {
+    answered_ = true;
+    const bool keep = keep_alive_ && shared_->may_keep_connections();
+    auto message = to_beast(std::move(answer), keep);
+    boost::system::error_code failure;
+    stream_.expires_after(shared_->limits().request_timeout);
+    co_await beast::http::async_write(stream_, message, awaitable_into(failure));
+    complete_ = !failure;
+    keep_alive_ = keep && complete_;
+    if (failure) {
+        co_return write_failure(failure);
+    }
+    co_return success();
+}
+
+awaitable<result<void>> server_connection::begin(response head) {
+    answered_ = true;
+    beast::http::response<beast::http::empty_body> message;
+    message.result(head.status);
+    message.version(11);
+    copy_headers(head.headers, message);
+    keep_alive_ = keep_alive_ && shared_->may_keep_connections();
+    message.keep_alive(keep_alive_);
+    message.chunked(true);
+    beast::http::response_serializer<beast::http::empty_body> serializer{message};
+    boost::system::error_code failure;
+    stream_.expires_after(shared_->limits().request_timeout);
+    co_await beast::http::async_write_header(stream_, serializer, awaitable_into(failure));
+    if (failure) {
+        co_return write_failure(failure);
+    }
+    co_return success();
+}
+
+awaitable<result<void>> server_connection::write(std::string_view data) {
+    const asio::const_buffer bytes{data.data(), data.size()};
+    boost::system::error_code failure;
+    stream_.expires_after(shared_->limits().request_timeout);
+    co_await asio::async_write(stream_, beast::http::make_chunk(bytes), awaitable_into(failure));
+    if (failure) {
+        co_return write_failure(failure);
+    }
+    co_return success();
+}
+
+awaitable<result<void>> server_connection::finish() {
+    boost::system::error_code failure;
+    stream_.expires_after(shared_->limits().request_timeout);
+    co_await asio::async_write(stream_, beast::http::make_chunk_last(), awaitable_into(failure));
+    complete_ = !failure;
+    if (failure) {
+        co_return write_failure(failure);
+    }
+    co_return success();
+}
+
+void server_connection::on_peer_closed(std::function<void()> action) {
+    if (peer_closed_ && action) {
+        action();
+        return;
+    }
+    on_peer_closed_ = std::move(action);
+}
+
+// Returns whether the connection may serve another request.
+awaitable<bool> server_connection::serve_one() {
+    if (!co_await first_bytes()) {
+        co_return false;
+    }
+    serving_ = true;
+    const auto limits = shared_->limits();
+    parser_type parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    boost::system::error_code failure;
+    stream_.expires_after(limits.header_timeout);
+    co_await beast::http::async_read_header(stream_, buffer_, parser, awaitable_into(failure));
+    if (!failure) {
+        stream_.expires_after(limits.request_timeout);
+        co_await beast::http::async_read(stream_, buffer_, parser, awaitable_into(failure));
+    }
+    if (failure) {
+        co_await refuse(failure);
+        serving_ = false;
+        co_return false;
+    }
+    co_return co_await answer(parser);
+}
+
+// Waits for a request to begin. Returns whether one did.
+awaitable<bool> server_connection::first_bytes() {
+    if (buffer_.size() > 0) {
+        co_return true;
+    }
+    boost::system::error_code failure;
+    stream_.expires_after(shared_->limits().idle_timeout);
+    const auto size =
+        co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+    buffer_.commit(size);
+    co_return !failure && size > 0;
+}
+
+awaitable<bool> server_connection::answer(parser_type& parser) {
+    auto message = parser.release();
+    keep_alive_ = message.keep_alive();
+    answered_ = complete_ = false;
+    const request incoming{std::string{message.method_string()}, std::string{message.target()},
+                           read_headers(message), std::move(message.body())};
+    ++shared_->open_requests;
+    stream_.expires_never();
+    const auto stop_watching = watch_for_close();
+    co_await handle_safely(incoming);
+    on_peer_closed_ = nullptr;
+    stop_watching->emit(asio::cancellation_type::all);
+    --shared_->open_requests;
+    serving_ = false;
+    co_return complete_&& keep_alive_ && !peer_closed_;
+}
+
+awaitable<void> server_connection::handle_safely(const request& incoming) {
+    // The boundary to handlers: an exception of a library must not end the process.
+    std::string failure;
+    try {
+        co_await shared_->handle(incoming, *this);
+    } catch (const std::exception& thrown) {
+        failure = thrown.what();
+    }
+    if (!answered_ && !failure.empty()) {
+        co_await send_problem(make_error(error_kind::internal, failure));
+    }
+}
+
+awaitable<void> server_connection::refuse(const boost::system::error_code& failure) {
+    keep_alive_ = false;
+    if (failure == beast::http::error::body_limit) {
+        co_await send_problem(make_error(error_kind::too_large, failure.message()));
+    } else if (failure == beast::http::error::header_limit) {
+        co_await send_problem(make_error(error_kind::header_too_large, failure.message()));
+    } else if (failure == beast::error::timeout) {
+        co_await send_problem(
+            make_error(error_kind::request_timeout, "the request did not arrive in time"));
+    } else if (failure.category() == make_error_code(beast::http::error::bad_method).category() &&
+               failure != beast::http::error::end_of_stream &&
+               failure != beast::http::error::partial_message) {
+        co_await send_problem(make_error(error_kind::bad_request, failure.message()));
+    }
+}
+
+awaitable<void> server_connection::send_problem(const error& problem) {
+    auto message =
+        make_json_response(answer_for(problem.kind).http_status, to_problem_json(problem));
+    message.headers.set("Content-Type", "application/problem+json");
+    (void)co_await send(std::move(message));
+}
+
+// Shared with the watch, which clears its slot only after it has noticed the signal.
+std::shared_ptr<asio::cancellation_signal> server_connection::watch_for_close() {
+    auto stop = std::make_shared<asio::cancellation_signal>();
+    asio::co_spawn(stream_.get_executor(), watch(shared_from_this(), stop),
+                   asio::bind_cancellation_slot(stop->slot(), asio::detached));
+    return stop;
+}
+
+// Waits until the peer closes; ends early when it sends more (a pipelined request).
+awaitable<void>
+server_connection::watch(std::shared_ptr<server_connection> self,
+                         std::shared_ptr<asio::cancellation_signal> /*kept alive*/) {
+    auto& socket = self->stream_.socket();
+    boost::system::error_code failure;
+    co_await socket.async_wait(tcp::socket::wait_read, awaitable_into(failure));
+    if (failure || !self->serving_) {
+        co_return;
+    }
+    char byte = 0;
+    socket.non_blocking(true, failure);
+    const auto size = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+    const bool still_open = (!failure && size > 0) || failure == asio::error::would_block;
+    if (!still_open) {
+        self->notice_peer_closed();
+    }
+}
+
+void server_connection::notice_peer_closed() {
+    peer_closed_ = true;
+    if (auto action = std::exchange(on_peer_closed_, nullptr)) {
+        action();
+    }
+}
+
+void server_connection::close() {
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.close();
+}
+
+} // namespace boragefront::http
