tests: the stand-ins' loop, drawn numbers and served requests stand once; large files split

soak_world.cpp held the deployment and the faults, attempts_test.cpp attempts and the homes of keys; each is a file of its own. begin and end of a fault share one switch.

--- /dev/null
+++ b/libs/entry/tests/attempts_fixture.hpp
@@ -0,0 +1,49 @@
+/// \file
+/// Requests and scripted sidecars of the tests of attempts.
+#pragma once
+
+#include "harness.hpp"
+
+#include <initializer_list>
+#include <string>
+
+namespace boragefront::entry::testing {
+
+inline constexpr auto order_key = "01890a5d-ac96-774b-bcce-b302099a8057";
+
+inline http::header_list keyed() {
+    http::header_list headers;
+    headers.set("Idempotency-Key", order_key);
+    return headers;
+}
+
+inline http::header_list within(milliseconds deadline) {
+    http::header_list headers;
+    headers.set("Deadline-Ms", std::to_string(deadline.count()));
+    return headers;
+}
+
+inline fake_sidecar::script refusing(error_kind kind) {
+    return [kind](const http::request& message, http::responder& out) {
+        return refuse(message, out, make_error(kind, "refused by the script"));
+    };
+}
+
+// Cuts the connection of the work, then answers questions for its outcome by `outcome`.
+inline fake_sidecar::script losing_work(const fake_sidecar::script& outcome) {
+    return [outcome](const http::request& message, http::responder& out) -> http::awaitable<void> {
+        if (message.target != "/v1/work") {
+            co_await outcome(message, out);
+        }
+    };
+}
+
+inline std::size_t work_sent(std::initializer_list<const fake_sidecar*> sidecars) {
+    std::size_t sent = 0;
+    for (const auto* one : sidecars) {
+        sent += one->sent_to("/v1/work").size();
+    }
+    return sent;
+}
+
+} // namespace boragefront::entry::testing
--- a/tests/gateway/requests_test.cpp
+++ b/tests/gateway/requests_test.cpp
@@ -12,6 +12,17 @@
     return std::string{answer.headers.get("Boragefront-Response-Signature")};
 }
 
+// Requests r0, r1 and so on, each answered with success.
+void expect_served(deployment& system, const running_gateway& gateway, const std::string& host,
+                   int requests) {
+    for (int i = 0; i < requests; ++i) {
+        const auto answer =
+            system.call(gateway, deployment::make_request(host, "r" + std::to_string(i)));
+        REQUIRE(answer);
+        CHECK(answer.value().status == 200);
+    }
+}
+
 } // namespace
 
 TEST_CASE("a request passes unchanged, and its answer comes back unchanged", "[invariant]") {
@@ -87,12 +98,7 @@
     auto& two = system.add_endpoint("i-2", "orders");
     system.on_loop([&] { one.set_mode(endpoint_mode::refusing); });
     auto& gateway = system.start_ready_gateway();
-    for (int i = 0; i < 6; ++i) {
-        const auto answer = system.call(
-            gateway, deployment::make_request("order.example", "r" + std::to_string(i)));
-        REQUIRE(answer);
-        CHECK(answer.value().status == 200);
-    }
+    expect_served(system, gateway, "order.example", 6);
     CHECK(system.on_loop([&] { return one.runs(); }) == 0);
     CHECK(system.on_loop([&] { return two.runs(); }) == 6);
 }
@@ -120,12 +126,7 @@
     INFO("mode " << static_cast<int>(mode));
     system.on_loop([&] { one.set_mode(mode); });
     auto& gateway = system.start_ready_gateway();
-    for (int i = 0; i < 4; ++i) {
-        const auto answer = system.call(
-            gateway, deployment::make_request("plain.example", "r" + std::to_string(i)));
-        REQUIRE(answer);
-        CHECK(answer.value().status == 200);
-    }
+    expect_served(system, gateway, "plain.example", 4);
     CHECK(system.on_loop([&] { return two.runs(); }) == 4);
 }
 
@@ -169,12 +170,7 @@
         system.store().put("servers/i-2", entry); // registered under an id that it does not have
     });
     auto& gateway = system.start_ready_gateway();
-    for (int i = 0; i < 6; ++i) {
-        const auto answer = system.call(
-            gateway, deployment::make_request("order.example", "r" + std::to_string(i)));
-        REQUIRE(answer);
-        CHECK(answer.value().status == 200);
-    }
+    expect_served(system, gateway, "order.example", 6);
     CHECK(system.on_loop([&] { return stranger.runs(); }) == 0);
     CHECK(system.on_loop([&] { return real.runs(); }) == 6);
 }
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -3,6 +3,7 @@
 #include "published_configuration.hpp"
 
 #include <stdexcept>
+#include <thread>
 
 namespace boragefront::gateway_tests {
 namespace {
@@ -12,20 +13,17 @@
 
 } // namespace
 
-deployment::deployment() : store_{std::make_unique<store_stand_in>(io_.get_executor())} {
-    thread_ = std::thread{[this] { io_.run(); }};
-}
+deployment::deployment() : store_{std::make_unique<store_stand_in>(loop_.executor())} {}
 
 deployment::~deployment() {
     gateways_.clear();
-    io_.stop();
-    thread_.join();
+    loop_.stop();
 }
 
 endpoint_stand_in& deployment::add_endpoint(const std::string& id, const std::string& service,
                                             const std::string& data_centre) {
     return on_loop([&]() -> std::reference_wrapper<endpoint_stand_in> {
-        endpoints_.push_back(std::make_unique<endpoint_stand_in>(io_.get_executor(), id));
+        endpoints_.push_back(std::make_unique<endpoint_stand_in>(loop_.executor(), id));
         auto& made = *endpoints_.back();
         store_->put("servers/" + id, made.registration(service, "ready", data_centre));
         return made;
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -5,18 +5,14 @@
 
 #include "endpoint_stand_in.hpp"
 #include "gateway/gateway_node.hpp"
+#include "stand_in_loop.hpp"
 #include "store_stand_in.hpp"
 #include "support/blocking_client.hpp"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-
 #include <functional>
-#include <future>
 #include <memory>
 #include <string>
-#include <thread>
+#include <utility>
 #include <vector>
 
 namespace boragefront::gateway_tests {
@@ -62,16 +58,7 @@
     /// Runs something on the stand-ins' thread.
     template <class Action>
     auto on_loop(Action action) {
-        std::promise<decltype(action())> done;
-        boost::asio::post(io_, [&] {
-            if constexpr (std::is_void_v<decltype(action())>) {
-                action();
-                done.set_value();
-            } else {
-                done.set_value(action());
-            }
-        });
-        return done.get_future().get();
+        return loop_.run(std::move(action));
     }
 
     store_stand_in& store() { return *store_; }
@@ -87,13 +74,10 @@
     bool becomes_true(const std::function<bool()>& condition);
 
 private:
-    boost::asio::io_context io_{1};
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
-        io_.get_executor()};
+    stand_in_loop loop_;
     std::unique_ptr<store_stand_in> store_;
     std::vector<std::unique_ptr<endpoint_stand_in>> endpoints_;
     std::vector<std::unique_ptr<running_gateway>> gateways_;
-    std::thread thread_;
 };
 
 } // namespace boragefront::gateway_tests
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -1,6 +1,7 @@
 #include "soak_callers.hpp"
 
 #include "deployment.hpp"
+#include "support/draw.hpp"
 
 #include <algorithm>
 #include <array>
@@ -8,6 +9,8 @@
 namespace boragefront::soak {
 namespace {
 
+using support::draw;
+
 constexpr milliseconds between_calls{4};
 constexpr unsigned one_leaves_in = 15;
 constexpr milliseconds shortest_stay{20};
@@ -30,11 +33,6 @@
     return static_cast<std::size_t>(found - gateways.begin());
 }
 
-template <class Number>
-Number draw(random_source& random, Number least, Number most) {
-    return std::uniform_int_distribution<Number>{least, most}(random);
-}
-
 void note_head(soak_call& call, const http::response& head) {
     call.status = head.status;
     call.answered_id = head.headers.get("Boragefront-Request-Id");
--- a/tests/soak/soak_plan.cpp
+++ b/tests/soak/soak_plan.cpp
@@ -1,6 +1,6 @@
 #include "soak_plan.hpp"
 
-#include "base/random.hpp"
+#include "support/draw.hpp"
 
 #include <algorithm>
 #include <array>
@@ -10,6 +10,8 @@
 namespace boragefront::soak {
 namespace {
 
+using support::draw;
+
 constexpr milliseconds storm{6'000};
 constexpr milliseconds shortest_fault{150};
 constexpr milliseconds longest_fault{3'500};
@@ -85,8 +87,7 @@
 }
 
 milliseconds draw_time(random_source& random, milliseconds least, milliseconds most) {
-    return milliseconds{
-        std::uniform_int_distribution<std::int64_t>{least.count(), most.count()}(random)};
+    return milliseconds{draw(random, least.count(), most.count())};
 }
 
 } // namespace
@@ -114,10 +115,8 @@
         auto all_over = now;
         std::map<std::pair<fault_target, std::size_t>, milliseconds> struck_until;
         while (now < storm_ends) {
-            const auto& chosen =
-                kinds.at(std::uniform_int_distribution<std::size_t>{0, kinds.size() - 1}(random));
-            const auto place = std::uniform_int_distribution<std::size_t>{
-                0, places(chosen.target, sizes) - 1}(random);
+            const auto& chosen = kinds.at(draw(random, std::size_t{0}, kinds.size() - 1));
+            const auto place = draw(random, std::size_t{0}, places(chosen.target, sizes) - 1);
             const auto lasts = draw_time(random, shortest_fault, longest_fault);
             auto& until = struck_until[{chosen.target, place}];
             if (until <= now) {
--- a/tests/soak/soak_world.hpp
+++ b/tests/soak/soak_world.hpp
@@ -6,24 +6,21 @@
 #include "endpoint_stand_in.hpp"
 #include "soak_plan.hpp"
 #include "soak_record.hpp"
+#include "stand_in_loop.hpp"
 #include "stand_ins/relay.hpp"
 #include "store_stand_in.hpp"
 #include "support/process.hpp"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-
 #include <filesystem>
-#include <future>
 #include <memory>
 #include <optional>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace boragefront::soak {
 
+constexpr milliseconds usual_work{15}; ///< of an endpoint, for an answer
+
 /// Addresses of one gateway, the same in all its lives.
 struct gateway_addresses {
     std::string callers; ///< of the relay before it
@@ -76,6 +73,7 @@
     void register_endpoint(const endpoint& one, bool listed = true);
     void collect_visits(const endpoint& one);
 
+    void apply(const planned_fault& planned, bool begins);
     void strike_gateway(const planned_fault& planned, bool begins);
     void strike_endpoint(const planned_fault& planned, bool begins);
     void set_relay(stand_ins::relay& relay, fault_kind kind, bool begins);
@@ -83,30 +81,13 @@
     void note_disturbance(const planned_fault& planned, bool begins);
     void restart_stopped(std::size_t index, const planned_fault& planned);
 
-    template <class Action>
-    auto on_loop(Action action) {
-        std::promise<decltype(action())> done;
-        boost::asio::post(io_, [&] {
-            if constexpr (std::is_void_v<decltype(action())>) {
-                action();
-                done.set_value();
-            } else {
-                done.set_value(action());
-            }
-        });
-        return done.get_future().get();
-    }
-
     std::filesystem::path folder_;
-    boost::asio::io_context io_{1};
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
-        io_.get_executor()};
+    gateway_tests::stand_in_loop loop_;
     std::unique_ptr<gateway_tests::store_stand_in> store_;
     std::vector<gateway> gateways_;
     std::vector<endpoint> endpoints_;
     unsigned configuration_version_{1};
     soak_record record_;
-    std::thread thread_;
 };
 
 } // namespace boragefront::soak
