--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -9,7 +9,7 @@
 constexpr std::size_t peers_per_round = 4; // keeps a process's messages constant as the fleet grows
 constexpr std::size_t told_at_most = 64;   // entries in a message, some 6 kB
 // Three rounds of half a second, and one delayed. Beyond a hundred peers, of which each message
-// tells but a part, news of one takes as much longer as there are more of them (`peer_table_test`).
+// tells but a part, news of one takes as much longer as there are more of them (`peering_test`).
 constexpr milliseconds alive_for_least{1'600};
 constexpr std::int64_t peers_with_fast_news = 100;
 constexpr milliseconds alive_for_most{6'000};
