control: an empty instance list names no peer, so a greeting still does

A sidecar that reads the platform before the instances are listed holds a known but empty list. If data centre a went out before the other sidecars read the list again (1 to 3 s after their start), nobody was left to serve. Change: introductions are taken and kept as long as the list is empty, not only while it is unknown. Test: plane_test, 'a process that found an empty list and lost the platform learns the list from a peer', failed after 30 s before, passes in under 3 s after.

--- a/libs/control/src/control_node.cpp
+++ b/libs/control/src/control_node.cpp
@@ -149,8 +149,9 @@
 void control_node::introduce(const std::string& address) {
     const bool known =
         std::find(introduced_.begin(), introduced_.end(), address) != introduced_.end();
-    if (core_.instances().known() || address.empty() || known ||
-        introduced_.size() >= most_introduced) {
+    // A list read before anything was published names no peer either.
+    const bool has_list = core_.instances().list_size() > 0;
+    if (has_list || address.empty() || known || introduced_.size() >= most_introduced) {
         return;
     }
     introduced_.push_back(address);
@@ -261,7 +262,7 @@
             peers_.push_back(one.control_address);
         }
     }
-    if (core_.instances().known()) {
+    if (core_.instances().list_size() > 0) {
         introduced_.clear();
     }
     for (const auto* addresses : {&options_.seed_peers, &introduced_}) {
--- a/libs/control/tests/plane_test.cpp
+++ b/libs/control/tests/plane_test.cpp
@@ -131,6 +131,17 @@
     REQUIRE_FALSE(beside.is_in());
 }
 
+TEST_CASE("a process that found an empty list and lost the platform learns the list from a peer") {
+    fake_platform platform;
+    fake_platform early; // answers before any instance is listed
+    process front{"entry-1", entry, platform.address()};
+    process beside{"endpoint-1", sidecar, early.address()};
+    REQUIRE(eventually([&] { return beside.plane().ready(); }));
+    early.set_down(true);
+    platform.set_instances({front.self(), beside.self()});
+    REQUIRE(eventually([&] { return beside.plane().instances().load()->instances.size() == 2; }));
+}
+
 TEST_CASE("an empty or shrunken list keeps the instances for a while") {
     fake_platform platform;
     process front{"entry-1", entry, platform.address()};
