stages: earlier stages leave later ones the time that groups take there

Each group was ranked by a goal that left the later stages only their time on idle endpoints, and counted as late by the time of a call of its own, not of the full call it shares. So the order of goals served nearly every request just after its goal. Change: group_pace keeps a smoothed mean and deviation of the groups that each service made in time; a stage's goal leaves the later ones that much. Whether a group can be served at all is still judged by idle times. A group counts as late by a full call while others wait.

--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -98,12 +98,15 @@
                                                   std::optional<pieces_answer>& answer,
                                                   wait_source& wait,
                                                   asio::steady_timer& some_done) {
-    const auto time_of = [&](std::size_t later, std::size_t pieces) {
+    const auto idle_time_of = [&](std::size_t later, std::size_t pieces) {
         return parts_.stages.service_time(route_->stages[later].service, pieces);
     };
-    auto after = plan_->time_after(stage, time_of);
+    const auto expected_time_of = [&](std::size_t later, std::size_t pieces) {
+        return parts_.stages.expected_time(route_->stages[later].service, pieces);
+    };
+    milliseconds engine_time{0};
     if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
-        after += pool->typical_latency().value_or(milliseconds{0});
+        engine_time = pool->typical_latency().value_or(milliseconds{0});
     }
     stages::piece_group group;
     group.pieces = plan_->pieces_of(stage);
@@ -113,8 +116,8 @@
     group.near_data_centre = inputs.empty() && group.result_bytes >= dear_to_move_bytes
                                  ? parts_.state.home_data_centre(*route_, shared_prompt())
                                  : data_centre_of(inputs, group.pieces.size());
-    group.wanted_by = goal_ - after;
-    group.useless_at = deadline_ - after;
+    group.wanted_by = goal_ - engine_time - plan_->time_after(stage, expected_time_of);
+    group.useless_at = deadline_ - engine_time - plan_->time_after(stage, idle_time_of);
     answer = co_await parts_.stages.make(route_->stages[stage].service, std::move(group), wait);
     some_done.cancel();
 }
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -72,6 +72,10 @@
     return queue == nullptr ? milliseconds{0} : queue->queue.service_time(pieces);
 }
 
+milliseconds stage_exchange::expected_time(const std::string& service, std::size_t pieces) {
+    return paces_[service].expected(service_time(service, pieces), steady_clock::now());
+}
+
 bool stage_exchange::idle() const {
     return std::all_of(queues_.begin(), queues_.end(), [](const auto& one) {
         return one.second->queue.waiting_pieces() == 0 &&
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -116,11 +116,17 @@
 http::awaitable<pieces_answer> stage_exchange::make(std::string service, stages::piece_group group,
                                                     wait_source& wait) {
     const auto began = steady_clock::now();
+    const auto wanted_by = group.wanted_by;
     auto answer = co_await make_somewhere(service, std::move(group), wait);
     if (std::holds_alternative<pieces_ended>(answer)) {
+        const auto now = steady_clock::now();
         state_.metrics()
             .get_latency("boragefront_stage_group_seconds", "service=\"" + service + '"')
-            .record(steady_clock::now() - began);
+            .record(now - began);
+        // One that had yielded to others says nothing of what those need.
+        if (now <= wanted_by) {
+            paces_[service].note(now - began, now);
+        }
     }
     co_return answer;
 }
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -5,6 +5,7 @@
 
 #include "http/client.hpp"
 #include "result_freer.hpp"
+#include "stages/group_pace.hpp"
 #include "stages/stage_queue.hpp"
 #include "traffic_state.hpp"
 #include "wire/client.hpp"
@@ -66,6 +67,9 @@
     /// Time of a group of this size on an idle endpoint of a service.
     milliseconds service_time(const std::string& service, std::size_t pieces);
 
+    /// What a group of this size is likely to take at a service, waiting included.
+    milliseconds expected_time(const std::string& service, std::size_t pieces);
+
     /// Takes over the endpoints of the current snapshot.
     void refresh(time_point now);
 
@@ -140,6 +144,7 @@
     std::map<std::uint64_t, std::shared_ptr<pending>> waits_;    // shared with the waiting request
     std::map<std::string, std::vector<std::string>> to_release_; // by service
     bool releasing_{false};
+    std::map<std::string, stages::group_pace> paces_; // by service
     struct late_dispatcher {
         time_point until{}; ///< not asked before
         milliseconds pause{0};
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -19,11 +19,16 @@
 
 std::vector<stage_queue::group_state*> stage_queue::in_order(time_point now) {
     using rank = std::tuple<bool, int, std::size_t, time_point, std::uint64_t>;
+    // While others wait, a group shares its call with them, and the call lasts as long as a full
+    // one.
+    const auto shared_call =
+        waiting_pieces() > capacity_.batch ? service_time(capacity_.batch) : milliseconds{0};
     std::vector<std::pair<rank, group_state*>> ranked;
     ranked.reserve(groups_.size());
     for (auto& [id, one] : groups_) {
         if (!one.waiting.empty()) {
-            const bool late = now + service_time(one.waiting.size()) > one.group.wanted_by;
+            const auto own = std::max(service_time(one.waiting.size()), shared_call);
+            const bool late = now + own > one.group.wanted_by;
             ranked.emplace_back(
                 rank{late, one.group.priority, one.waiting.size(), one.group.wanted_by, id}, &one);
         }
