stages: room is free once its maker says so, and what lacked room is remembered

Change: the accounts are told once the maker has answered (result_freer::on_freed). Room that was missing counts as taken by foreign results, less each moment, for a second; the hold remains only where no room is published. Groups are useless once the caller of a stream will have left.

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -85,6 +85,12 @@
         left = std::min(left, route_->timeout);
     }
     deadline_ = received_at_ + left - std::min(answer_margin, left / 2);
+    first_event_by_ = deadline_;
+    if (route_->streaming) {
+        const auto patience =
+            platform::first_event_patience(route_->latency_goal, route_->event_gap_goal);
+        first_event_by_ = std::min(deadline_, received_at_ + patience - answer_margin);
+    }
     goal_ = received_at_ + (route_->latency_goal > milliseconds{0} ? route_->latency_goal : left);
     std::uniform_real_distribution<double> draw{0, 1};
     service_ = catalog::choose_service(*route_, draw(parts_.state.random()));
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -81,7 +81,8 @@
     std::optional<std::set<std::string>> homes_; // data centres that it is kept to
     std::string service_;
     int priority_{0};
-    time_point deadline_{}; // by the caller and by the route, the sooner of the two
+    time_point deadline_{};       // by the caller and by the route, the sooner of the two
+    time_point first_event_by_{}; // after this a caller of a stream has left
     time_point goal_{};
 
     std::optional<stages::stage_plan> plan_;
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -117,7 +117,8 @@
                                  ? parts_.state.home_data_centre(*route_, shared_prompt())
                                  : data_centre_of(inputs, group.pieces.size());
     group.wanted_by = goal_ - engine_time - plan_->time_after(stage, expected_time_of);
-    group.useless_at = deadline_ - engine_time - plan_->time_after(stage, idle_time_of);
+    const auto useful_until = began_ ? deadline_ : first_event_by_;
+    group.useless_at = useful_until - engine_time - plan_->time_after(stage, idle_time_of);
     answer = co_await parts_.stages.make(route_->stages[stage].service, std::move(group), wait);
     some_done.cancel();
 }
--- a/libs/gateway/src/result_freer.cpp
+++ b/libs/gateway/src/result_freer.cpp
@@ -47,7 +47,8 @@
 http::awaitable<void> result_freer::free_at(std::string address, std::vector<std::string> handles) {
     const auto endpoint = state_.stage_endpoint_at(address);
     if (endpoint.empty()) {
-        co_return; // The maker is gone, and its results with it.
+        freed_(handles); // The maker is gone, and its results with it.
+        co_return;
     }
     http::call_options options;
     options.deadline = steady_clock::now() + call_timeout;
@@ -58,7 +59,9 @@
             .get_counter("boragefront_results_not_freed_total",
                          "reason=\"" + std::string{answer_for(answer.error().kind).name} + "\"")
             .add(handles.size());
+        co_return;
     }
+    freed_(handles);
 }
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/result_freer.hpp
+++ b/libs/gateway/src/result_freer.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -24,6 +25,11 @@
 
     void free(const std::vector<std::string>& handles);
 
+    /// Called with handles whose results are gone: their makers said so, or are gone themselves.
+    void on_freed(std::function<void(const std::vector<std::string>&)> hook) {
+        freed_ = std::move(hook);
+    }
+
 private:
     http::awaitable<void> flush_later();
     http::awaitable<void> free_at(std::string address, std::vector<std::string> handles);
@@ -32,6 +38,7 @@
     traffic_state& state_;
     http::client& client_;
     std::map<std::string, std::vector<std::string>> waiting_; // by address
+    std::function<void(const std::vector<std::string>&)> freed_;
     bool flushing_{false};
 };
 
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -117,9 +117,7 @@
     for (auto& ended : one.queue.take_finished(now)) {
         deliver(one, std::move(ended));
     }
-    const auto orphans = one.queue.take_orphans();
-    one.queue.release(orphans);
-    freer_.free(orphans);
+    freer_.free(one.queue.take_orphans());
     one.wake.expires_at(one.queue.next_event(now));
     one.wake.async_wait([this, service](boost::system::error_code failure) {
         if (!failure) {
@@ -200,19 +198,19 @@
     pump(service);
 }
 
-void stage_exchange::release_here(const std::string& service,
-                                  const std::vector<std::string>& handles) {
-    freer_.free(handles);
-    const auto found = queues_.find(service);
-    if (found != queues_.end()) {
-        found->second->queue.release(handles);
-        pump(service);
+// The room counts as free only once the maker has said so: a call that overtakes the release would
+// find none.
+void stage_exchange::note_freed(const std::vector<std::string>& handles) {
+    for (auto& [service, one] : queues_) {
+        if (one->queue.release(handles)) {
+            pump(service);
+        }
     }
 }
 
 void stage_exchange::take(const wire::release_results_request& release) {
     if (state_.current() != nullptr) {
-        release_here(release.service, release.handles);
+        freer_.free(release.handles);
     }
 }
 
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -48,7 +48,9 @@
                                http::client& endpoints, wire::client& peers, result_freer& freer,
                                std::string work_address)
     : executor_{std::move(executor)}, state_{state}, endpoints_{endpoints}, peers_{peers},
-      freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {}
+      freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {
+    freer_.on_freed([this](const auto& handles) { note_freed(handles); });
+}
 
 stage_exchange::service_queue* stage_exchange::queue_of(const std::string& service) {
     const auto& published = state_.current()->published;
@@ -296,7 +298,7 @@
             here = !answer;
         }
         if (here) {
-            release_here(service, handles);
+            freer_.free(handles);
         }
     }
 }
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -132,7 +132,7 @@
     http::awaitable<void> run_call(std::string service, stages::stage_call call);
     http::awaitable<void> tell(std::string address, wire::request message);
     http::awaitable<void> send_releases();
-    void release_here(const std::string& service, const std::vector<std::string>& handles);
+    void note_freed(const std::vector<std::string>& handles);
 
     boost::asio::any_io_executor executor_;
     traffic_state& state_;
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -85,8 +85,8 @@
     /// Results that nobody waits for any more.
     std::vector<std::string> take_orphans();
 
-    /// Notes that results were freed at their makers.
-    void release(const std::vector<std::string>& handles);
+    /// Notes that results were freed at their makers. \returns whether it held any of them.
+    bool release(const std::vector<std::string>& handles);
 
     /// When `next_calls` should be asked again though no call ends; far away if never.
     time_point next_event(time_point now) const;
@@ -114,6 +114,8 @@
         unsigned refusals_in_row{0};
         std::uint64_t held_bytes{0};    // of results that were made and not released
         std::uint64_t pending_bytes{0}; // of results that calls in progress make
+        std::uint64_t foreign_bytes{0}; // of results that this queue knows nothing of
+        time_point foreign_at{};        // when these were noticed
         double slowdown{1};             // of its calls against the service's nominal time
         time_point slowdown_at{};
     };
@@ -137,7 +139,8 @@
         std::vector<call_piece> pieces;
         time_point started{};
         milliseconds nominal{0};
-        std::uint64_t bytes{0}; // of its results
+        std::uint64_t bytes{0};     // of its results
+        std::uint64_t room_left{0}; // beside these, as believed when it started
     };
     // One look at the queue.
     struct planning {
@@ -160,7 +163,9 @@
                           const planning& plan) const;
     bool is_idle(const endpoint_state& one, time_point now) const;
     std::set<std::string, std::less<>> near_data_centres(time_point now) const;
-    std::uint64_t free_room(const endpoint_state& one) const;
+    std::uint64_t free_room(const endpoint_state& one, time_point now) const;
+    std::uint64_t foreign_now(const endpoint_state& one, time_point now) const;
+    void note_no_room(endpoint_state& one, std::uint64_t lacking, time_point now);
     void hold_result(const std::string& endpoint, const std::string& handle, std::uint64_t bytes,
                      time_point now);
     void expire_results(time_point now);
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -170,10 +170,11 @@
         bytes += groups_.at(one.group).group.result_bytes;
     }
     where.pending_bytes += bytes;
-    call.room_left = free_room(where);
+    call.room_left = free_room(where, now);
     ++where.calls;
     where.busy_until = now + expected;
-    calls_[call.id] = {where.self.id, where.self.life, pieces, now, scaled(nominal, 1), bytes};
+    calls_[call.id] = {where.self.id,      where.self.life, pieces,        now,
+                       scaled(nominal, 1), bytes,           call.room_left};
     return call;
 }
 
@@ -201,8 +202,8 @@
         }
         const bool starts = is_idle(*where, now) && !plan.busy_until.contains(where->self.id);
         // A later call's room is not known yet, so a planned call counts as if it had all.
-        auto batch = take_batch(order, *where,
-                                starts ? free_room(*where) : capacity_.result_room_bytes, plan);
+        auto batch = take_batch(
+            order, *where, starts ? free_room(*where, now) : capacity_.result_room_bytes, plan);
         if (batch.empty()) {
             plan.passed_over.insert(where->self.id);
             idle -= starts ? 1 : 0;
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned most_doublings = 3;
 constexpr milliseconds full_hold{40};        // until a full endpoint is asked again
 constexpr milliseconds room_look{25};        // until an endpoint without room is looked at again
+constexpr seconds foreign_lifetime{1};       // results are read and freed within about a second
 constexpr milliseconds missing_grace{1'200}; // as for endpoints that missed the platform's list
 constexpr milliseconds far_away{60'000};
 
@@ -147,12 +148,30 @@
     }
 }
 
+// What is still there of results that this queue knows nothing of.
+std::uint64_t stage_queue::foreign_now(const endpoint_state& one, time_point now) const {
+    const auto age = std::chrono::duration<double>(now - one.foreign_at) / foreign_lifetime;
+    return static_cast<std::uint64_t>(static_cast<double>(one.foreign_bytes) *
+                                      std::max(1 - age, 0.0));
+}
+
 // Memory for results that nothing uses, as far as this queue knows.
-std::uint64_t stage_queue::free_room(const endpoint_state& one) const {
-    const auto used = one.held_bytes + one.pending_bytes;
+std::uint64_t stage_queue::free_room(const endpoint_state& one, time_point now) const {
+    const auto used = one.held_bytes + one.pending_bytes + foreign_now(one, now);
     return capacity_.result_room_bytes - std::min(capacity_.result_room_bytes, used);
 }
 
+// An endpoint with less room than the accounts show keeps larger results than announced, or some
+// of another queue: of the dispatcher before this one, or of an earlier life of this one.
+void stage_queue::note_no_room(endpoint_state& one, std::uint64_t lacking, time_point now) {
+    if (capacity_.result_room_bytes == 0) {
+        one.held_until = now + full_hold;
+        return;
+    }
+    one.foreign_bytes = std::min(foreign_now(one, now) + lacking, capacity_.result_room_bytes);
+    one.foreign_at = now;
+}
+
 void stage_queue::hold_result(const std::string& endpoint, const std::string& handle,
                               std::uint64_t bytes, time_point now) {
     const auto found = endpoints_.find(endpoint);
@@ -163,7 +182,8 @@
     }
 }
 
-void stage_queue::release(const std::vector<std::string>& handles) {
+bool stage_queue::release(const std::vector<std::string>& handles) {
+    const auto before = held_.size();
     for (const auto& handle : handles) {
         const auto found = held_.find(handle);
         if (found == held_.end()) {
@@ -176,6 +196,7 @@
         }
         held_.erase(found);
     }
+    return held_.size() < before;
 }
 
 // Makers drop results that nobody frees.
@@ -186,7 +207,7 @@
             expired.push_back(handle);
         }
     }
-    release(expired);
+    (void)release(expired);
 }
 
 void stage_queue::finish_piece(std::uint64_t group, std::size_t index, piece_result result) {
@@ -281,6 +302,7 @@
     }
     const bool answered =
         outcome == call_outcome::answered && results.size() == ended.pieces.size();
+    std::uint64_t pieces_without_room = 0;
     for (std::size_t i = 0; i < ended.pieces.size(); ++i) {
         const auto& [group, index] = ended.pieces[i];
         if (!answered) {
@@ -296,9 +318,7 @@
         if (again) {
             if (result.outcome == piece_outcome::no_room) {
                 forgive_attempt(group, index);
-                if (place != endpoints_.end()) {
-                    place->second.held_until = now + full_hold;
-                }
+                ++pieces_without_room;
             }
             retry_piece(group, index, result.outcome);
         } else {
@@ -308,6 +328,10 @@
             finish_piece(group, index, result);
         }
     }
+    if (pieces_without_room > 0 && place != endpoints_.end()) {
+        const auto lacking = ended.bytes / ended.pieces.size() * pieces_without_room;
+        note_no_room(place->second, ended.room_left + lacking, now);
+    }
 }
 
 std::vector<finished_group> stage_queue::take_finished(time_point now) {
@@ -330,7 +354,8 @@
         if (one.in_service && one.held_until > now) {
             earliest = std::min(earliest, one.held_until);
         }
-        if (one.in_service && one.calls < capacity_.calls && one.held_bytes > 0) {
+        const bool lacks_room = one.held_bytes > 0 || one.foreign_bytes > 0;
+        if (one.in_service && one.calls < capacity_.calls && lacks_room) {
             earliest = std::min(earliest, now + room_look);
         }
     }
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -82,6 +82,34 @@
     }
 }
 
+// Answers the pattern of a dispatcher that takes over while its makers still keep results which
+// the one before it had made.
+TEST_CASE_METHOD(queue_fixture, "an endpoint fuller than the accounts say gets room to itself") {
+    capacity.result_room_bytes = 800;
+    queue.set_capacity(capacity);
+    add_endpoint("one");
+    offer(1, 8, 0, seconds{2}, 100);
+    const auto calls = queue.next_calls(now);
+    REQUIRE(calls.size() == 1);
+    now += milliseconds{180};
+    std::vector<piece_result> results(8, {piece_outcome::no_room, {}});
+    results[0] = {piece_outcome::made, "a"};
+    results[1] = {piece_outcome::made, "b"};
+    queue.call_ended(calls[0].id, call_outcome::answered, results, now);
+    CHECK(queue.next_calls(now).empty());
+    CHECK(queue.next_event(now) < now + milliseconds{100});
+    // What it does not know of is read and freed with time; what it knows of counts until then.
+    now += milliseconds{500};
+    CHECK(queue.next_calls(now).empty());
+    offer(2, 2, 1, seconds{2}, 100);
+    const auto small = queue.next_calls(now);
+    REQUIRE(small.size() == 1);
+    CHECK(small[0].pieces.size() == 2);
+    CHECK(small[0].pieces.front().request_id == "2");
+    CHECK(queue.release({"a", "b"}));
+    CHECK_FALSE(queue.release({"a", "b"}));
+}
+
 TEST_CASE_METHOD(queue_fixture, "a piece that fails everywhere fails its group") {
     add_endpoint("one");
     offer(1, 1);
