gateway: entries that all drain share a queue, take what ends in time, and send callers elsewhere

Change: dispatch_order, a pure module: while none serves, those that began to drain share one dispatcher until it may exit. drain_plan: streams are taken for 2.9 s, and later ones whose caller's time ends before the entry does; callers are sent back in 0.5 s if another entry serves. Tried and left out: dispatching for others to the end of the grace time.

--- a/libs/gateway/include/gateway/drain_plan.hpp
+++ b/libs/gateway/include/gateway/drain_plan.hpp
@@ -4,8 +4,6 @@
 
 #include "base/time.hpp"
 
-#include <optional>
-
 namespace boragefront::gateway {
 
 /// The time table of one graceful shutdown. The balancer may still send requests to an entry that
@@ -24,13 +22,16 @@
     time_point exit_at() const { return exit_at_; }
 
     /// Whether to take a request.
-    /// \param longest the longest that it may take; nothing if that has no bound.
-    bool takes(std::optional<milliseconds> longest, time_point now) const;
+    /// \param longest the longest that it may take
+    bool takes(milliseconds longest, time_point now) const;
 
-    /// When this entry, or its successor, should be back.
-    milliseconds retry_after(time_point now) const;
+    /// When a caller that is refused should come back.
+    /// \param others_serve whether another entry would take the request now; else it is told when
+    /// this entry's successor should serve
+    milliseconds retry_after(bool others_serve, time_point now) const;
 
 private:
+    time_point takes_all_until_{};
     time_point withdrawn_at_{};
     time_point exit_at_{};
 };
--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -33,7 +33,8 @@
         if (refusal->kind == error_kind::not_ready) {
             retry_after = no_endpoint_retry;
         } else if (refusal->kind == error_kind::shutting_down) {
-            retry_after = parts_.state.draining->retry_after(received_at_);
+            const bool others_serve = !parts_.state.fleet().serving.empty();
+            retry_after = parts_.state.draining->retry_after(others_serve, received_at_);
         }
         co_await refuse(std::move(*refusal), retry_after);
     } else {
@@ -103,9 +104,7 @@
         plan_ = std::move(plan.value());
     }
     if (const auto& draining = parts_.state.draining) {
-        // A stream has no bound on its length.
-        const auto longest = route_->streaming ? std::nullopt : std::optional{left};
-        if (!draining->takes(longest, received_at_)) {
+        if (!draining->takes(left, received_at_)) {
             return make_error(error_kind::shutting_down, "this entry is about to stop");
         }
     }
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -215,14 +215,14 @@
 }
 
 wire::answer stage_exchange::take(const wire::make_pieces_request& request) {
-    if (state_.current() == nullptr || state_.draining) {
+    const auto now = steady_clock::now();
+    if (state_.current() == nullptr || leaves_dispatch_to_others(self(), state_.fleet(), now)) {
         return wire::refusal{"takes no stage work now"};
     }
     auto* const queue = queue_of(request.service);
     if (queue == nullptr) {
         return wire::refusal{"no such stage service: " + request.service};
     }
-    const auto now = steady_clock::now();
     auto group = request.group;
     group.wanted_by = now + request.wanted_in;
     group.useless_at = now + request.useless_in;
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -1,6 +1,5 @@
 #include "stage_exchange.hpp"
 
-#include "base/hash.hpp"
 #include "base/logging.hpp"
 #include "stage_patience.hpp"
 
@@ -20,7 +19,6 @@
 constexpr milliseconds ask_timeout{150};
 constexpr milliseconds first_pause{400}; // in which a slow dispatcher works off what it has
 constexpr milliseconds longest_pause{3'200};
-constexpr std::size_t dispatchers_asked = 2; // then the entry has the pieces made itself
 constexpr milliseconds dispatcher_look{200}; // how often a waiting request looks at its dispatcher
 // A group is given up by its own queue when it is useless; past this its end was lost.
 constexpr milliseconds end_margin{2'000};
@@ -69,26 +67,18 @@
     return kept.get();
 }
 
-// The entries in the order in which they dispatch for a service; this one ends the list.
+dispatching_entry stage_exchange::self() const {
+    return {state_.self_id(), state_.role().processors, state_.draining};
+}
+
+// The entries to ask for a service's pieces; after them this one has them made itself.
 std::vector<wire::entry_info> stage_exchange::dispatchers(const std::string& service) const {
-    std::vector<wire::entry_info> order;
-    const auto score = [&](const std::string& id, double processors) {
-        return weighted_rendezvous_score(service, id, processors);
-    };
-    const auto own = score(state_.self_id(), state_.role().processors);
     const auto now = steady_clock::now();
-    for (const auto& one : state_.fleet().serving) {
-        const auto late = late_dispatchers_.find(one.id);
-        const bool asked_in_vain = late != late_dispatchers_.end() && now < late->second.until;
-        if (!asked_in_vain && (state_.draining || score(one.id, one.processors) > own)) {
-            order.push_back(one);
-        }
-    }
-    std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
-        return score(a.id, a.processors) > score(b.id, b.processors);
-    });
-    order.resize(std::min(order.size(), dispatchers_asked));
-    return order;
+    const auto asked_in_vain = [&](const std::string& id) {
+        const auto late = late_dispatchers_.find(id);
+        return late != late_dispatchers_.end() && now < late->second.until;
+    };
+    return dispatch_order(service, self(), state_.fleet(), asked_in_vain, now);
 }
 
 // A dispatcher that does not answer in time is not asked for a while, longer each time, by none of
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -3,6 +3,7 @@
 /// one, or by this one if the dispatcher cannot be reached.
 #pragma once
 
+#include "dispatch_order.hpp"
 #include "http/client.hpp"
 #include "result_freer.hpp"
 #include "stages/group_pace.hpp"
@@ -115,6 +116,7 @@
                                                   stages::piece_group group, wait_source& wait);
     void note_prediction(const std::string& service, milliseconds expected);
     service_queue* queue_of(const std::string& service);
+    dispatching_entry self() const;
     std::vector<wire::entry_info> dispatchers(const std::string& service) const;
     bool is_alive(const wire::entry_info& dispatcher) const;
     void note_late(const std::string& dispatcher, time_point now);
--- a/libs/gateway/tests/result_freer_test.cpp
+++ b/libs/gateway/tests/result_freer_test.cpp
@@ -57,6 +57,7 @@
 
     void free(const std::vector<std::string>& names) {
         std::vector<std::string> handles;
+        handles.reserve(names.size());
         for (const auto& name : names) {
             handles.push_back(address() + '/' + name);
         }
