gateway: the line of a request tells how long each of its stages took

Change: request ended carries stages=SERVICE:MS,...; with stages_ms alone an operator could not tell which service of a pipeline a request had waited for.

--- a/libs/gateway/src/request_run.cpp
+++ b/libs/gateway/src/request_run.cpp
@@ -182,6 +182,7 @@
          {"stages_ms", std::to_string(stages_done_at_ == time_point{}
                                           ? 0
                                           : count_ms(stages_done_at_ - received_at_))},
+         {"stages", stage_times_},
          {"head_ms", std::to_string(head_at_ ? count_ms(*head_at_ - received_at_) : 0)},
          {"first_ms",
           std::to_string(first_event_at_ ? count_ms(*first_event_at_ - received_at_) : 0)},
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -101,6 +101,7 @@
     std::optional<time_point> head_at_;       // of the last endpoint's answer
     std::optional<time_point> first_event_at_;
     time_point stages_done_at_{};
+    std::string stage_times_; // "service:milliseconds" of each stage that ended, for the log
     std::string last_endpoint_;
     request_end end_;
 };
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -119,7 +119,11 @@
     group.wanted_by = goal_ - engine_time - plan_->time_after(stage, expected_time_of);
     const auto useful_until = began_ ? deadline_ : first_event_by_;
     group.useless_at = useful_until - engine_time - plan_->time_after(stage, idle_time_of);
+    const auto began = steady_clock::now();
     answer = co_await parts_.stages.make(route_->stages[stage].service, std::move(group), wait);
+    const auto took = std::chrono::floor<milliseconds>(steady_clock::now() - began);
+    stage_times_ += (stage_times_.empty() ? "" : ",") + route_->stages[stage].service + ':' +
+                    std::to_string(took.count());
     some_done.cancel();
 }
 
