--- a/libs/gateway/src/request_sends.cpp
+++ b/libs/gateway/src/request_sends.cpp
@@ -1,6 +1,7 @@
 // A request's way to its endpoints, and their answers' way back.
 #include "base/logging.hpp"
 #include "event_splitter.hpp"
+#include "hopeless_send.hpp"
 #include "request_limits.hpp"
 #include "request_run.hpp"
 
@@ -173,6 +174,12 @@
         co_return next_step::done;
     }
     const auto now = steady_clock::now();
+    const auto until = began_ ? deadline_ : first_event_by_;
+    if (is_hopeless(until - now, pool->typical_latency(), goal_ - received_at_)) {
+        co_await refuse(make_error(error_kind::no_capacity, "too little time left for an endpoint"),
+                        std::nullopt);
+        co_return next_step::done;
+    }
     tried_.insert(chosen->id);
     last_endpoint_ = chosen->id;
     platform::forwarding added;
