peering: an entry that knows nobody looks for others every 75 ms

Entries are back within 0.4 s of each other, the seeds last. One that found no seed looked again 0.3 s later, and until 36.0 s nine to twelve entries queued for themselves: 329 calls to one stage service were refused as full, and it made 68 pieces in a second in which it makes 220. Change: rounds are 75 ms apart while no peer is known, for 3 s at most. Test: peer_table_test, 'an entry that knows nobody looks often for a while, then as usual'.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -26,8 +26,8 @@
 // more work two seconds later.
 constexpr milliseconds collect_endpoints{400};
 constexpr milliseconds first_retry{100};
-constexpr milliseconds longest_retry{800};   // so that a store that returns is read within a second
-constexpr milliseconds gossip_interval{300}; // several rounds within the time to apply a change
+constexpr milliseconds longest_retry{800}; // so that a store that returns is read within a second
+constexpr milliseconds publish_interval{300}; // of a snapshot that changes with time alone
 constexpr milliseconds gossip_timeout{400};
 constexpr unsigned asked_for_all_at_most = 2; // one, and another in case that one is gone
 constexpr auto wants_no_changes = std::numeric_limits<revision>::max();
@@ -171,16 +171,18 @@
 }
 
 http::awaitable<void> control_loop::gossip_loop() {
+    unsigned rounds_alone = 0;
     for (;;) {
         const auto now = steady_clock::now();
         for (auto& address : peers_.targets(now, random_)) {
             asio::co_spawn(io_, gossip_with(std::move(address)), asio::detached);
         }
-        co_await pause(gossip_interval);
+        rounds_alone = peers_.alive(now).empty() ? rounds_alone + 1 : 0;
+        co_await pause(peering::peer_table::round_interval(rounds_alone));
         published_.forget_old(steady_clock::now());
         publish_fleet();
         // Endpoints that stay missing leave the snapshot with time alone.
-        if (published_.complete() && steady_clock::now() - changed_at_ > gossip_interval) {
+        if (published_.complete() && steady_clock::now() - changed_at_ > publish_interval) {
             publish();
         }
     }
--- a/libs/peering/include/peering/peer_table.hpp
+++ b/libs/peering/include/peering/peer_table.hpp
@@ -54,6 +54,10 @@
 
     std::optional<wire::entry_info> find(const std::string& id) const;
 
+    /// When to exchange news again: sooner while no peer has been found.
+    /// \param rounds_alone rounds in a row after which no peer was alive
+    static milliseconds round_interval(unsigned rounds_alone);
+
 private:
     struct peer {
         wire::entry_info info;
--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -13,7 +13,12 @@
 constexpr milliseconds alive_for_least{1'600};
 constexpr std::int64_t peers_with_fast_news = 100;
 constexpr milliseconds alive_for_most{6'000};
-constexpr unsigned misses_until_dead = 2; // one may be a pause of either side
+constexpr unsigned misses_until_dead = 2;   // one may be a pause of either side
+constexpr milliseconds usual_interval{300}; // several rounds within the time to apply a change
+// Entries that start together find each other once the seeds listen, some 0.3 s apart; until then
+// each works alone.
+constexpr milliseconds quick_interval{75};
+constexpr unsigned quick_rounds = 40;     // 3 s; then the seeds are down
 constexpr milliseconds known_for{60'000}; // a peer that is silent for so long is forgotten
 
 } // namespace
@@ -127,6 +132,10 @@
     return std::max(recent, seeds_.size()) + 1;
 }
 
+milliseconds peer_table::round_interval(unsigned rounds_alone) {
+    return rounds_alone == 0 || rounds_alone > quick_rounds ? usual_interval : quick_interval;
+}
+
 std::optional<wire::entry_info> peer_table::find(const std::string& id) const {
     for (const auto& [address, one] : peers_) {
         if (one.info.id == id) {
--- a/libs/peering/tests/peer_table_test.cpp
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -59,6 +59,20 @@
     CHECK(ids_of(table.alive(start + seconds{2})) == ids{"a"});
 }
 
+// Answers the pattern of a restart of all entries: until they know each other each of them queues
+// stage work for itself, and the endpoints get many small calls (docs/incidents/inc-48c1.md).
+TEST_CASE("an entry that knows nobody looks often for a while, then as usual") {
+    constexpr milliseconds start_spread{300}; // between the first and the last of a fleet
+    milliseconds looked{0};
+    unsigned alone = 1;
+    for (; looked < seconds{3}; ++alone) {
+        CHECK(peer_table::round_interval(alone) * 3 <= start_spread);
+        looked += peer_table::round_interval(alone);
+    }
+    CHECK(peer_table::round_interval(alone + 10) >= start_spread);
+    CHECK(peer_table::round_interval(0) >= start_spread);
+}
+
 TEST_CASE("a draining entry is alive and serves nothing new") {
     auto table = peer_table::make("self", {});
     table.heard_from(make_peer("a", false), start);
