--- a/libs/gateway/src/dispatch_order.hpp
+++ b/libs/gateway/src/dispatch_order.hpp
@@ -6,6 +6,7 @@
 #include "traffic_state.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/libs/gateway/src/drain_plan.cpp
+++ b/libs/gateway/src/drain_plan.cpp
@@ -7,8 +7,8 @@
 
 // The balancer asks once a second and takes an instance out after two misses.
 constexpr milliseconds withdrawn_after{2'600};
-// The platform lets a shutdown cut what was sent later than 3 s after it began only if it could not
-// have ended in time.
+// What was sent within 3 s of the signal may be cut at the end of the grace time, by the platform's
+// rules; what was sent later must have ended by then. The rest is the way here.
 constexpr milliseconds takes_all_for{2'900};
 // What is left of the grace time when answers in progress are cut: time to exit in order.
 constexpr milliseconds exit_margin{900};
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -110,13 +110,13 @@
     const auto began = steady_clock::now();
     const auto wanted_by = group.wanted_by;
     auto answer = co_await make_somewhere(service, std::move(group), wait);
-    if (std::holds_alternative<pieces_ended>(answer)) {
+    if (const auto* const ended = std::get_if<pieces_ended>(&answer)) {
         const auto now = steady_clock::now();
         state_.metrics()
             .get_latency("boragefront_stage_group_seconds", "service=\"" + service + '"')
             .record(now - began);
-        // One that had yielded to others says nothing of what those need.
-        if (now <= wanted_by) {
+        // One that failed, or had yielded to others, says nothing of what those need.
+        if (now <= wanted_by && stages::all_made(ended->results)) {
             paces_[service].note(now - began, now);
         }
     }
--- a/libs/stages/include/stages/piece.hpp
+++ b/libs/stages/include/stages/piece.hpp
@@ -36,6 +36,9 @@
     std::string handle; ///< of the result, if it was made
 };
 
+/// Whether there are results and all of them were made.
+bool all_made(const std::vector<piece_result>& results);
+
 /// Pieces of one stage of one request that are wanted together.
 struct piece_group {
     std::uint64_t id{0}; ///< unique at the queue's owner
--- a/libs/stages/src/piece.cpp
+++ b/libs/stages/src/piece.cpp
@@ -1,5 +1,6 @@
 #include "stages/piece.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace boragefront::stages {
@@ -11,4 +12,11 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
+bool all_made(const std::vector<piece_result>& results) {
+    const auto was_made = [](const piece_result& one) {
+        return one.outcome == piece_outcome::made;
+    };
+    return !results.empty() && std::all_of(results.begin(), results.end(), was_made);
+}
+
 } // namespace boragefront::stages
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -23,11 +23,6 @@
 constexpr milliseconds missing_grace{1'200}; // as for endpoints that missed the platform's list
 constexpr milliseconds far_away{60'000};
 
-bool all_made(const std::vector<piece_result>& results) {
-    return std::all_of(results.begin(), results.end(),
-                       [](const piece_result& one) { return one.outcome == piece_outcome::made; });
-}
-
 } // namespace
 
 stage_queue stage_queue::make(const catalog::stage_capacity& capacity) {
