--- a/libs/gateway/src/hopeless_send.hpp
+++ b/libs/gateway/src/hopeless_send.hpp
@@ -19,8 +19,8 @@
 /// which has become quicker is noticed
 inline bool is_hopeless(duration left, std::optional<milliseconds> typical, duration latency_goal) {
     constexpr int quickest_share = 2; // the quickest answers take about half of the usual time
-    constexpr int token_share = 10;   // below a tenth of the goal nobody counts a send as an offer
-    return typical && left < *typical / quickest_share && left < latency_goal / token_share;
+    constexpr int least_share = 10;   // a tenth of the goal is time enough for a try
+    return typical && left < *typical / quickest_share && left < latency_goal / least_share;
 }
 
 } // namespace boragefront::gateway
