--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -44,6 +44,8 @@
     std::string_view keep_in_data_centre{};      ///< preferred unless its endpoints are overloaded
     const std::set<std::string>* tried{nullptr}; ///< endpoints not to choose again
     const std::set<std::string>* regions{nullptr}; ///< data centres allowed; null: all
+    /// Data centres not to choose from while another has an endpoint; null: none.
+    const std::set<std::string, std::less<>>* avoided{nullptr};
     /// How long the request may wait for the endpoint that shares its prompt.
     milliseconds affinity_patience{0};
     /// Time lost by a failure, to weigh endpoints that fail often.
--- a/libs/balancing/include/balancing/retry_budget.hpp
+++ b/libs/balancing/include/balancing/retry_budget.hpp
@@ -22,6 +22,9 @@
     /// Counts a request's first send.
     void count_request(time_point now);
 
+    /// Whether `take` would succeed now.
+    bool allows(const retry_limit& limit, std::size_t entries, time_point now) const;
+
     /// Takes one repeat from the budget.
     /// \param entries among which the slack is divided.
     /// \returns whether there was one.
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -155,18 +155,22 @@
                                                      random_source& random) {
     std::vector<const state*> listed;
     std::vector<const state*> missing;
+    std::vector<const state*> avoided;
     for (const auto& [id, one] : endpoints_) {
         const bool limited = now < one.cold_until && !one.cold.may_send(cold, group, id, now);
         if (!usable(one, request) || now < one.held_until || limited) {
             continue;
         }
+        const bool avoids =
+            request.avoided != nullptr && request.avoided->contains(one.self.data_centre);
         if (!one.self.removed_at) {
-            listed.push_back(&one);
-        } else if (now - *one.self.removed_at < missing_grace) {
+            (avoids ? avoided : listed).push_back(&one);
+        } else if (!avoids && now - *one.self.removed_at < missing_grace) {
             missing.push_back(&one);
         }
     }
-    const auto& all = listed.empty() ? missing : listed;
+    const auto& reachable = listed.empty() ? missing : listed;
+    const auto& all = reachable.empty() ? avoided : reachable;
     if (all.empty()) {
         return std::nullopt;
     }
--- /dev/null
+++ b/libs/balancing/src/reachability.cpp
@@ -0,0 +1,55 @@
+#include "balancing/reachability.hpp"
+
+namespace boragefront::balancing {
+namespace {
+
+// So many endpoints in a row are hardly down by chance while another of the data centre answers.
+constexpr std::size_t endpoints_until_cut_off = 3;
+constexpr milliseconds try_interval{300}; // of a data centre that is avoided
+constexpr milliseconds forgotten_after{2'000};
+
+} // namespace
+
+bool reachability::is_cut_off(const failing& one, time_point now) {
+    return one.endpoints.size() >= endpoints_until_cut_off &&
+           now - one.last_failure < forgotten_after;
+}
+
+void reachability::note_unreachable(std::string_view data_centre, std::string_view endpoint,
+                                    time_point now) {
+    auto& one = failing_[std::string{data_centre}];
+    if (now - one.last_failure >= forgotten_after) {
+        one.endpoints.clear();
+    }
+    one.endpoints.emplace(endpoint);
+    one.last_failure = now;
+    one.next_try = now + try_interval;
+}
+
+void reachability::note_reached(std::string_view data_centre) {
+    if (const auto found = failing_.find(data_centre); found != failing_.end()) {
+        failing_.erase(found);
+    }
+}
+
+std::set<std::string, std::less<>> reachability::avoided(time_point now) {
+    std::set<std::string, std::less<>> all;
+    for (auto& [data_centre, one] : failing_) {
+        if (!is_cut_off(one, now)) {
+            continue;
+        }
+        if (now >= one.next_try) {
+            one.next_try = now + try_interval;
+        } else {
+            all.insert(data_centre);
+        }
+    }
+    return all;
+}
+
+bool reachability::is_cut_off(std::string_view data_centre, time_point now) const {
+    const auto found = failing_.find(data_centre);
+    return found != failing_.end() && is_cut_off(found->second, now);
+}
+
+} // namespace boragefront::balancing
--- a/libs/balancing/src/retry_budget.cpp
+++ b/libs/balancing/src/retry_budget.cpp
@@ -29,16 +29,22 @@
     ++slot_at(now).requests;
 }
 
-bool retry_budget::take(const retry_limit& limit, std::size_t entries, time_point now) {
-    forget(now - limit.window);
+bool retry_budget::allows(const retry_limit& limit, std::size_t entries, time_point now) const {
     double requests = 0;
     double repeats = 0;
     for (const auto& one : slots_) {
-        requests += static_cast<double>(one.requests);
-        repeats += static_cast<double>(one.repeats);
+        if (one.begins + slot_length >= now - limit.window) {
+            requests += static_cast<double>(one.requests);
+            repeats += static_cast<double>(one.repeats);
+        }
     }
     const double slack = limit.slack / static_cast<double>(std::max<std::size_t>(entries, 1));
-    if (repeats + 1 > used_share * (limit.ratio * requests + slack)) {
+    return repeats + 1 <= used_share * (limit.ratio * requests + slack);
+}
+
+bool retry_budget::take(const retry_limit& limit, std::size_t entries, time_point now) {
+    forget(now - limit.window);
+    if (!allows(limit, entries, now)) {
         return false;
     }
     ++slot_at(now).repeats;
--- a/libs/balancing/tests/endpoint_pool_test.cpp
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -56,6 +56,21 @@
 
 } // namespace
 
+TEST_CASE_METHOD(pool_fixture,
+                 "a data centre that cannot be reached is chosen last, and no one gone") {
+    add("here", "a");
+    add("cut_off", "b");
+    add("gone", "b").removed_at = start - seconds{1};
+    refresh();
+    const std::set<std::string, std::less<>> avoided{"b"};
+    choice_request request;
+    request.avoided = &avoided;
+    CHECK(count_choices(20, request) == std::map<std::string, int>{{"here", 20}});
+    endpoints[0].state = catalog::endpoint_state::draining;
+    refresh();
+    CHECK(count_choices(20, request) == std::map<std::string, int>{{"cut_off", 20}});
+}
+
 TEST_CASE_METHOD(pool_fixture, "leaving and evacuated endpoints get nothing", "[invariant]") {
     add("stays");
     add("leaves").state = catalog::endpoint_state::draining;
--- a/libs/catalog/include/catalog/replica.hpp
+++ b/libs/catalog/include/catalog/replica.hpp
@@ -23,7 +23,9 @@
 
 /// Changes from one replica to another.
 struct replica_delta {
-    bool whole{false}; ///< all keys, rather than the changes since the asked revision
+    /// All keys, rather than the changes since the asked revision. Those that have not changed
+    /// since come without their values, as the asker holds them.
+    bool whole{false};
     revision through{0};
     std::vector<published_item> items;
 };
@@ -37,6 +39,11 @@
     /// \returns whether anything is new.
     bool apply_changes(const std::vector<published_item>& items, revision through, time_point now);
 
+    /// Takes in the answer to a watch. One without changes moves nothing: a watch may be cut off
+    /// from its changes, as while history is compacted, and what it missed then stays behind
+    /// `through`, where the next watch finds it or learns that it is gone.
+    bool apply_watched(const std::vector<published_item>& items, revision through, time_point now);
+
     /// Takes in a full listing: keys that are missing from it and not newer are removed.
     /// \param as_of the revision as of which a missing key is known to be gone.
     bool apply_listing(const std::vector<published_item>& items, revision as_of, time_point now);
@@ -65,7 +72,7 @@
 
     std::map<std::string, held, std::less<>> items_;
     revision through_{0};
-    revision forgotten_through_{0}; // removals up to here may be missing from `items_`
+    revision forgotten_through_{0}; ///< removals up to here may be missing from `items_`
 };
 
 } // namespace boragefront::catalog
--- a/libs/catalog/src/replica.cpp
+++ b/libs/catalog/src/replica.cpp
@@ -24,8 +24,17 @@
     return changed;
 }
 
+bool replica::apply_watched(const std::vector<published_item>& items, revision through,
+                            time_point now) {
+    return !items.empty() && apply_changes(items, through, now);
+}
+
 bool replica::apply_listing(const std::vector<published_item>& items, revision as_of,
                             time_point now) {
+    if (as_of > through_) {
+        // A key that was written and removed since `through_` is neither held nor listed.
+        forgotten_through_ = std::max(forgotten_through_, as_of);
+    }
     std::set<std::string_view> listed;
     for (const auto& item : items) {
         listed.insert(item.key);
@@ -53,8 +62,10 @@
     delta.whole = since < forgotten_through_ || since == 0;
     delta.through = through_;
     for (const auto& [key, kept] : items_) {
-        if (delta.whole ? kept.value.has_value() : kept.at > since) {
+        if (kept.at > since && (kept.value || !delta.whole)) {
             delta.items.push_back({key, kept.at, kept.value});
+        } else if (kept.value && delta.whole) {
+            delta.items.push_back({key, kept.at, std::nullopt});
         }
     }
     return delta;
--- a/libs/catalog/tests/replica_test.cpp
+++ b/libs/catalog/tests/replica_test.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 #include <random>
+#include <utility>
 
 using namespace boragefront;
 using namespace boragefront::catalog;
@@ -71,6 +73,109 @@
     CHECK(value_of(behind, "b") == "y");
 }
 
+// The pattern of a store that drops its history just after a watch missed a change.
+TEST_CASE("a watch without changes does not move past a change that it missed") {
+    replica held;
+    held.apply_listing({{"config", 3, "v1"}}, 5, start);
+    CHECK_FALSE(held.apply_watched({}, 9, start)); // "v2" was written at 8, unheard
+    CHECK(held.through() == 5);
+    CHECK(held.apply_watched({{"config", 8, "v2"}}, 10, start));
+    CHECK(held.through() == 10);
+    CHECK(value_of(held, "config") == "v2");
+}
+
+// The pattern of an entry that restarts, lists, and tells a peer which the store turns away.
+TEST_CASE("a removal that a listing cannot show reaches a peer that lags") {
+    replica behind;
+    behind.apply_listing({{"left", 3, "ready"}, {"stays", 4, "ready"}}, 5, start);
+    replica restarted;
+    restarted.apply_listing({{"stays", 4, "ready"}}, 9, start); // "left" was removed at 7
+    behind.apply(restarted.changes_since(behind.through()), start);
+    CHECK(behind.through() == 9);
+    CHECK_FALSE(value_of(behind, "left").has_value());
+    CHECK(value_of(behind, "stays") == "ready");
+}
+
+TEST_CASE("what was written and removed before a second listing reaches no peer as present") {
+    replica behind;
+    behind.apply_listing({{"stays", 4, "ready"}}, 5, start);
+    behind.apply_changes({{"brief", 6, "ready"}}, 6, start); // removed at 8
+    replica relisted;
+    relisted.apply_listing({{"stays", 4, "ready"}}, 5, start);
+    relisted.apply_listing({{"stays", 4, "ready"}}, 9, start);
+    behind.apply(relisted.changes_since(behind.through()), start);
+    CHECK_FALSE(value_of(behind, "brief").has_value());
+}
+
+TEST_CASE("changes after a listing travel as changes") {
+    replica ahead;
+    ahead.apply_listing({{"a", 3, "x"}}, 5, start);
+    ahead.apply_changes({{"b", 7, "y"}}, 7, start);
+    const auto delta = ahead.changes_since(6);
+    CHECK_FALSE(delta.whole);
+    CHECK(delta.items.size() == 1);
+}
+
+// The pattern of a fleet in which some follow the store, some restart and list it, and some learn
+// from these alone.
+TEST_CASE("a replica that learns from others holds what the store held") {
+    const auto seed = GENERATE(range(1U, 60U));
+    INFO("seed " << seed);
+    std::mt19937_64 random{seed};
+    std::map<std::string, published_item> live;
+    replica watching;
+    replica listing;
+    replica learning;
+    std::vector<published_item> unheard; // by the watch
+    for (revision at = 1; at <= 400; ++at) {
+        const auto key = "key" + std::to_string(random() % 12);
+        const bool removed = random() % 3 == 0;
+        const published_item written{key, at,
+                                     removed ? std::nullopt : std::optional{std::to_string(at)}};
+        if (removed) {
+            live.erase(key);
+        } else {
+            live[key] = written;
+        }
+        unheard.push_back(written);
+        if (random() % 4 == 0) {
+            watching.apply_watched(std::exchange(unheard, {}), at, start);
+        }
+        if (random() % 9 == 0) {
+            std::vector<published_item> all;
+            for (const auto& [name, item] : live) {
+                all.push_back(item);
+            }
+            if (random() % 2 == 0) {
+                listing = replica{}; // it restarted
+            }
+            listing.apply_listing(all, at, start);
+        }
+        if (random() % 5 == 0) {
+            const auto& teacher = random() % 2 == 0 ? watching : listing;
+            if (learning.apply(teacher.changes_since(learning.through()), start)) {
+                REQUIRE(learning.through() == teacher.through());
+                for (const auto& [name, held] : learning.items()) {
+                    CHECK(held.value == value_of(teacher, name));
+                }
+                for (const auto& [name, held] : teacher.items()) {
+                    CHECK(held.value == value_of(learning, name));
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("what a peer holds already is not sent to it again") {
+    replica restarted;
+    restarted.apply_listing({{"a", 3, "long value"}, {"b", 8, "new"}}, 9, start);
+    const auto delta = restarted.changes_since(5);
+    REQUIRE(delta.whole);
+    REQUIRE(delta.items.size() == 2);
+    CHECK_FALSE(delta.items[0].value.has_value());
+    CHECK(delta.items[1].value == "new");
+}
+
 TEST_CASE("replicas that hear the same changes in any order end alike") {
     const auto seed = GENERATE(range(1U, 40U));
     INFO("seed " << seed);
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -18,6 +18,8 @@
 
 namespace asio = boost::asio;
 
+constexpr std::string_view operators_part = "operators";
+constexpr std::string_view endpoints_part = "endpoints";
 constexpr milliseconds list_timeout{2'500};
 constexpr milliseconds watch_wait{
     10'000}; // each answer is paid for, and a dead connection shows itself
@@ -30,10 +32,16 @@
 constexpr milliseconds publish_interval{300}; // of a snapshot that changes with time alone
 constexpr milliseconds gossip_timeout{400};
 constexpr unsigned asked_for_all_at_most = 2; // one, and another in case that one is gone
+// An entry whose own watch of the endpoints answered so lately needs no peer's changes of them:
+// there are many a second, and each peer would tell them again.
+constexpr milliseconds store_news_fresh_for{1'000};
 constexpr auto wants_no_changes = std::numeric_limits<revision>::max();
 // Limits stay divided by an entry for so long after it was last heard of: the windows of the
 // limits are ten seconds.
 constexpr milliseconds counted_for{12'000};
+// An entry that is cut off from this one may be at work for as long as the cut lasts; one that died
+// is back within a few seconds, or gone for good.
+constexpr milliseconds silent_kept{20'000};
 
 } // namespace
 
@@ -68,11 +76,11 @@
 void control_loop::run() {
     auto& published = published_;
     asio::co_spawn(io_,
-                   follow({"operators", platform::operators_prefix(), published.operators_keys(),
+                   follow({operators_part, platform::operators_prefix(), published.operators_keys(),
                            milliseconds{0}}),
                    asio::detached);
     asio::co_spawn(io_,
-                   follow({"endpoints", platform::endpoints_prefix(), published.endpoint_keys(),
+                   follow({endpoints_part, platform::endpoints_prefix(), published.endpoint_keys(),
                            collect_endpoints}),
                    asio::detached);
     asio::co_spawn(io_, gossip_loop(), asio::detached);
@@ -127,6 +135,11 @@
     }
 }
 
+bool control_loop::hears_from_store(std::string_view part) const {
+    const auto heard = heard_.find(part);
+    return heard != heard_.end() && steady_clock::now() - heard->second < store_news_fresh_for;
+}
+
 http::awaitable<bool> control_loop::list(followed& part) {
     const auto listed = co_await store_.list(part.prefix, list_timeout);
     note_store(part, listed ? nullptr : &listed.error());
@@ -151,7 +164,7 @@
             note_store(part, news ? nullptr : &news.error());
             progressed = static_cast<bool>(news);
             if (news) {
-                if (part.replica.apply_changes(news.value().items, news.value().through,
+                if (part.replica.apply_watched(news.value().items, news.value().through,
                                                steady_clock::now())) {
                     publish();
                 }
@@ -197,11 +210,14 @@
     if (!published_.complete() && !asks_for_all) {
         request.configuration_through = request.endpoints_through = wants_no_changes;
     }
+    if (published_.complete() && hears_from_store(endpoints_part)) {
+        request.endpoints_through = wants_no_changes;
+    }
     asked_for_all_ += asks_for_all ? 1 : 0;
     const auto answer = co_await peers_client_->call(address, std::move(request), gossip_timeout);
     asked_for_all_ -= asks_for_all ? 1 : 0;
     if (!answer) {
-        peers_.missed(address);
+        peers_.missed(address, steady_clock::now());
         co_return;
     }
     if (const auto* const news = std::get_if<wire::gossip_answer>(&answer.value())) {
@@ -326,13 +342,14 @@
 
 void control_loop::publish_fleet() {
     const auto now = steady_clock::now();
-    fleet_view view{peers_.serving(now), peers_.alive(now),
+    fleet_view view{peers_.serving(now), peers_.alive(now), peers_.silent(now, silent_kept),
                     peers_.entries_at_most(now, counted_for)};
     if (view.alive.size() != known_peers_) {
         log_change("peers", "alive_changed",
                    {{"before", std::to_string(known_peers_)},
                     {"now", std::to_string(view.alive.size())},
                     {"serving", std::to_string(view.serving.size())},
+                    {"silent", std::to_string(view.silent.size())},
                     {"limits_divided_by", std::to_string(view.entries_at_most)}});
         known_peers_ = view.alive.size();
     }
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -74,6 +74,7 @@
     http::awaitable<bool> list(followed& part);
     http::awaitable<void> pause(milliseconds time);
     void note_store(followed& part, const error* failure);
+    bool hears_from_store(std::string_view part) const;
 
     http::awaitable<void> gossip_loop();
     http::awaitable<void> gossip_with(std::string address);
@@ -105,7 +106,7 @@
     std::size_t known_peers_{0};
     unsigned asked_for_all_{0}; ///< exchanges in progress whose answer is all that is published
     time_point changed_at_{};
-    std::map<std::string, time_point> heard_; // when a part of the store last answered
+    std::map<std::string, time_point, std::less<>> heard_; // when a part of the store last answered
     bool draining_{false};
 };
 
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -5,23 +5,6 @@
 namespace boragefront::gateway {
 namespace {
 
-// An event ends with an empty line; lines end with a line feed, which a carriage return may
-// precede.
-std::size_t end_of_event(std::string_view text) {
-    std::size_t line = 0;
-    for (;;) {
-        const auto feed = text.find('\n', line);
-        if (feed == std::string_view::npos) {
-            return std::string_view::npos;
-        }
-        const auto content = text.substr(line, feed - line);
-        if (content.empty() || content == "\r") {
-            return feed + 1;
-        }
-        line = feed + 1;
-    }
-}
-
 std::optional<std::uint64_t> id_of(std::string_view event) {
     constexpr std::string_view field = "id:";
     std::size_t line = 0;
@@ -42,8 +25,37 @@
     return std::nullopt;
 }
 
+bool is_comment(std::string_view line) {
+    return line.starts_with(':');
+}
+
 } // namespace
 
+// An event ends with an empty line after at least one that is no comment; lines end with a line
+// feed, which a carriage return may precede. No byte is searched twice but those of one line.
+std::size_t event_splitter::end_of_event(std::string_view text) {
+    for (;;) {
+        const auto feed = text.find('\n', line_);
+        if (feed == std::string_view::npos) {
+            return std::string_view::npos;
+        }
+        const auto content = text.substr(line_, feed - line_);
+        const bool empty = content.empty() || content == "\r";
+        if (empty && has_field_) {
+            line_ = 0;
+            has_field_ = false;
+            return feed + 1;
+        }
+        has_field_ = has_field_ || (!empty && !is_comment(content));
+        line_ = feed + 1;
+    }
+}
+
+bool event_splitter::mid_event() const {
+    const auto last_line = std::string_view{pending_}.substr(line_);
+    return has_field_ || (!last_line.empty() && !is_comment(last_line));
+}
+
 event_batch event_splitter::add(std::string_view bytes) {
     pending_ += bytes;
     event_batch batch;
--- a/libs/gateway/src/event_splitter.hpp
+++ b/libs/gateway/src/event_splitter.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace boragefront::gateway {
 
@@ -16,7 +17,8 @@
     std::optional<std::uint64_t> last_id; ///< if the last event that has an id has a number
 };
 
-/// Collects bytes until an event is whole. Drops events that were delivered before a resumption.
+/// Collects bytes until an event is whole. Comments pass with the event after them, as they are
+/// none themselves. Drops events that were delivered before a resumption.
 class event_splitter {
 public:
     /// \param after drop events up to this id; nothing drops none.
@@ -25,11 +27,21 @@
     /// Takes bytes in. \returns the events that they completed.
     event_batch add(std::string_view bytes);
 
-    /// Whether an event has begun that is not whole.
-    bool mid_event() const { return !pending_.empty(); }
+    /// Whether an event has begun that is not whole. Comments alone are none.
+    bool mid_event() const;
+
+    /// Comments after the last event, once the stream has ended.
+    std::string take_comments() { return std::exchange(pending_, {}); }
+
+    /// Bytes of the event that is not whole.
+    std::size_t pending_bytes() const { return pending_.size(); }
 
 private:
+    std::size_t end_of_event(std::string_view text);
+
     std::string pending_;
+    std::size_t line_{0};   // where the first line begins in it that may be without its end
+    bool has_field_{false}; // whether a line before that one is more than a comment
     std::optional<std::uint64_t> after_;
 };
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -116,11 +116,12 @@
         while (!drained() && steady_clock::now() < plan.exit_at()) {
             std::this_thread::sleep_for(drain_look);
         }
-        // Requests that have just been read are refused by now, and only their answers are left.
+        // What callers have sent by now is refused, and only the answers are left.
         server_->stop_accepting();
-        while (open_requests() > 0 && steady_clock::now() < plan.exit_at()) {
+        (void)ask_traffic<bool>([] { return true; }); // waiting connections are taken before it
+        do {
             std::this_thread::sleep_for(drain_look);
-        }
+        } while (open_requests() > 0 && steady_clock::now() < plan.exit_at());
         log_change("gateway", "drained",
                    {{"cut_requests", std::to_string(open_requests())},
                     {"took_ms",
@@ -146,7 +147,8 @@
     control_outputs outputs() {
         control_outputs to_traffic;
         to_traffic.publish = [this](std::shared_ptr<const indexed_snapshot> next) {
-            asio::post(loop_.io, [this, next = std::move(next)] { take(next); });
+            newest_ = std::move(next);
+            asio::post(loop_.io, [this] { take_newest(); });
         };
         to_traffic.set_fleet = [this](fleet_view view) {
             asio::post(loop_.io, [this, view = std::move(view)]() mutable {
@@ -158,8 +160,13 @@
         return to_traffic;
     }
 
-    // Traffic thread.
-    void take(const std::shared_ptr<const indexed_snapshot>& next) {
+    // Traffic thread. Called by each request as well, so that a thread that is behind with its work
+    // does not decide by what was published before.
+    void take_newest() {
+        const auto next = newest_.load();
+        if (next == state_.current()) {
+            return;
+        }
         const bool first = state_.current() == nullptr;
         const auto now = steady_clock::now();
         state_.publish(next, now);
@@ -179,6 +186,7 @@
     }
 
     http::awaitable<void> handle(const http::request& message, http::responder& out) {
+        take_newest();
         request_run run{*parts_, message, out};
         co_await run.run();
     }
@@ -266,6 +274,7 @@
     metrics_registry& metrics_;
     traffic_state state_;
     event_loop loop_;
+    std::atomic<std::shared_ptr<const indexed_snapshot>> newest_; // shared with requests
     std::unique_ptr<http::client> endpoints_;
     std::unique_ptr<wire::client> peers_;
     result_freer freer_;
--- a/libs/gateway/src/request_run.hpp
+++ b/libs/gateway/src/request_run.hpp
@@ -5,6 +5,7 @@
 #include "gateway_parts.hpp"
 #include "http/server.hpp"
 #include "platform/requests.hpp"
+#include "progress_watch.hpp"
 #include "stages/stage_plan.hpp"
 
 #include <optional>
@@ -32,6 +33,7 @@
     struct sent {
         std::string endpoint;
         std::uint64_t ticket;
+        time_point at;
     };
     enum class next_step : std::uint8_t { done, again };
 
@@ -42,6 +44,7 @@
     http::awaitable<void> run_stage_into(std::size_t stage, std::optional<pieces_answer>& answer,
                                          wait_source& wait, boost::asio::steady_timer& some_done);
 
+    bool forget_unreachable();
     std::string data_centre_of_results() const;
     std::string data_centre_of(const std::vector<std::pair<std::string, std::size_t>>& results,
                                std::size_t readers) const;
@@ -59,7 +62,9 @@
     bool take_repeat();
     bool has_time() const;
     bool events_began() const { return first_event_at_.has_value(); }
-    time_point patience(time_point sent_at) const;
+    bool may_go_elsewhere() const;
+    time_point patience(time_point progress_at) const;
+    time_point stream_stalled_at(const progress_watch& progress) const;
     void note_end(const sent& where, balancing::send_outcome outcome);
 
     http::awaitable<void> refuse(error failure, std::optional<milliseconds> retry_after);
--- a/libs/gateway/src/request_sends.cpp
+++ b/libs/gateway/src/request_sends.cpp
@@ -1,9 +1,9 @@
 // A request's way to its endpoints, and their answers' way back.
 #include "base/logging.hpp"
-#include "event_splitter.hpp"
 #include "hopeless_send.hpp"
 #include "request_limits.hpp"
 #include "request_run.hpp"
+#include "send_outcomes.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -24,13 +24,7 @@
 constexpr unsigned unreachable_limit = 5; // endpoints that one request finds unreachable or full
 // A pooled connection is used for a request that runs at most once only while it is surely open.
 constexpr milliseconds fresh_enough{250};
-constexpr int silence_factor = 4; // times the typical latency until another endpoint is tried
-constexpr milliseconds least_silence{60};
-constexpr milliseconds least_stream_silence{800}; // a long prompt is read for half a second
-constexpr int gap_factor = 2; // times the longest wanted pause until a stream counts as silent
-constexpr milliseconds least_gap{1'000};
 constexpr unsigned first_redirect = 300;
-constexpr unsigned first_server_error = 500;
 
 http::awaitable<void> pause_for(const asio::any_io_executor& executor, milliseconds time) {
     asio::steady_timer pause{executor, time};
@@ -38,19 +32,6 @@
     co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
 }
 
-send_outcome outcome_of(const error& failure) {
-    switch (failure.kind) {
-    case error_kind::connect_failed:
-        return send_outcome::unreachable;
-    case error_kind::deadline_exceeded:
-        return send_outcome::silent;
-    case error_kind::cancelled:
-        return send_outcome::cancelled;
-    default:
-        return send_outcome::broken;
-    }
-}
-
 balancing::reported_load to_load(const platform::endpoint_load& load) {
     return {load.running, load.waiting, load.slots};
 }
@@ -110,6 +91,8 @@
         if (pool == nullptr) {
             co_return std::nullopt;
         }
+        const auto avoided = state.reach().avoided(now);
+        wanted.avoided = &avoided;
         auto found =
             pool->choose(wanted, state.cold_limit_of(service_), state.group(), now, state.random());
         if (found || now >= until || caller_left_ ||
@@ -136,19 +119,6 @@
                                        steady_clock::now());
 }
 
-// When an endpoint that has not begun to answer counts as silent, if there is another to try.
-time_point request_run::patience(time_point sent_at) const {
-    auto* const pool = parts_.state.pool(service_);
-    const bool another = route_->repeat == catalog::repeatability::idempotent &&
-                         sends_ < route_->endpoint_limit && pool != nullptr && pool->size() > 1;
-    if (!another) {
-        return deadline_;
-    }
-    const auto typical = pool->typical_latency().value_or(milliseconds{0});
-    const auto least = route_->streaming ? least_stream_silence : least_silence;
-    return std::min(deadline_, sent_at + std::max(typical * silence_factor, least));
-}
-
 void request_run::note_end(const sent& where, send_outcome outcome) {
     if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
         pool->ended(where.endpoint, where.ticket, caller_left_ ? send_outcome::cancelled : outcome,
@@ -161,6 +131,9 @@
         end_.outcome = "cancelled";
         co_return next_step::done;
     }
+    if (forget_unreachable()) {
+        co_return next_step::again;
+    }
     const auto chosen = co_await choose();
     if (caller_left_) {
         end_.outcome = "cancelled";
@@ -197,8 +170,10 @@
     if (last_event_) {
         added.last_event_id = std::to_string(*last_event_);
     }
-    const sent where{chosen->id, pool->started(chosen->id, parts_.state.cold_limit_of(service_),
-                                               parts_.state.group(), now)};
+    const sent where{
+        chosen->id,
+        pool->started(chosen->id, parts_.state.cold_limit_of(service_), parts_.state.group(), now),
+        now};
     ++sends_;
     http::call_options options;
     options.deadline = patience(now);
@@ -214,9 +189,19 @@
     auto answer = co_await parts_.endpoints.open(chosen->address,
                                                  platform::forward(message_, added), options);
     if (!answer) {
+        const bool timed_out = steady_clock::now() - now >= connect_timeout;
+        if (answer.error().kind == error_kind::connect_failed && timed_out) {
+            parts_.state.reach().note_unreachable(chosen->data_centre, chosen->id,
+                                                  steady_clock::now());
+        }
+        if (answer.error().kind == error_kind::deadline_exceeded) {
+            // The others to this endpoint may have gone silent with this one.
+            parts_.endpoints.drop_idle(chosen->address);
+        }
         note_end(where, outcome_of(answer.error()));
         co_return co_await after_failure(answer.error(), answer.error().ran != work_ran::no);
     }
+    parts_.state.reach().note_reached(chosen->data_centre);
     co_return co_await take_answer(*answer.value(), where);
 }
 
@@ -228,6 +213,13 @@
     if (head.load && pool != nullptr) {
         pool->report(where.endpoint, to_load(*head.load), steady_clock::now());
     }
+    if (head.request_id.empty() && answer.on_reused_connection()) {
+        // A late answer to any earlier request on this connection, whose word says nothing of this
+        // one.
+        note_end(where, send_outcome::broken);
+        co_return co_await after_failure(
+            make_error(error_kind::incomplete_answer, "an answer that names no request"), true);
+    }
     if (head.not_run) {
         note_end(where, head.replaced     ? send_outcome::replaced
                         : head.input_gone ? send_outcome::cancelled
@@ -246,97 +238,6 @@
     co_return co_await take_whole(answer, where);
 }
 
-http::awaitable<request_run::next_step> request_run::take_whole(http::response_stream& answer,
-                                                                const sent& where) {
-    if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
-        pool->first_byte(where.endpoint, where.ticket, steady_clock::now());
-    }
-    auto body = co_await answer.read_rest(deadline_);
-    if (!body) {
-        note_end(where, outcome_of(body.error()));
-        co_return co_await after_failure(body.error(), true);
-    }
-    http::response whole = answer.head();
-    whole.body = std::move(body.value());
-    const bool failed = whole.status >= first_server_error;
-    note_end(where, failed ? send_outcome::failed : send_outcome::answered);
-    if (failed && may_run_again() && take_repeat()) {
-        log_decision("request", "sent_again",
-                     {{"request", caller_.id},
-                      {"endpoint", where.endpoint},
-                      {"reason", "status " + std::to_string(whole.status)}});
-        last_failure_ = std::move(whole);
-        co_return next_step::again;
-    }
-    co_await answer_whole(std::move(whole));
-    co_return next_step::done;
-}
-
-http::awaitable<request_run::next_step> request_run::take_stream(http::response_stream& answer,
-                                                                 const sent& where) {
-    event_splitter events{last_event_};
-    const auto gap = std::max(route_->event_gap_goal * gap_factor, least_gap);
-    std::optional<error> failure;
-    for (;;) {
-        const auto now = steady_clock::now();
-        const auto until = events_began() ? std::min(deadline_, now + gap) : patience(now);
-        auto bytes = co_await answer.next_bytes(until);
-        if (!bytes) {
-            failure = bytes.error();
-            break;
-        }
-        if (!bytes.value()) {
-            if (events.mid_event()) {
-                failure = make_error(error_kind::incomplete_answer, "the stream ends in an event");
-            }
-            break;
-        }
-        auto batch = events.add(*bytes.value());
-        if (batch.count == 0) {
-            continue;
-        }
-        if (!first_event_at_) {
-            first_event_at_ = steady_clock::now();
-        }
-        if (!began_ && !shared_prompt().empty()) {
-            parts_.state.prompts().note(shared_prompt(), where.endpoint, *first_event_at_);
-        }
-        if (auto* const pool = parts_.state.pool(service_); pool != nullptr) {
-            pool->first_byte(where.endpoint, where.ticket, steady_clock::now());
-        }
-        if (!began_) {
-            began_ = true;
-            auto head = platform::to_caller(answer.head());
-            if (!co_await out_.begin(std::move(head))) {
-                caller_left_ = true;
-            }
-            free_results();
-        }
-        if (batch.last_id) {
-            last_event_ = batch.last_id;
-        }
-        if (caller_left_ || !co_await out_.write(batch.bytes)) {
-            caller_left_ = true;
-            note_end(where, send_outcome::cancelled);
-            end_.outcome = "cancelled";
-            co_return next_step::done;
-        }
-    }
-    if (failure) {
-        note_end(where, outcome_of(*failure));
-        co_return co_await after_failure(*failure, true);
-    }
-    note_end(where, send_outcome::answered);
-    if (!began_) {
-        began_ = true;
-        (void)co_await out_.begin(platform::to_caller(answer.head()));
-    }
-    end_.whole = static_cast<bool>(co_await out_.finish());
-    end_.outcome = "answered";
-    end_.status = status_ok;
-    co_return next_step::done;
-}
-
 http::awaitable<request_run::next_step> request_run::after_failure(const error& failure, bool ran) {
     if (caller_left_) {
         end_.outcome = "cancelled";
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -1,4 +1,5 @@
 // A request's stages, each run as soon as what it reads is made.
+#include "base/logging.hpp"
 #include "platform/stage_calls.hpp"
 #include "request_limits.hpp"
 #include "request_run.hpp"
@@ -94,6 +95,28 @@
     co_return !failure && !caller_left_;
 }
 
+// Gives up results that lie in a data centre which is cut off, as nobody here can read them.
+// Returns whether there were any that can still be made again.
+bool request_run::forget_unreachable() {
+    if (!plan_ || began_ || !has_time() || inputs_lost_ >= inputs_lost_limit) {
+        return false;
+    }
+    const auto now = steady_clock::now();
+    const auto lost = [&](const std::string& handle) {
+        return parts_.state.reach().is_cut_off(
+            parts_.state.data_centre_of(platform::holder_of(handle)), now);
+    };
+    const auto results = plan_->final_results();
+    if (std::none_of(results.begin(), results.end(),
+                     [&](const auto& one) { return lost(one.first); })) {
+        return false;
+    }
+    ++inputs_lost_;
+    log_decision("request", "inputs_out_of_reach", {{"request", caller_.id}});
+    plan_->forget(lost);
+    return true;
+}
+
 http::awaitable<void> request_run::run_stage_into(std::size_t stage,
                                                   std::optional<pieces_answer>& answer,
                                                   wait_source& wait,
--- /dev/null
+++ b/libs/gateway/src/send_outcomes.hpp
@@ -0,0 +1,23 @@
+/// \file
+/// What a failed call says of its endpoint.
+#pragma once
+
+#include "balancing/endpoint_pool.hpp"
+#include "base/error.hpp"
+
+namespace boragefront::gateway {
+
+inline balancing::send_outcome outcome_of(const error& failure) {
+    switch (failure.kind) {
+    case error_kind::connect_failed:
+        return balancing::send_outcome::unreachable;
+    case error_kind::deadline_exceeded:
+        return balancing::send_outcome::silent;
+    case error_kind::cancelled:
+        return balancing::send_outcome::cancelled;
+    default:
+        return balancing::send_outcome::broken;
+    }
+}
+
+} // namespace boragefront::gateway
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -1,8 +1,10 @@
 // Stage services for which this entry dispatches: their queues, and the calls to their endpoints.
+#include "base/hash.hpp"
 #include "base/logging.hpp"
 #include "platform/requests.hpp"
 #include "platform/stage_calls.hpp"
 #include "stage_exchange.hpp"
+#include "stages/endpoint_shares.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,6 +17,9 @@
 namespace asio = boost::asio;
 
 constexpr milliseconds connect_timeout{200}; // many round trips; longer means that nobody is there
+constexpr milliseconds look_spacing{2};      // far below the time of a call
+constexpr int look_share = 4;                // times as long as a look took until the next
+constexpr std::size_t answer_bytes_limit = 1U << 20U; // a full call's results take some kilobytes
 
 milliseconds time_left(time_point until, time_point now) {
     return std::chrono::floor<milliseconds>(std::max(until - now, duration{0}));
@@ -63,10 +68,51 @@
             one->queue.set_capacity(*found->second.stages);
         }
         one->queue.set_endpoints(published.endpoints, published.evacuated, service, now);
+        divide_endpoints(*one);
         pump(service);
     }
 }
 
+// Leaves the entries that this one cannot see their share of a service's endpoints.
+void stage_exchange::divide_endpoints(service_queue& queue) {
+    const auto& fleet = state_.fleet();
+    const auto& endpoints = state_.current()->published.endpoints;
+    std::uint64_t basis = 0;
+    if (!fleet.silent.empty()) {
+        for (const auto& one : fleet.silent) {
+            basis = stable_hash(one.id, basis);
+        }
+        for (const auto& one : fleet.alive) {
+            basis = stable_hash(one.id, basis);
+        }
+        for (const auto& one : endpoints) {
+            basis = one.service == queue.service ? stable_hash(one.id, basis) : basis;
+        }
+    }
+    if (basis == queue.divided_for) {
+        return;
+    }
+    queue.divided_for = basis;
+    const auto sharing = [](const std::vector<wire::entry_info>& entries) {
+        std::vector<stages::sharing_entry> shares;
+        shares.reserve(entries.size() + 1);
+        for (const auto& one : entries) {
+            shares.push_back({one.id, one.processors});
+        }
+        return shares;
+    };
+    auto seen = sharing(fleet.alive);
+    seen.push_back({state_.self_id(), state_.role().processors});
+    auto others = stages::endpoints_of_silent(endpoints, queue.service, state_.self_id(), seen,
+                                              sharing(fleet.silent));
+    log_change("stages", "endpoints_divided",
+               {{"service", queue.service},
+                {"entries_seen", std::to_string(seen.size())},
+                {"entries_silent", std::to_string(fleet.silent.size())},
+                {"endpoints_of_silent", std::to_string(others.size())}});
+    queue.queue.set_others_share(std::move(others));
+}
+
 milliseconds stage_exchange::service_time(const std::string& service, std::size_t pieces) {
     auto* const queue = queue_of(service);
     return queue == nullptr ? milliseconds{0} : queue->queue.service_time(pieces);
@@ -108,9 +154,16 @@
     return admitted;
 }
 
+// Starts the calls that can start. A long queue is looked at less often, so that looking through it
+// takes at most a fifth of the thread's time.
 void stage_exchange::pump(const std::string& service) {
     auto& one = *queues_.at(service);
     const auto now = steady_clock::now();
+    if (now < one.next_look) {
+        look_at(one, one.next_look);
+        return;
+    }
+    one.queue.set_avoided(state_.reach().avoided(now));
     for (auto& call : one.queue.next_calls(now)) {
         asio::co_spawn(executor_, run_call(service, std::move(call)), asio::detached);
     }
@@ -118,8 +171,15 @@
         deliver(one, std::move(ended));
     }
     freer_.free(one.queue.take_orphans());
-    one.wake.expires_at(one.queue.next_event(now));
-    one.wake.async_wait([this, service](boost::system::error_code failure) {
+    const auto next = one.queue.next_event(now);
+    const auto ended_at = steady_clock::now();
+    one.next_look = ended_at + std::max<duration>(look_spacing, (ended_at - now) * look_share);
+    look_at(one, std::max(next, one.next_look));
+}
+
+void stage_exchange::look_at(service_queue& one, time_point when) {
+    one.wake.expires_at(when);
+    one.wake.async_wait([this, service = one.service](boost::system::error_code failure) {
         if (!failure) {
             pump(service);
         }
@@ -137,6 +197,7 @@
         log_decision("stages", "group_expired",
                      {{"request", ended.request_id},
                       {"service", queue.service},
+                      {"retry_after_ms", std::to_string(ended.retry_after.count())},
                       {"waiting", std::to_string(queue.queue.waiting_pieces())},
                       {"endpoints", std::to_string(queue.queue.endpoint_count())}});
     }
@@ -144,7 +205,7 @@
         end_wait(local->ticket, state_.self_id(), std::move(ended));
     } else if (const auto* const remote = std::get_if<remote_wait>(&who)) {
         wire::pieces_done_request done{state_.self_id(), remote->ticket, ended.expired,
-                                       std::move(ended.results)};
+                                       std::move(ended.results), ended.retry_after};
         asio::co_spawn(executor_, tell(remote->address, std::move(done)), asio::detached);
     }
 }
@@ -155,8 +216,17 @@
     const auto started = steady_clock::now();
     options.deadline = started + call.give_up_after;
     options.connect_timeout = connect_timeout;
+    options.body_limit = answer_bytes_limit;
     auto answer = co_await endpoints_.call(
         call.address, platform::make_pieces(call.endpoint, call.pieces, call.time_left), options);
+    const auto now = steady_clock::now();
+    const auto data_centre = state_.data_centre_of(call.address);
+    if (answer) {
+        state_.reach().note_reached(data_centre);
+    } else if (answer.error().kind == error_kind::connect_failed &&
+               now - started >= connect_timeout) {
+        state_.reach().note_unreachable(data_centre, call.endpoint, now);
+    }
     auto outcome = stages::call_outcome::answered;
     std::vector<stages::piece_result> results;
     std::string reason;
@@ -166,13 +236,17 @@
     } else if (const auto head = platform::read_head(answer.value()); head.not_run) {
         outcome = head.replaced ? stages::call_outcome::unreachable : stages::call_outcome::refused;
         reason = "status " + std::to_string(head.status);
-    } else if (auto read = platform::read_pieces(answer.value(), count); read) {
+    } else if (auto read = platform::read_pieces(answer.value(), count);
+               read && !last_answers_.is_copy(read.value())) {
         results = std::move(read.value());
+        last_answers_.note(results, now);
     } else {
         outcome = stages::call_outcome::broken;
-        reason = "status " + std::to_string(head.status) + ", " + to_string(read.error());
+        reason = "status " + std::to_string(head.status) + ", " +
+                 (read ? std::string{"a copy of an earlier answer"} : to_string(read.error()));
+        // The answer to this call may still come, where that to the next one is due.
+        endpoints_.drop_idle(call.address);
     }
-    const auto now = steady_clock::now();
     state_.metrics()
         .get_counter("boragefront_stage_calls_total", "service=\"" + service + "\",outcome=\"" +
                                                           std::string{to_string(outcome)} + '"')
@@ -235,7 +309,8 @@
 }
 
 void stage_exchange::take(const wire::pieces_done_request& done) {
-    end_wait(done.ticket, done.dispatcher, {done.ticket, done.results, done.expired, {}});
+    end_wait(done.ticket, done.dispatcher,
+             {done.ticket, done.results, done.expired, {}, done.retry_after});
 }
 
 void stage_exchange::take(const wire::cancel_pieces_request& cancel) {
--- a/libs/gateway/src/stage_exchange.cpp
+++ b/libs/gateway/src/stage_exchange.cpp
@@ -63,6 +63,7 @@
         kept->queue = stages::stage_queue::make(*found->second.stages);
         kept->queue.set_endpoints(published.endpoints, published.evacuated, service,
                                   steady_clock::now());
+        divide_endpoints(*kept);
     }
     return kept.get();
 }
@@ -187,7 +188,7 @@
     waits_.erase(ticket);
     if (own->result) {
         if (own->result->expired) {
-            co_return pieces_answer{pieces_refused{}};
+            co_return pieces_answer{pieces_refused{own->result->retry_after}};
         }
         co_return pieces_answer{pieces_ended{std::move(own->result->results)}};
     }
@@ -240,7 +241,7 @@
         }
         co_return pieces_cancelled{};
     }
-    co_return pieces_refused{};
+    co_return pieces_refused{own->result ? own->result->retry_after : milliseconds{0}};
 }
 
 void stage_exchange::end_wait(std::uint64_t ticket, const std::string& dispatcher,
--- a/libs/gateway/src/stage_exchange.hpp
+++ b/libs/gateway/src/stage_exchange.hpp
@@ -3,6 +3,7 @@
 /// one, or by this one if the dispatcher cannot be reached.
 #pragma once
 
+#include "answer_copies.hpp"
 #include "dispatch_order.hpp"
 #include "http/client.hpp"
 #include "result_freer.hpp"
@@ -109,6 +110,8 @@
         std::string service;
         stages::stage_queue queue;
         std::map<std::uint64_t, waiter> waiters; // by group
+        time_point next_look{};                  // not looked at again before
+        std::uint64_t divided_for{0}; // hash of the entries and endpoints that shares stand for
         boost::asio::steady_timer wake;
     };
 
@@ -116,6 +119,7 @@
                                                   stages::piece_group group, wait_source& wait);
     void note_prediction(const std::string& service, milliseconds expected);
     service_queue* queue_of(const std::string& service);
+    void divide_endpoints(service_queue& queue);
     dispatching_entry self() const;
     std::vector<wire::entry_info> dispatchers(const std::string& service) const;
     bool is_alive(const wire::entry_info& dispatcher) const;
@@ -128,6 +132,7 @@
                                              wait_source& wait);
     stages::admission offer(service_queue& queue, stages::piece_group group, waiter who);
     void pump(const std::string& service);
+    void look_at(service_queue& one, time_point when);
     void deliver(service_queue& queue, stages::finished_group ended);
     void end_wait(std::uint64_t ticket, const std::string& dispatcher,
                   stages::finished_group ended);
@@ -147,6 +152,7 @@
     std::map<std::string, std::vector<std::string>> to_release_; // by service
     bool releasing_{false};
     std::map<std::string, stages::group_pace> paces_; // by service
+    answer_copies last_answers_;
     struct late_dispatcher {
         time_point until{}; ///< not asked before
         milliseconds pause{0};
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -5,6 +5,7 @@
 #include "balancing/endpoint_pool.hpp"
 #include "balancing/entry_group.hpp"
 #include "balancing/prompt_locations.hpp"
+#include "balancing/reachability.hpp"
 #include "balancing/retry_budget.hpp"
 #include "base/metrics.hpp"
 #include "base/random.hpp"
@@ -42,6 +43,7 @@
 struct fleet_view {
     std::vector<wire::entry_info> serving; ///< others that take work
     std::vector<wire::entry_info> alive;   ///< others that answer, also while they drain
+    std::vector<wire::entry_info> silent;  ///< others that answered lately and do not now
     std::size_t entries_at_most{1};        ///< by which limits are divided
 };
 
@@ -65,6 +67,7 @@
     balancing::endpoint_pool* pool(std::string_view service);
     balancing::retry_budget& budget(const std::string& service) { return budgets_[service]; }
     balancing::prompt_locations& prompts() { return prompts_; }
+    balancing::reachability& reach() { return reach_; }
 
     balancing::cold_limit cold_limit_of(std::string_view service) const;
     balancing::retry_limit retry_limit() const;
@@ -104,6 +107,7 @@
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
     std::map<std::string, balancing::retry_budget> budgets_;
     balancing::prompt_locations prompts_;
+    balancing::reachability reach_;
 };
 
 } // namespace boragefront::gateway
--- a/libs/gateway/tests/event_splitter_test.cpp
+++ b/libs/gateway/tests/event_splitter_test.cpp
@@ -24,6 +24,31 @@
     CHECK(batch.last_id == 7);
 }
 
+TEST_CASE("trouble: comments and pieces of an event are no events") {
+    event_splitter events;
+    for (int i = 0; i < 10; ++i) {
+        CHECK(events.add(": still here\n\n").count == 0);
+    }
+    CHECK_FALSE(events.mid_event());
+    CHECK(events.add("id: 1\n").count == 0);
+    CHECK(events.mid_event());
+    const auto batch = events.add("data: a\n\n: after");
+    CHECK(batch.count == 1);
+    CHECK(batch.bytes.starts_with(": still here\n\n"));
+    CHECK(batch.bytes.ends_with("id: 1\ndata: a\n\n"));
+    CHECK_FALSE(events.mid_event());
+    CHECK(events.take_comments() == ": after");
+}
+
+TEST_CASE("trouble: an event without an end is not searched again and again") {
+    event_splitter events;
+    const std::string bytes(1'024, 'x');
+    for (int i = 0; i < 1'024; ++i) {
+        CHECK(events.add(bytes).count == 0);
+    }
+    CHECK(events.pending_bytes() == bytes.size() * 1'024);
+}
+
 TEST_CASE("events that were delivered before a resumption are dropped") {
     event_splitter events{5};
     const auto batch = events.add("id: 4\ndata: a\n\nid: 5\ndata: b\n\nid: 6\ndata: c\n\n");
--- a/libs/gateway/tests/traffic_state_test.cpp
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -84,6 +84,6 @@
 TEST_CASE_METHOD(state_fixture, "limits are divided by entries that are not known by name too") {
     wire::entry_info other;
     other.id = "other";
-    state.set_fleet({{other}, {other}, 4});
+    state.set_fleet({{other}, {other}, {}, 4});
     CHECK(state.group().size() == 4);
 }
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -58,8 +58,13 @@
     /// Status and headers.
     virtual const response& head() const = 0;
 
+    /// Whether the connection had served other calls: then an answer that names no request may be
+    /// a late one to any of them.
+    virtual bool on_reused_connection() const = 0;
+
     /// The next line of the body without its newline; nothing at the body's explicit end.
-    /// \returns `incomplete_answer` if the connection ends first, `deadline_exceeded` on time-out.
+    /// \returns `incomplete_answer` if the connection ends first, `deadline_exceeded` on time-out,
+    /// `too_large` for a line without an end.
     virtual awaitable<result<std::optional<std::string>>> next_line(time_point deadline) = 0;
 
     /// Bytes of the body as they arrive; nothing at its explicit end. \returns errors as
@@ -71,8 +76,12 @@
 };
 
 /// Errors of calls: `connect_failed` (nothing was sent, ran=no); `connection_lost`,
-/// `incomplete_answer`, `deadline_exceeded`, `cancelled` (ran=unknown once anything may have been
-/// sent, else ran=no). The client itself never sends a request twice.
+/// `incomplete_answer`, `deadline_exceeded`, `cancelled`, `too_large` (ran=unknown once anything
+/// may have been sent, else ran=no). The client itself never sends a request twice.
+///
+/// A peer in trouble may send bytes without end. Its head, its interim answers, its chunk headers
+/// and trailers, answers to other requests and the body are each bounded; what goes over a bound
+/// ends the call and closes the connection.
 class client {
 public:
     static std::unique_ptr<client> make(boost::asio::any_io_executor executor);
--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -76,7 +76,7 @@
 
     virtual std::uint16_t port() const = 0;
 
-    /// Requests read and not yet wholly answered.
+    /// Requests of which a byte was read and that are not yet wholly answered.
     virtual std::size_t open_requests() const = 0;
 
     /// Replaces the limits; requests whose header is read later keep to the new ones.
@@ -87,7 +87,8 @@
     virtual void announce_close() = 0;
 
     /// Closes the listening socket and idle connections; answers in progress go on, and their
-    /// connections close after them.
+    /// connections close after them. Requests that have arrived by then are still answered, also on
+    /// connections that only the kernel has accepted.
     virtual void stop_accepting() = 0;
 
     /// Closes everything at once.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -2,81 +2,36 @@
 
 #include "base/ids.hpp"
 #include "beast_messages.hpp"
+#include "connection_pool.hpp"
 
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <array>
-#include <map>
-#include <vector>
 
 namespace boragefront::http {
 namespace {
 
 constexpr std::size_t read_size = 8192;
-constexpr std::size_t idle_connections_per_address = 64;
-constexpr std::size_t foreign_answers_limit = 2; // more mean that the peer is out of step
+constexpr std::size_t foreign_answers_limit = 2;         // more mean that the peer is out of step
+constexpr std::size_t foreign_bytes_limit = 256U << 10U; // many times a usual answer
+// A late answer was whole when it was sent, so it arrives at once.
+constexpr milliseconds foreign_answer_time{500};
+constexpr std::size_t interim_answers_limit = 8; // 100 and 103 come once each, as a rule
+constexpr std::size_t head_limit = 16U << 10U;   // as the platform's limit for callers
+constexpr std::size_t line_limit = 1U << 20U;    // an event of a stream takes a few hundred bytes
+// All answers together that are being read whole, so that peers which never end theirs cannot take
+// an instance's memory, 260 MB at the least; an answer of usual size is read all the same.
+constexpr std::size_t held_limit = 64U << 20U;
+constexpr std::size_t usual_answer = 256U << 10U;
+constexpr unsigned first_final_status = 200;
+constexpr unsigned status_switching = 101;
 // A body up to this size fits the socket's buffer, so that writing it cannot wait for the peer.
 constexpr std::size_t body_written_at_once = 8U << 10U;
 // A peer closes an idle connection a little before or after what it announced.
 constexpr milliseconds announced_idle_margin{500};
-constexpr seconds idle_connection_lifetime{30};
-
-// One connection to a peer, owned by a call or idle in the pool.
-struct peer_connection {
-    explicit peer_connection(const asio::any_io_executor& executor) : stream{executor} {}
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    time_point idle_since{};
-    milliseconds idle_lifetime{idle_connection_lifetime};
-    bool out_of_step{false}; ///< an answer came that belonged to no request
-};
-
-using connection_ptr = std::unique_ptr<peer_connection>;
-
-// Idle connections by address.
-class connection_pool {
-public:
-    connection_ptr take(const std::string& address, time_point now, milliseconds idle_limit) {
-        auto& idle = idle_[address];
-        while (!idle.empty()) {
-            auto taken = std::move(idle.back());
-            idle.pop_back();
-            if (now - taken->idle_since < std::min(taken->idle_lifetime, idle_limit) &&
-                is_quiet(*taken)) {
-                return taken;
-            }
-        }
-        return nullptr;
-    }
-
-    void give_back(const std::string& address, connection_ptr returned, time_point now) {
-        auto& idle = idle_[address];
-        if (idle.size() < idle_connections_per_address && returned->buffer.size() == 0) {
-            returned->idle_since = now;
-            idle.push_back(std::move(returned));
-        }
-    }
-
-    void drop(const std::string& address) { idle_.erase(address); }
-
-private:
-    // An idle connection with bytes or an end of file to read is out of step or closed.
-    static bool is_quiet(peer_connection& candidate) {
-        auto& socket = candidate.stream.socket();
-        boost::system::error_code failure;
-        char byte = 0;
-        socket.non_blocking(true, failure);
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
-        return failure == asio::error::would_block;
-    }
-
-    std::map<std::string, std::vector<connection_ptr>, std::less<>> idle_;
-};
 
 using shared_pool = std::shared_ptr<connection_pool>;
 
@@ -113,7 +68,8 @@
     if (failure == beast::error::timeout) {
         return make_error(error_kind::deadline_exceeded, "no answer in time");
     }
-    if (failure == beast::http::error::body_limit || failure == beast::http::error::header_limit) {
+    if (failure == beast::http::error::body_limit || failure == beast::http::error::header_limit ||
+        failure == beast::http::error::buffer_overflow) {
         return make_error(error_kind::too_large, work_ran::unknown, failure.message());
     }
     if (failure == beast::http::error::partial_message) {
@@ -141,14 +97,15 @@
 
 class beast_stream : public response_stream {
 public:
-    beast_stream(connection_ptr connection, std::string address, shared_pool pool,
+    beast_stream(connection_ptr connection, bool reused, std::string address, shared_pool pool,
                  const call_options& options)
-        : connection_{std::move(connection)}, address_{std::move(address)}, pool_{std::move(pool)},
-          guard_{options.cancel, *connection_}, belongs_{options.belongs}, body_limit_{
-                                                                               options.body_limit} {
+        : connection_{std::move(connection)}, reused_{reused}, address_{std::move(address)},
+          pool_{std::move(pool)}, guard_{options.cancel, *connection_}, belongs_{options.belongs},
+          body_limit_{options.body_limit} {
         start_parser();
     }
     ~beast_stream() override {
+        pool_->held_bytes -= counted_;
         if (connection_ != nullptr) {
             connection_->stream.close();
         }
@@ -182,10 +139,12 @@
     }
 
     const response& head() const override { return head_; }
+    bool on_reused_connection() const override { return reused_; }
 
     awaitable<result<std::optional<std::string>>> next_line(time_point deadline) override {
+        std::size_t searched = 0;
         for (;;) {
-            const auto newline = pending_.find('\n');
+            const auto newline = pending_.find('\n', searched);
             if (newline != std::string::npos) {
                 auto line = pending_.substr(0, newline);
                 pending_.erase(0, newline + 1);
@@ -194,6 +153,11 @@
             if (parser_->is_done()) {
                 co_return take_last_line();
             }
+            searched = pending_.size();
+            if (searched > line_limit) {
+                co_return make_error(error_kind::too_large, work_ran::unknown,
+                                     "a line without an end");
+            }
             BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
         }
     }
@@ -232,27 +196,46 @@
 
     void start_parser() {
         parser_.emplace();
+        parser_->header_limit(head_limit);
         parser_->body_limit(body_limit_);
     }
 
+    // Reads up to the head of a final answer.
     awaitable<result<void>> read_head(time_point deadline) {
-        boost::system::error_code failure;
-        connection_->stream.expires_at(deadline);
-        co_await beast::http::async_read_header(connection_->stream, connection_->buffer, *parser_,
-                                                awaitable_into(failure));
-        if (failure) {
-            co_return call_failure(failure, guard_.cancelled());
+        for (std::size_t interim = 0; interim <= interim_answers_limit; ++interim) {
+            boost::system::error_code failure;
+            connection_->stream.expires_at(deadline);
+            co_await beast::http::async_read_header(connection_->stream, connection_->buffer,
+                                                    *parser_, awaitable_into(failure));
+            if (failure) {
+                co_return call_failure(failure, guard_.cancelled());
+            }
+            const auto status = parser_->get().result_int();
+            if (status == status_switching) {
+                co_return make_error(error_kind::connection_lost,
+                                     "another protocol, not asked for");
+            }
+            if (status >= first_final_status) {
+                head_.status = status;
+                head_.headers = read_headers(parser_->get());
+                co_return success();
+            }
+            start_parser();
         }
-        head_.status = parser_->get().result_int();
-        head_.headers = read_headers(parser_->get());
-        co_return success();
+        co_return make_error(error_kind::too_large, work_ran::unknown, "interim answers only");
     }
 
     awaitable<result<void>> drop_answer(time_point deadline) {
+        const auto until = std::min(deadline, steady_clock::now() + foreign_answer_time);
+        std::size_t dropped = 0;
         while (!parser_->is_done()) {
-            BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
+            BOOST_OUTCOME_CO_TRY(co_await read_more(until));
+            dropped += std::exchange(pending_, {}).size();
+            if (dropped > foreign_bytes_limit) {
+                co_return make_error(error_kind::connection_lost,
+                                     "an endless answer to another request");
+            }
         }
-        pending_.clear();
         start_parser();
         co_return success();
     }
@@ -265,6 +248,11 @@
     }
 
     awaitable<result<void>> read_more(time_point deadline) {
+        // A read that finds bytes ends before its time-out is looked at, and a flood always has
+        // some.
+        if (steady_clock::now() >= deadline) {
+            co_return make_error(error_kind::deadline_exceeded, "no whole answer in time");
+        }
         std::array<char, read_size> bytes{};
         auto& body = parser_->get().body();
         body.data = bytes.data();
@@ -280,7 +268,10 @@
             co_return call_failure(failure, guard_.cancelled());
         }
         pending_.append(bytes.data(), bytes.size() - body.size);
-        if (pending_.size() > body_limit_) {
+        pool_->held_bytes += pending_.size() - counted_;
+        counted_ = pending_.size();
+        const bool too_much = counted_ > usual_answer && pool_->held_bytes > held_limit;
+        if (counted_ > body_limit_ || too_much) {
             co_return make_error(error_kind::too_large, work_ran::unknown, "answer over the limit");
         }
         release_if_done();
@@ -305,6 +296,7 @@
     }
 
     connection_ptr connection_;
+    bool reused_;
     std::string address_;
     shared_pool pool_;
     cancel_guard guard_;
@@ -314,6 +306,7 @@
     std::shared_ptr<body_write> write_; // shared with the write's completion
     response head_;
     std::string pending_;
+    std::size_t counted_{0}; ///< of `pending_`, in the pool's account
 };
 
 class beast_client : public client {
@@ -340,11 +333,12 @@
         auto connection = options.fresh_connection
                               ? nullptr
                               : pool_->take(address, steady_clock::now(), options.idle_limit);
-        if (connection == nullptr) {
+        const bool reused = connection != nullptr;
+        if (!reused) {
             BOOST_OUTCOME_CO_TRY(connection, co_await connect(address, options));
         }
-        auto stream = std::make_unique<beast_stream>(std::move(connection), std::move(address),
-                                                     pool_, options);
+        auto stream = std::make_unique<beast_stream>(std::move(connection), reused,
+                                                     std::move(address), pool_, options);
         BOOST_OUTCOME_CO_TRY(co_await stream->exchange(std::move(message), options.deadline));
         co_return std::unique_ptr<response_stream>{std::move(stream)};
     }
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -71,11 +71,13 @@
     void announce_close() override { shared_->announcing_close = true; }
 
     void stop_accepting() override {
-        shared_->stopping = true;
-        asio::post(executors_.front(), [acceptor = acceptor_] {
+        asio::post(executors_.front(), [acceptor = acceptor_, shared = shared_,
+                                        connections = connections_, executors = executors_] {
+            accept_waiting(executors.front(), *acceptor, shared, connections);
             boost::system::error_code ignored;
             acceptor->close(ignored);
         });
+        shared_->stopping = true;
         for (const auto& open : connections_->all()) {
             open->close_if_idle();
         }
@@ -89,6 +91,29 @@
     }
 
 private:
+    // Takes the connections that the kernel has accepted: their callers may have sent a request.
+    static void accept_waiting(const asio::any_io_executor& executor, tcp::acceptor& acceptor,
+                               const std::shared_ptr<server_shared>& shared,
+                               const std::shared_ptr<connection_set>& connections) {
+        boost::system::error_code failure;
+        acceptor.non_blocking(true, failure);
+        while (!failure) {
+            tcp::socket socket{executor};
+            acceptor.accept(socket, failure);
+            if (!failure) {
+                serve(executor, std::move(socket), shared, connections);
+            }
+        }
+    }
+
+    static void serve(const asio::any_io_executor& executor, tcp::socket socket,
+                      const std::shared_ptr<server_shared>& shared,
+                      const std::shared_ptr<connection_set>& connections) {
+        detect_dead_peer(socket);
+        auto accepted = std::make_shared<server_connection>(shared, std::move(socket));
+        asio::co_spawn(executor, run_connection(std::move(accepted), connections), asio::detached);
+    }
+
     static awaitable<void> accept_loop(std::vector<asio::any_io_executor> executors,
                                        std::shared_ptr<tcp::acceptor> acceptor,
                                        std::shared_ptr<server_shared> shared,
@@ -105,10 +130,7 @@
                 continue;
             }
             if (!failure) {
-                detect_dead_peer(socket);
-                auto accepted = std::make_shared<server_connection>(shared, std::move(socket));
-                asio::co_spawn(executor, run_connection(std::move(accepted), connections),
-                               asio::detached);
+                serve(executor, std::move(socket), shared, connections);
             }
         }
     }
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -15,6 +15,20 @@
 namespace {
 
 constexpr std::size_t read_size = 4096; // most of a usual request in one system call
+// Beside the head: chunk headers and trailers have no limit of their own in the parser.
+constexpr std::size_t framing_limit = 64U << 10U;
+
+// Counts a request while it is being read and answered.
+class open_request {
+public:
+    explicit open_request(std::atomic<std::size_t>& count) : count_{count} { ++count_; }
+    ~open_request() { --count_; }
+    open_request(const open_request&) = delete;
+    open_request& operator=(const open_request&) = delete;
+
+private:
+    std::atomic<std::size_t>& count_;
+};
 
 error write_failure(const boost::system::error_code& failure) {
     return make_error(error_kind::connection_lost, failure.message());
@@ -24,7 +38,7 @@
 
 awaitable<void> server_connection::run() {
     bool reusable = true;
-    while (reusable && !shared_->stopping) {
+    while (reusable) {
         reusable = co_await serve_one();
     }
     close();
@@ -33,7 +47,7 @@
 void server_connection::close_if_idle() {
     asio::post(stream_.get_executor(), [self = shared_from_this()] {
         if (!self->serving_) {
-            self->close();
+            self->stream_.cancel(); // of a wait for a request; one that has come is served
         }
     });
 }
@@ -112,10 +126,12 @@
         co_return false;
     }
     serving_ = true;
+    const open_request counted{shared_->open_requests};
     const auto limits = shared_->limits();
     parser_type parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
+    buffer_.max_size(limits.header_bytes + framing_limit);
     boost::system::error_code failure;
     stream_.expires_after(limits.header_timeout);
     co_await beast::http::async_read_header(stream_, buffer_, parser, awaitable_into(failure));
@@ -137,11 +153,23 @@
         co_return true;
     }
     boost::system::error_code failure;
-    stream_.expires_after(shared_->limits().idle_timeout);
-    const auto size =
-        co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+    std::size_t size = 0;
+    if (!shared_->stopping) {
+        stream_.expires_after(shared_->limits().idle_timeout);
+        size =
+            co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+    }
+    if (size == 0 && shared_->stopping) {
+        // What the peer has sent before it could know of the stop is answered.
+        boost::system::error_code ignored;
+        if (stream_.socket().available(ignored) > 0) {
+            stream_.expires_after(shared_->limits().header_timeout);
+            size = co_await stream_.async_read_some(buffer_.prepare(read_size),
+                                                    awaitable_into(failure));
+        }
+    }
     buffer_.commit(size);
-    co_return !failure && size > 0;
+    co_return size > 0;
 }
 
 awaitable<bool> server_connection::answer(parser_type& parser) {
@@ -150,13 +178,11 @@
     answered_ = complete_ = false;
     const request incoming{std::string{message.method_string()}, std::string{message.target()},
                            read_headers(message), std::move(message.body())};
-    ++shared_->open_requests;
     stream_.expires_never();
     const auto stop_watching = watch_for_close();
     co_await handle_safely(incoming);
     on_peer_closed_ = nullptr;
     stop_watching->emit(asio::cancellation_type::all);
-    --shared_->open_requests;
     serving_ = false;
     co_return complete_&& keep_alive_ && !peer_closed_;
 }
@@ -178,7 +204,8 @@
     keep_alive_ = false;
     if (failure == beast::http::error::body_limit) {
         co_await send_problem(make_error(error_kind::too_large, failure.message()));
-    } else if (failure == beast::http::error::header_limit) {
+    } else if (failure == beast::http::error::header_limit ||
+               failure == beast::http::error::buffer_overflow) {
         co_await send_problem(make_error(error_kind::header_too_large, failure.message()));
     } else if (failure == beast::error::timeout) {
         co_await send_problem(
--- /dev/null
+++ b/libs/http/tests/hostile_peer_test.cpp
@@ -0,0 +1,277 @@
+// Calls to peers that send bytes without end, or answers that belong to no call.
+#include "http/client.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <sys/resource.h>
+#include <thread>
+
+using namespace boragefront;
+using namespace boragefront::http;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr seconds long_enough{20};
+// Callers leave a request that was not read for so long: the platform's rule.
+constexpr milliseconds unread_request_patience{1'000};
+// Of a call whose peer floods it: well before its deadline.
+constexpr seconds soon{8};
+
+auto into(boost::system::error_code& failure) {
+    return asio::redirect_error(asio::use_awaitable, failure);
+}
+
+// What a peer sends for each request: once `first`, then `repeated` until the caller closes.
+struct script {
+    std::string first;
+    std::string repeated{};
+    milliseconds pause{0}; ///< between repetitions
+};
+
+// A peer, and a client, on a thread each.
+class hostile_peer {
+public:
+    explicit hostile_peer(script plays) : script_{std::move(plays)} {
+        client_ = client::make(io_.get_executor());
+        asio::co_spawn(peer_io_, accept_loop(), asio::detached);
+        thread_ = std::thread{[this] { io_.run(); }};
+        peer_thread_ = std::thread{[this] { peer_io_.run(); }};
+    }
+    ~hostile_peer() {
+        io_.stop();
+        peer_io_.stop();
+        thread_.join();
+        peer_thread_.join();
+    }
+    hostile_peer(const hostile_peer&) = delete;
+    hostile_peer& operator=(const hostile_peer&) = delete;
+
+    std::string address() const {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    result<response> call(call_options options) {
+        std::promise<result<response>> promise;
+        auto future = promise.get_future();
+        asio::co_spawn(
+            io_,
+            [](hostile_peer& self, call_options with,
+               std::promise<result<response>>& told) -> awaitable<void> {
+                auto address = self.address();
+                request message;
+                auto answer = co_await self.client_->call(std::move(address), std::move(message),
+                                                          std::move(with));
+                told.set_value(std::move(answer));
+            }(*this, std::move(options), promise),
+            asio::detached);
+        return future.get();
+    }
+
+    result<std::optional<std::string>> first_line(time_point deadline) {
+        std::promise<result<std::optional<std::string>>> promise;
+        auto future = promise.get_future();
+        asio::co_spawn(
+            io_,
+            [](hostile_peer& self, time_point until,
+               std::promise<result<std::optional<std::string>>>& told) -> awaitable<void> {
+                auto address = self.address();
+                request message;
+                call_options options;
+                options.deadline = until;
+                auto opened =
+                    co_await self.client_->open(std::move(address), std::move(message), options);
+                if (!opened) {
+                    told.set_value(opened.error());
+                    co_return;
+                }
+                auto line = co_await opened.value()->next_line(until);
+                told.set_value(std::move(line));
+            }(*this, deadline, promise),
+            asio::detached);
+        return future.get();
+    }
+
+    int closed() const { return closed_; }
+    int accepted() const { return accepted_; }
+
+private:
+    awaitable<void> accept_loop() {
+        for (;;) {
+            boost::system::error_code failure;
+            auto socket = co_await acceptor_.async_accept(into(failure));
+            if (failure) {
+                co_return;
+            }
+            ++accepted_;
+            asio::co_spawn(peer_io_, play(std::move(socket)), asio::detached);
+        }
+    }
+
+    awaitable<void> play(tcp::socket socket) {
+        std::string read;
+        boost::system::error_code failure;
+        for (;;) {
+            const auto size = co_await asio::async_read_until(socket, asio::dynamic_buffer(read),
+                                                              "\r\n\r\n", into(failure));
+            if (failure) {
+                break;
+            }
+            read.erase(0, size);
+            co_await asio::async_write(socket, asio::buffer(script_.first), into(failure));
+            while (!failure && !script_.repeated.empty()) {
+                co_await asio::async_write(socket, asio::buffer(script_.repeated), into(failure));
+                if (script_.pause > milliseconds{0}) {
+                    asio::steady_timer timer{peer_io_, script_.pause};
+                    boost::system::error_code ignored;
+                    co_await timer.async_wait(into(ignored));
+                }
+            }
+        }
+        ++closed_;
+    }
+
+    script script_;
+    asio::io_context io_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard_{io_.get_executor()};
+    asio::io_context peer_io_{1};
+    tcp::acceptor acceptor_{peer_io_, tcp::endpoint{asio::ip::address_v4::loopback(), 0}};
+    std::unique_ptr<client> client_;
+    std::thread thread_;
+    std::thread peer_thread_;
+    std::atomic<int> closed_{0};
+    std::atomic<int> accepted_{0};
+};
+
+call_options within(milliseconds time) {
+    call_options options;
+    options.deadline = steady_clock::now() + time;
+    options.belongs = [](const response& head) { return head.headers.get("Id") == "mine"; };
+    return options;
+}
+
+bool becomes_true(const std::function<bool()>& condition) {
+    const auto until = steady_clock::now() + long_enough;
+    while (!condition() && steady_clock::now() < until) {
+        std::this_thread::sleep_for(milliseconds{1});
+    }
+    return condition();
+}
+
+std::size_t peak_memory_kb() {
+    rusage used{};
+    getrusage(RUSAGE_SELF, &used);
+    return static_cast<std::size_t>(used.ru_maxrss);
+}
+
+const std::string flood(16U << 10U, 'x');
+const std::string chunk_of_flood = "4000\r\n" + flood + "\r\n";
+const std::string chunked_head =
+    "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string foreign_head =
+    "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("trouble: bytes without end in a head or a body end the call and its connection") {
+    const std::vector<std::pair<std::string, script>> scripts{
+        {"one header", {"HTTP/1.1 200 OK\r\nLong: ", flood}},
+        {"ever more headers", {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"}},
+        {"no line at all", {"", flood}},
+        {"interim answers", {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"}},
+        {"chunks", {chunked_head, chunk_of_flood}},
+        {"a chunk extension", {chunked_head + "4;name=", flood}},
+        {"trailers", {chunked_head + "1\r\nx\r\n0\r\n", "Name: value\r\n"}},
+        {"a body up to the close", {"HTTP/1.1 200 OK\r\nId: mine\r\n\r\n", flood}},
+        {"another's answer", {foreign_head, chunk_of_flood}},
+    };
+    for (const auto& [name, plays] : scripts) {
+        INFO(name);
+        hostile_peer peer{plays};
+        const auto before = peak_memory_kb();
+        const auto began = steady_clock::now();
+        auto options = within(long_enough);
+        options.body_limit = 1U << 20U;
+        const auto answer = peer.call(options);
+        CHECK_FALSE(answer);
+        CHECK(answer.error().ran == work_ran::unknown);
+        CHECK(steady_clock::now() - began < soon);
+        CHECK(peak_memory_kb() - before < 32U << 10U);
+        CHECK(becomes_true([&] { return peer.closed() == 1; }));
+    }
+}
+
+TEST_CASE("trouble: another's answer that comes a byte now and then frees the call early") {
+    hostile_peer peer{{foreign_head, "1\r\nx\r\n", milliseconds{20}}};
+    const auto began = steady_clock::now();
+    const auto answer = peer.call(within(long_enough));
+    CHECK_FALSE(answer);
+    CHECK(steady_clock::now() - began < soon);
+}
+
+TEST_CASE("trouble: a line without an end is refused") {
+    hostile_peer peer{{chunked_head, chunk_of_flood}};
+    const auto line = peer.first_line(steady_clock::now() + long_enough);
+    REQUIRE_FALSE(line);
+    CHECK(line.error().kind == error_kind::too_large);
+}
+
+TEST_CASE("trouble: a flood does not keep other calls waiting") {
+    hostile_peer flooding{{chunked_head, chunk_of_flood}};
+    std::vector<std::thread> callers;
+    std::atomic<bool> over{false};
+    for (int i = 0; i < 4; ++i) {
+        callers.emplace_back([&] {
+            while (!over) {
+                auto options = within(long_enough);
+                options.fresh_connection = true;
+                (void)flooding.call(std::move(options));
+            }
+        });
+    }
+    // The same thread reads the floods and these.
+    milliseconds longest{0};
+    for (int i = 0; i < 50; ++i) {
+        const auto began = steady_clock::now();
+        auto options = within(milliseconds{1});
+        options.connect_timeout = milliseconds{1};
+        (void)flooding.call(std::move(options));
+        longest = std::max(longest, std::chrono::floor<milliseconds>(steady_clock::now() - began));
+    }
+    over = true;
+    for (auto& one : callers) {
+        one.join();
+    }
+    CHECK(longest < unread_request_patience);
+}
+
+TEST_CASE("interim answers are passed over") {
+    hostile_peer peer{{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"
+                       "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nwhole"}};
+    const auto answer = peer.call(within(long_enough));
+    REQUIRE(answer);
+    CHECK(answer.value().status == 200);
+    CHECK(answer.value().body == "whole");
+}
+
+TEST_CASE("trouble: a connection with bytes left over serves no other call") {
+    const std::string whole = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nwhole";
+    hostile_peer peer{{whole + whole}};
+    for (int i = 0; i < 3; ++i) {
+        REQUIRE(peer.call(within(long_enough)));
+    }
+    CHECK(peer.accepted() == 3);
+}
--- a/libs/peering/include/peering/peer_table.hpp
+++ b/libs/peering/include/peering/peer_table.hpp
@@ -29,7 +29,7 @@
     void heard_of(const std::vector<wire::entry_info>& peers, time_point now);
 
     /// Notes that a call to an address went unanswered.
-    void missed(const std::string& control_address);
+    void missed(const std::string& control_address, time_point now);
 
     /// Addresses to exchange news with now: a few random peers, and seeds that no known peer has.
     std::vector<std::string> targets(time_point now, random_source& random) const;
@@ -44,7 +44,11 @@
     /// Peers that answer.
     std::vector<wire::entry_info> alive(time_point now) const;
 
-    /// Those of them that take work.
+    /// Peers that do not answer, but were heard of within `window`: gone, or cut off from this
+    /// entry and still at work.
+    std::vector<wire::entry_info> silent(time_point now, milliseconds window) const;
+
+    /// Those of the peers that answer that take work.
     std::vector<wire::entry_info> serving(time_point now) const;
 
     /// How many entries may be at work, this one included: all that were alive within the last
@@ -62,7 +66,8 @@
     struct peer {
         wire::entry_info info;
         time_point heard_at{};
-        unsigned misses{0}; ///< calls that went unanswered since then
+        unsigned misses{0};     ///< calls that went unanswered since this entry last heard from it
+        time_point missed_at{}; ///< the last of them
     };
     bool is_alive(const peer& one, time_point now) const;
     milliseconds alive_for() const;
--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -35,7 +35,7 @@
         return;
     }
     auto& kept = peers_[told.control_address];
-    kept = {told, now, 0};
+    kept = {told, now};
 }
 
 void peer_table::heard_of(const std::vector<wire::entry_info>& peers, time_point now) {
@@ -53,10 +53,11 @@
     std::erase_if(peers_, [&](const auto& one) { return now - one.second.heard_at > known_for; });
 }
 
-void peer_table::missed(const std::string& control_address) {
+void peer_table::missed(const std::string& control_address, time_point now) {
     const auto found = peers_.find(control_address);
     if (found != peers_.end()) {
         ++found->second.misses;
+        found->second.missed_at = now;
     }
 }
 
@@ -65,8 +66,11 @@
     return std::min(alive_for_least * more / peers_with_fast_news, alive_for_most);
 }
 
+// One that was heard of after it last missed a call is back: in a large fleet, and after a cut that
+// hid many, it takes seconds until this entry happens to call it.
 bool peer_table::is_alive(const peer& one, time_point now) const {
-    return now - one.heard_at < alive_for() && one.misses < misses_until_dead;
+    return now - one.heard_at < alive_for() &&
+           (one.misses < misses_until_dead || one.heard_at > one.missed_at);
 }
 
 std::vector<std::string> peer_table::targets(time_point now, random_source& random) const {
@@ -118,6 +122,16 @@
     return all;
 }
 
+std::vector<wire::entry_info> peer_table::silent(time_point now, milliseconds window) const {
+    std::vector<wire::entry_info> all;
+    for (const auto& [address, one] : peers_) {
+        if (now - one.heard_at < window && !is_alive(one, now)) {
+            all.push_back(one.info);
+        }
+    }
+    return all;
+}
+
 std::vector<wire::entry_info> peer_table::serving(time_point now) const {
     auto all = alive(now);
     std::erase_if(all, [](const auto& one) { return !one.serving; });
--- a/libs/peering/tests/peer_table_test.cpp
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -46,13 +46,36 @@
     CHECK(table.targets(start, random).size() == 3); // a, c, and the seed b
 }
 
+// The pattern of a cut that hid many entries from this one, and heals.
+TEST_CASE("an entry that missed calls is back once others have heard it since") {
+    auto table = peer_table::make("self", {});
+    table.heard_from(make_peer("a"), start);
+    table.heard_from(make_peer("b"), start);
+    const auto cut = start + milliseconds{500};
+    table.missed("a:1", cut);
+    table.missed("a:1", cut);
+    table.heard_of({make_peer("a", true, milliseconds{300})}, cut + milliseconds{200});
+    CHECK(ids_of(table.alive(cut + milliseconds{200})) == ids{"b"}); // heard before the misses
+    table.heard_of({make_peer("a", true, milliseconds{100})}, cut + milliseconds{400});
+    CHECK(ids_of(table.alive(cut + milliseconds{400})) == ids{"a", "b"});
+}
+
+TEST_CASE("entries that fell silent lately are told apart from those that answer") {
+    auto table = peer_table::make("self", {});
+    table.heard_from(make_peer("a"), start);
+    table.heard_from(make_peer("b"), start + seconds{5});
+    const auto now = start + seconds{5};
+    CHECK(ids_of(table.silent(now, seconds{20})) == ids{"a"});
+    CHECK(table.silent(now, seconds{4}).empty());
+}
+
 TEST_CASE("an entry that is silent, or misses two calls, counts as dead until it is heard again") {
     auto table = peer_table::make("self", {});
     table.heard_from(make_peer("a"), start);
     table.heard_from(make_peer("b"), start);
-    table.missed("a:1");
+    table.missed("a:1", start);
     CHECK(table.alive(start).size() == 2);
-    table.missed("a:1");
+    table.missed("a:1", start);
     CHECK(ids_of(table.alive(start)) == ids{"b"});
     CHECK(table.alive(start + seconds{2}).empty());
     table.heard_from(make_peer("a"), start + seconds{2});
@@ -130,7 +153,7 @@
                     continue;
                 }
                 if (other == dead) {
-                    tables[i].missed(address);
+                    tables[i].missed(address, now);
                     continue;
                 }
                 const auto told = tables[i].news(now, random);
--- a/libs/stages/include/stages/piece.hpp
+++ b/libs/stages/include/stages/piece.hpp
@@ -55,8 +55,9 @@
 struct finished_group {
     std::uint64_t id{0};
     std::vector<piece_result> results; ///< in the order of its pieces
-    bool expired{false};               ///< given up because it was useless by then
+    bool expired{false};               ///< given up because it cannot be made in its time
     std::string request_id{};          ///< of an expired group, for logs
+    milliseconds retry_after{0};       ///< of an expired group: when one like it would be made
 };
 
 } // namespace boragefront::stages
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -11,10 +11,12 @@
 #include "stages/piece.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace boragefront::stages {
@@ -64,6 +66,14 @@
                        const std::set<std::string, std::less<>>& evacuated,
                        const std::string& service, time_point now);
 
+    /// Names the endpoints that a dispatcher which this one cannot see is likely to use
+    /// (`endpoints_of_silent`). They get calls only while the others are far behind.
+    void set_others_share(std::set<std::string, std::less<>> endpoints);
+
+    /// Names the data centres that cannot be reached. Their endpoints get nothing, unless there are
+    /// no others.
+    void set_avoided(std::set<std::string, std::less<>> data_centres);
+
     /// Takes a group in, or refuses one that cannot be made before it is useless.
     admission offer(piece_group group, time_point now);
 
@@ -107,6 +117,8 @@
     struct endpoint_state {
         catalog::endpoint self;
         bool in_service{true};
+        bool avoided{false};   // its data centre cannot be reached
+        bool of_others{false}; // likely used by a dispatcher that this one cannot see
         unsigned calls{0};
         time_point busy_until{};
         time_point held_until{};
@@ -150,6 +162,7 @@
         std::set<std::string> passed_over;            // endpoints to which nothing goes now
     };
 
+    void mark_avoided();
     double slowdown_now(const endpoint_state& one, time_point now) const;
     double capacity_endpoints(time_point now) const;
     milliseconds queue_time(std::size_t pieces, time_point now) const;
@@ -172,6 +185,9 @@
     endpoint_state* soonest(std::size_t pieces, const planning& plan);
     stage_call start(endpoint_state& where, const std::vector<call_piece>& pieces, time_point now);
     void expire(time_point now);
+    void refuse_hopeless(time_point now);
+    void give_up(std::map<std::uint64_t, group_state>::iterator group, milliseconds retry_after);
+    milliseconds retry_after(milliseconds expected, const piece_group& group, time_point now) const;
     void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
     void forgive_attempt(std::uint64_t group, std::size_t index);
     void retry_piece(std::uint64_t group, std::size_t index, piece_outcome reason);
@@ -184,8 +200,12 @@
     std::map<std::uint64_t, call_state> calls_;
     std::vector<finished_group> finished_;
     std::vector<std::string> orphans_;
-    std::map<std::string, held_result> held_; // by handle
+    std::map<std::string, held_result> held_;                   // by handle
+    std::deque<std::pair<time_point, std::string>> held_order_; // by expiry, released ones included
+    std::set<std::string, std::less<>> others_share_;
+    std::set<std::string, std::less<>> avoided_;
     std::uint64_t next_call_{1};
+    time_point next_hopeless_look_{};
 };
 
 } // namespace boragefront::stages
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -43,14 +43,14 @@
 }
 
 bool stage_queue::is_idle(const endpoint_state& one, time_point now) const {
-    return one.in_service && one.calls < capacity_.calls && now >= one.held_until;
+    return one.in_service && !one.avoided && one.calls < capacity_.calls && now >= one.held_until;
 }
 
 // The data centres with an endpoint that is worth waiting for.
 std::set<std::string, std::less<>> stage_queue::near_data_centres(time_point now) const {
     std::set<std::string, std::less<>> usable;
     for (const auto& [id, one] : endpoints_) {
-        if (one.in_service && now >= one.held_until &&
+        if (one.in_service && !one.avoided && now >= one.held_until &&
             slowdown_now(one, now) < near_slowdown_limit) {
             usable.insert(one.self.data_centre);
         }
@@ -129,7 +129,7 @@
     endpoint_state* best = nullptr;
     auto best_end = time_point::max();
     for (auto& [id, one] : endpoints_) {
-        if (!one.in_service || plan.passed_over.contains(id)) {
+        if (!one.in_service || one.avoided || plan.passed_over.contains(id)) {
             continue;
         }
         auto free_at = std::max(plan.now, one.held_until);
@@ -139,7 +139,11 @@
         if (const auto later = plan.busy_until.find(id); later != plan.busy_until.end()) {
             free_at = std::max(free_at, later->second);
         }
-        const auto end = free_at + scaled(nominal, slowdown_now(one, plan.now));
+        auto end = free_at + scaled(nominal, slowdown_now(one, plan.now));
+        if (one.of_others) {
+            // Its own dispatcher may have a call in progress there.
+            end += service_time(capacity_.batch);
+        }
         if (end < best_end) {
             best = &one;
             best_end = end;
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -17,11 +17,14 @@
 constexpr milliseconds first_hold{150};
 constexpr milliseconds longest_hold{3'000};
 constexpr unsigned most_doublings = 3;
-constexpr milliseconds full_hold{40};        // until a full endpoint is asked again
-constexpr milliseconds room_look{25};        // until an endpoint without room is looked at again
-constexpr seconds foreign_lifetime{1};       // results are read and freed within about a second
-constexpr milliseconds missing_grace{1'200}; // as for endpoints that missed the platform's list
+constexpr milliseconds full_hold{40};         // until a full endpoint is asked again
+constexpr milliseconds others_full_hold{250}; // the same of one that another queue has a right to
+constexpr milliseconds room_look{25};         // until an endpoint without room is looked at again
+constexpr seconds foreign_lifetime{1};        // results are read and freed within about a second
+constexpr milliseconds missing_grace{1'200};  // as for endpoints that missed the platform's list
 constexpr milliseconds far_away{60'000};
+constexpr milliseconds hopeless_look{50}; // between looks for groups that cannot be made in time
+constexpr milliseconds short_hold{500};   // an endpoint that is held for less counts as capacity
 
 } // namespace
 
@@ -51,11 +54,38 @@
             kept = endpoint_state{};
         }
         kept.self = one;
+        kept.of_others = others_share_.contains(one.id);
         const bool missing = one.removed_at && now - *one.removed_at > missing_grace;
         kept.in_service = one.state == catalog::endpoint_state::ready && !missing &&
                           !evacuated.contains(one.data_centre);
     }
     std::erase_if(endpoints_, [&](const auto& one) { return !listed.contains(one.first); });
+    mark_avoided();
+}
+
+void stage_queue::set_avoided(std::set<std::string, std::less<>> data_centres) {
+    if (data_centres != avoided_) {
+        avoided_ = std::move(data_centres);
+        mark_avoided();
+    }
+}
+
+void stage_queue::mark_avoided() {
+    bool others = false;
+    for (auto& [id, one] : endpoints_) {
+        one.avoided = avoided_.contains(one.self.data_centre);
+        others = others || (one.in_service && !one.avoided);
+    }
+    for (auto& [id, one] : endpoints_) {
+        one.avoided = one.avoided && others;
+    }
+}
+
+void stage_queue::set_others_share(std::set<std::string, std::less<>> endpoints) {
+    others_share_ = std::move(endpoints);
+    for (auto& [id, one] : endpoints_) {
+        one.of_others = others_share_.contains(id);
+    }
 }
 
 milliseconds stage_queue::service_time(std::size_t pieces) const {
@@ -73,7 +103,8 @@
 double stage_queue::capacity_endpoints(time_point now) const {
     double sum = 0;
     for (const auto& [id, one] : endpoints_) {
-        if (one.in_service && now >= one.held_until) {
+        const bool usable = one.in_service && !one.avoided && !one.of_others;
+        if (usable && now + short_hold >= one.held_until) {
             sum += 1 / std::max(slowdown_now(one, now), 1.0);
         }
     }
@@ -96,8 +127,7 @@
     }
     const auto expected = queue_time(ahead, now) + own;
     if (now + expected > group.useless_at) {
-        const auto fits = now + expected - (group.useless_at - now);
-        return {false, expected, std::chrono::ceil<milliseconds>(std::max(fits, now) - now)};
+        return {false, expected, retry_after(expected, group, now)};
     }
     group_state state;
     state.results.resize(group.pieces.size());
@@ -125,20 +155,51 @@
     groups_.erase(found);
 }
 
+// When a group with as much time as this one has left would be made.
+milliseconds stage_queue::retry_after(milliseconds expected, const piece_group& group,
+                                      time_point now) const {
+    const auto left = std::max(group.useless_at - now, duration{0});
+    return std::chrono::ceil<milliseconds>(std::max(expected - left, duration{0}));
+}
+
+void stage_queue::give_up(std::map<std::uint64_t, group_state>::iterator group,
+                          milliseconds after) {
+    for (const auto& result : group->second.results) {
+        if (!result.handle.empty()) {
+            orphans_.push_back(result.handle);
+        }
+    }
+    finished_.push_back(
+        {group->first, {}, true, group->second.group.pieces.front().request_id, after});
+    groups_.erase(group);
+}
+
 void stage_queue::expire(time_point now) {
     for (auto entry = groups_.begin(); entry != groups_.end();) {
-        auto& [id, one] = *entry;
-        const bool waits = !one.waiting.empty();
-        if (waits && now + service_time(1) > one.group.useless_at) {
-            for (const auto& result : one.results) {
-                if (!result.handle.empty()) {
-                    orphans_.push_back(result.handle);
-                }
-            }
-            finished_.push_back({id, {}, true, one.group.pieces.front().request_id});
-            entry = groups_.erase(entry);
+        const auto one = entry++;
+        const bool waits = !one->second.waiting.empty();
+        if (waits && now + service_time(1) > one->second.group.useless_at) {
+            give_up(one, queue_time(waiting_pieces(), now));
+        }
+    }
+}
+
+// Groups to which those before them leave no time. Later arrivals can only push them further back,
+// so their callers are told now rather than at the end of their time.
+void stage_queue::refuse_hopeless(time_point now) {
+    if (now < next_hopeless_look_ || waiting_pieces() <= capacity_.batch) {
+        return;
+    }
+    next_hopeless_look_ = now + hopeless_look;
+    std::size_t ahead = 0;
+    for (auto* const one : in_order(now)) {
+        const auto pieces = one->waiting.size();
+        const auto expected = queue_time(ahead, now) + service_time(pieces);
+        const bool begun = one->open > pieces; // some of it is being made
+        if (!begun && now + expected > one->group.useless_at) {
+            give_up(groups_.find(one->group.id), retry_after(expected, one->group, now));
         } else {
-            ++entry;
+            ahead += pieces;
         }
     }
 }
@@ -172,8 +233,9 @@
     const auto found = endpoints_.find(endpoint);
     if (found != endpoints_.end()) {
         found->second.held_bytes += bytes;
-        held_.insert_or_assign(handle,
-                               held_result{endpoint, bytes, now + capacity_.result_lifetime});
+        const auto expires_at = now + capacity_.result_lifetime;
+        held_.insert_or_assign(handle, held_result{endpoint, bytes, expires_at});
+        held_order_.emplace_back(expires_at, handle);
     }
 }
 
@@ -197,10 +259,9 @@
 // Makers drop results that nobody frees.
 void stage_queue::expire_results(time_point now) {
     std::vector<std::string> expired;
-    for (const auto& [handle, one] : held_) {
-        if (one.expires_at <= now) {
-            expired.push_back(handle);
-        }
+    while (!held_order_.empty() && held_order_.front().first <= now) {
+        expired.push_back(std::move(held_order_.front().second));
+        held_order_.pop_front();
     }
     (void)release(expired);
 }
@@ -281,8 +342,8 @@
             break;
         case call_outcome::refused:
             // Another queue uses it too, and each refusal costs both sides.
-            one.held_until =
-                now + full_hold * (1U << std::min(one.refusals_in_row, most_doublings));
+            one.held_until = now + (one.of_others ? others_full_hold : full_hold) *
+                                       (1U << std::min(one.refusals_in_row, most_doublings));
             ++one.refusals_in_row;
             break;
         case call_outcome::silent:
@@ -331,6 +392,7 @@
 
 std::vector<finished_group> stage_queue::take_finished(time_point now) {
     expire(now);
+    refuse_hopeless(now);
     return std::exchange(finished_, {});
 }
 
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -54,6 +54,82 @@
     CHECK(order == std::vector<std::string>{"3", "1", "2"});
 }
 
+// Answers the pattern of an overload in which groups that have become late wait behind all newer
+// ones until their callers leave.
+TEST_CASE_METHOD(queue_fixture, "a group that others leave no time is given up before its end") {
+    add_endpoint("one");
+    (void)hold_endpoint();
+    auto late = make_group(1, 8);
+    late.priority = 2;
+    late.useless_at = now + seconds{3};
+    REQUIRE(queue.offer(std::move(late), now).accepted);
+    for (std::uint64_t id = 2; id < 16; ++id) {
+        offer(id, 8); // some 280 ms each, and more urgent
+    }
+    CHECK(queue.next_calls(now).empty());
+    const auto ended = queue.take_finished(now);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].id == 1);
+    CHECK(ended[0].expired);
+    CHECK(ended[0].retry_after > milliseconds{500});
+    CHECK(queue.waiting_pieces() == 14 * 8);
+}
+
+TEST_CASE_METHOD(queue_fixture, "a group that is partly made is not given up for a long queue") {
+    add_endpoint("one");
+    auto begun = make_group(1, 12);
+    begun.priority = 2;
+    begun.useless_at = now + seconds{3};
+    REQUIRE(queue.offer(std::move(begun), now).accepted);
+    REQUIRE(queue.next_calls(now).size() == 1);
+    for (std::uint64_t id = 2; id < 16; ++id) {
+        offer(id, 8);
+    }
+    CHECK(queue.take_finished(now).empty());
+}
+
+// Answers the pattern of a service whose endpoints all refuse a call or two for a moment.
+TEST_CASE_METHOD(queue_fixture, "endpoints that are held for a moment still count as capacity") {
+    add_endpoint("one");
+    offer(1, 8);
+    const auto calls = queue.next_calls(now);
+    REQUIRE(calls.size() == 1);
+    queue.call_ended(calls[0].id, call_outcome::refused, {}, now);
+    auto next = make_group(2, 8);
+    next.useless_at = now + milliseconds{700};
+    CHECK(queue.offer(std::move(next), now).accepted);
+}
+
+TEST_CASE_METHOD(queue_fixture, "an endpoint that another queue has a right to is taken last") {
+    add_endpoint("one");
+    add_endpoint("two");
+    queue.set_others_share({"one"});
+    offer(1, 2);
+    const auto first = queue.next_calls(now);
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].endpoint == "two");
+    offer(2, 2); // the own one is busy for less than a full call
+    CHECK(queue.next_calls(now).empty());
+    offer(3, 8);
+    offer(4, 8); // now it is far behind
+    const auto more = queue.next_calls(now);
+    REQUIRE(more.size() == 1);
+    CHECK(more[0].endpoint == "one");
+}
+
+TEST_CASE_METHOD(queue_fixture, "nothing goes to a data centre that cannot be reached") {
+    add_endpoint("here", "a");
+    add_endpoint("there", "b");
+    queue.set_avoided({"b"});
+    offer(1, 8);
+    offer(2, 8);
+    const auto calls = queue.next_calls(now);
+    REQUIRE(calls.size() == 1);
+    CHECK(calls[0].endpoint == "here");
+    queue.set_avoided({"a", "b"}); // then any is better than none
+    CHECK(queue.next_calls(now).size() == 1);
+}
+
 TEST_CASE_METHOD(queue_fixture, "the pieces of an endpoint that fails are made elsewhere") {
     add_endpoint("one");
     add_endpoint("two");
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -157,6 +157,7 @@
     std::uint64_t ticket{0};
     bool expired{false};
     std::vector<stages::piece_result> results;
+    milliseconds retry_after{0}; ///< of an expired group
 };
 struct pieces_done_answer {};
 
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -159,6 +159,7 @@
     out.set_dispatcher(message.dispatcher);
     out.set_ticket(message.ticket);
     out.set_expired(message.expired);
+    out.set_retry_after_ms(static_cast<std::uint64_t>(message.retry_after.count()));
     for (const auto& result : message.results) {
         auto& one = *out.add_results();
         one.set_outcome(static_cast<std::uint32_t>(result.outcome));
@@ -167,7 +168,8 @@
 }
 
 result<request> read(const pb::pieces_done_request& in) {
-    pieces_done_request read{in.dispatcher(), in.ticket(), in.expired(), {}};
+    pieces_done_request read{
+        in.dispatcher(), in.ticket(), in.expired(), {}, read_milliseconds(in.retry_after_ms())};
     for (const auto& one : in.results()) {
         if (one.outcome() > static_cast<std::uint32_t>(stages::piece_outcome::failed)) {
             return malformed("outcome");
--- a/libs/wire/tests/entry_codec_test.cpp
+++ b/libs/wire/tests/entry_codec_test.cpp
@@ -41,11 +41,13 @@
         "entry-2",
         9,
         false,
-        {{stages::piece_outcome::made, "h/1"}, {stages::piece_outcome::input_gone, ""}}};
+        {{stages::piece_outcome::made, "h/1"}, {stages::piece_outcome::input_gone, ""}},
+        milliseconds{70}};
     const auto read = decode_request(encode(request{sent}));
     REQUIRE(read);
     const auto& got = std::get<pieces_done_request>(read.value());
     CHECK(got.dispatcher == "entry-2");
+    CHECK(got.retry_after == milliseconds{70});
     REQUIRE(got.results.size() == 2);
     CHECK(got.results[0].handle == "h/1");
     CHECK(got.results[1].outcome == stages::piece_outcome::input_gone);
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -82,6 +82,7 @@
 
     tcp::socket socket;
     beast::flat_buffer buffer;
+    int served{0}; ///< requests answered on it
 };
 
 endpoint_stand_in::endpoint_stand_in(asio::any_io_executor executor, std::string id)
@@ -169,6 +170,7 @@
             with->socket.close();
             co_return;
         }
+        ++with->served;
     }
 }
 
@@ -213,6 +215,13 @@
     const unsigned status = mode == endpoint_mode::failing ? 500 : 200;
     const std::string body = "answer to " + id;
     const auto whole = with_body(head_of(status, id, mode != endpoint_mode::no_receipt), body);
+    if (mode == endpoint_mode::anonymous_refusal_first && with.served > 0) {
+        (void)co_await with.send("HTTP/1.1 503 Full\r\nBoragefront-Not-Executed: 1\r\n"
+                                 "Content-Length: 0\r\n\r\n");
+    }
+    if (mode == endpoint_mode::flooding) {
+        co_return co_await flood(with, visit);
+    }
     if (mode == endpoint_mode::other_first) {
         (void)co_await with.send(with_body(head_of(200, "another", true), "answer to another"));
     }
@@ -229,14 +238,35 @@
     co_return sent;
 }
 
+asio::awaitable<bool> endpoint_stand_in::flood(connection& with, std::size_t visit) {
+    constexpr std::size_t portion = 16'384;
+    const auto bytes = chunk(std::string(portion, 'x'));
+    bool reached = co_await with.send(head_of(200, visits_[visit].id, true) +
+                                      "Transfer-Encoding: chunked\r\n\r\n");
+    while (reached) {
+        reached = co_await with.send(bytes);
+    }
+    visits_[visit].left = true;
+    co_return false;
+}
+
 asio::awaitable<bool> endpoint_stand_in::answer_stream(connection& with, std::size_t visit,
                                                        endpoint_mode mode) {
     const auto id = visits_[visit].id;
     const std::string last{visits_[visit].message.headers.get("Last-Event-Id")};
     int number = last.empty() ? 0 : std::stoi(last);
+    if (mode == endpoint_mode::flooding) {
+        co_return co_await flood(with, visit);
+    }
     (void)co_await with.send(head_of(200, id, true) + "Content-Type: text/event-stream\r\n" +
                              "Transfer-Encoding: chunked\r\n\r\n");
     for (int sent = 0; number < events; ++sent) {
+        while (mode == endpoint_mode::trickling && sent == cut_after) {
+            if (!co_await with.send(chunk(": still here\n\n")) || !co_await with.wait(gap)) {
+                visits_[visit].left = true;
+                co_return false;
+            }
+        }
         ++number;
         if (mode == endpoint_mode::cut && sent == cut_after) {
             (void)co_await with.send(chunk(event(number).substr(0, 6)));
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -29,6 +29,11 @@
     cut,         ///< breaks off in the middle of the answer
     inputs_gone, ///< states that a result is gone and that it did not run
     no_receipt,  ///< answers without a receipt
+    /// On a connection that has served before: runs the request, and sends a refusal that names no
+    /// request before its answer, as a late one to an earlier request.
+    anonymous_refusal_first,
+    trickling, ///< after `cut_after` events sends a comment now and then, without end
+    flooding,  ///< sends a body without end
 };
 
 /// A result of stage work.
@@ -91,6 +96,7 @@
                                               endpoint_mode mode);
     boost::asio::awaitable<bool> answer_stream(connection& with, std::size_t visit,
                                                endpoint_mode mode);
+    boost::asio::awaitable<bool> flood(connection& with, std::size_t visit);
     boost::asio::awaitable<bool> answer_pieces(connection& with, std::size_t visit);
     endpoint_mode take_mode();
 
--- a/tests/gateway/src/store_stand_in.cpp
+++ b/tests/gateway/src/store_stand_in.cpp
@@ -100,6 +100,7 @@
     ++calls_;
     switch (mode_) {
     case store_mode::sound:
+    case store_mode::deaf:
         break;
     case store_mode::refusing:
         (void)co_await out.send(status_answer(status_unavailable));
@@ -146,14 +147,16 @@
     const auto wait = parse_number(http::query_value(message.target, "wait_ms")).value_or(0);
     const auto until = steady_clock::now() + milliseconds{wait};
     for (;;) {
-        if (mode_ != store_mode::sound || after < forgotten_) {
-            const bool forgotten = mode_ == store_mode::sound;
+        const bool answers = mode_ == store_mode::sound || mode_ == store_mode::deaf;
+        if (!answers || after < forgotten_) {
+            const bool forgotten = answers;
             (void)co_await out.send(status_answer(forgotten ? status_gone : status_unavailable));
             co_return;
         }
         json::array events;
         for (const auto& one : history_) {
-            if (one.at > after && one.key.starts_with(prefix)) {
+            const bool heard = mode_ != store_mode::deaf;
+            if (heard && one.at > after && one.key.starts_with(prefix)) {
                 events.push_back(to_json(one.key, one.at, one.value));
             }
         }
--- a/tests/gateway/src/store_stand_in.hpp
+++ b/tests/gateway/src/store_stand_in.hpp
@@ -24,6 +24,7 @@
     refusing, ///< 503 to every call
     limiting, ///< 429 to every call
     silent,   ///< takes calls and never answers
+    deaf,     ///< watches hear of no change, and end as if there were none
 };
 
 /// All functions on its executor's thread.
--- /dev/null
+++ b/tests/gateway/trouble_test.cpp
@@ -0,0 +1,215 @@
+// What operators of similar systems saw go wrong, and endpoints that send bytes without end.
+#include "deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace boragefront;
+using namespace boragefront::gateway_tests;
+
+namespace {
+
+// What a caller still waits for an endpoint, of 3 s in all.
+constexpr milliseconds soon{2'500};
+
+std::size_t lines_of(int events) {
+    return static_cast<std::size_t>(events) * 3;
+}
+
+} // namespace
+
+TEST_CASE("trouble: a late refusal that names no request is not believed", "[invariant]") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "orders");
+    system.on_loop([&] { one.set_mode(endpoint_mode::anonymous_refusal_first); });
+    auto& gateway = system.start_ready_gateway();
+    int doubted = 0;
+    constexpr int orders = 20;
+    for (int i = 0; i < orders; ++i) {
+        const auto before = system.on_loop([&] { return one.runs(); });
+        const auto answer = system.call(
+            gateway, deployment::make_request("order.example", "r" + std::to_string(i)));
+        REQUIRE(answer);
+        const auto status = answer.value().status;
+        const auto ran = system.on_loop([&] { return one.runs(); }) - before;
+        INFO("status " << status << ", ran " << ran);
+        // An endpoint that is doubted repeatedly gets no orders for a while, and these are refused.
+        CHECK((ran == 0 ? status == 503 : ran == 1 && (status == 200 || status == 502)));
+        doubted += status == 502 ? 1 : 0;
+    }
+    CHECK(doubted > 0);
+}
+
+TEST_CASE("trouble: a slow stream that may not move is waited for") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    constexpr int events = 4;
+    system.on_loop([&] {
+        one.events = events;
+        one.gap = milliseconds{1'300};
+    });
+    const auto* const host = GENERATE("once.example", "stream.example");
+    INFO(host);
+    auto& gateway = system.start_ready_gateway();
+    const auto answer = system.call_lines(gateway, deployment::make_request(host, "r1"));
+    REQUIRE(answer);
+    CHECK_FALSE(answer.value().broken);
+    CHECK(answer.value().lines.size() == lines_of(events));
+    CHECK(system.on_loop([&] { return one.runs(); }) == 1);
+}
+
+TEST_CASE("trouble: a sound stream of many events at the longest pause is whole") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    auto& two = system.add_endpoint("i-2", "model");
+    constexpr int events = 15;
+    system.on_loop([&] {
+        one.events = two.events = events;
+        one.gap = two.gap = milliseconds{390};
+    });
+    auto& gateway = system.start_ready_gateway();
+    const auto answer =
+        system.call_lines(gateway, deployment::make_request("stream.example", "r1"));
+    REQUIRE(answer);
+    CHECK_FALSE(answer.value().broken);
+    CHECK(answer.value().lines.size() == lines_of(events));
+    CHECK(system.on_loop([&] { return one.runs() + two.runs(); }) == 1);
+}
+
+TEST_CASE("trouble: a stream that stalls with a comment now and then goes on elsewhere") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    auto& two = system.add_endpoint("i-2", "model");
+    constexpr int events = 7;
+    system.on_loop([&] {
+        one.events = two.events = events;
+        one.gap = milliseconds{20};
+        one.set_mode(endpoint_mode::trickling);
+    });
+    auto& gateway = system.start_ready_gateway();
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = system.call_lines(
+            gateway, deployment::make_request("stream.example", "r" + std::to_string(i)));
+        REQUIRE(answer);
+        CHECK_FALSE(answer.value().broken);
+        const auto& lines = answer.value().lines;
+        CHECK(std::count(lines.begin(), lines.end(), "id: 7") == 1);
+    }
+}
+
+TEST_CASE("trouble: a stalled stream that may not move ends when its caller would leave") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    system.on_loop([&] {
+        one.events = 7;
+        one.gap = milliseconds{20};
+        one.set_mode(endpoint_mode::trickling);
+    });
+    auto& gateway = system.start_ready_gateway();
+    const auto began = steady_clock::now();
+    const auto answer = system.call_lines(gateway, deployment::make_request("once.example", "r1"));
+    REQUIRE(answer);
+    CHECK(answer.value().broken);
+    CHECK(steady_clock::now() - began < seconds{8}); // its time-out is 9 s
+    CHECK(system.becomes_true([&] { return one.visits().front().left; }));
+}
+
+TEST_CASE("trouble: a body without end is given up, and what may be repeated goes elsewhere") {
+    deployment system;
+    system.publish_configuration();
+    const bool repeatable = GENERATE(true, false);
+    const auto* const service = repeatable ? "plain" : "orders";
+    auto& one = system.add_endpoint("i-1", service);
+    auto& two = system.add_endpoint("i-2", service);
+    system.on_loop([&] {
+        one.set_mode(endpoint_mode::flooding);
+        if (!repeatable) {
+            two.set_mode(endpoint_mode::flooding);
+        }
+    });
+    auto& gateway = system.start_ready_gateway();
+    const auto began = steady_clock::now();
+    const auto answer = system.call(
+        gateway, deployment::make_request(repeatable ? "plain.example" : "order.example", "r1"));
+    REQUIRE(answer);
+    CHECK(answer.value().status == (repeatable ? 200U : 502U));
+    CHECK(steady_clock::now() - began < soon);
+    if (!repeatable) {
+        CHECK(system.on_loop([&] { return one.runs() + two.runs(); }) == 1);
+    }
+}
+
+TEST_CASE("trouble: an event without end is given up, and its stream goes on elsewhere") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    auto& two = system.add_endpoint("i-2", "model");
+    constexpr int events = 5;
+    system.on_loop([&] {
+        one.events = two.events = events;
+        one.set_mode(endpoint_mode::flooding);
+    });
+    auto& gateway = system.start_ready_gateway();
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = system.call_lines(
+            gateway, deployment::make_request("stream.example", "r" + std::to_string(i)));
+        REQUIRE(answer);
+        CHECK(answer.value().lines.size() == lines_of(events));
+    }
+}
+
+TEST_CASE("trouble: an endpoint whose entry lapses keeps its running work") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    auto& two = system.add_endpoint("i-2", "model");
+    constexpr int events = 40;
+    system.on_loop([&] {
+        one.events = two.events = events;
+        one.gap = two.gap = milliseconds{100};
+    });
+    auto& gateway = system.start_ready_gateway();
+    auto stream = std::async(std::launch::async, [&] {
+        return system.call_lines(gateway, deployment::make_request("stream.example", "r1"));
+    });
+    CHECK(system.becomes_true([&] { return one.runs() + two.runs() == 1; }));
+    system.remove(one);
+    system.remove(two);
+    std::this_thread::sleep_for(milliseconds{1'500});
+    system.register_again(one, "model", "ready");
+    system.register_again(two, "model", "ready");
+    const auto answer = stream.get();
+    REQUIRE(answer);
+    CHECK_FALSE(answer.value().broken);
+    CHECK(answer.value().lines.size() == lines_of(events));
+    CHECK(system.on_loop([&] { return one.runs() + two.runs(); }) == 1);
+}
+
+TEST_CASE("trouble: a change that a watch missed before history was dropped comes into force") {
+    deployment system;
+    system.publish_configuration("plain");
+    system.add_endpoint("i-1", "plain");
+    auto& after = system.add_endpoint("i-2", "other");
+    auto& gateway = system.start_ready_gateway();
+    system.on_loop([&] { system.store().set_mode(store_mode::deaf); });
+    system.publish_configuration("other");
+    // Each watch ends once, without the change.
+    const auto calls = system.on_loop([&] { return system.store().calls(); });
+    CHECK(system.becomes_true([&] { return system.store().calls() >= calls + 3; }));
+    system.on_loop([&] {
+        system.store().compact();
+        system.store().set_mode(store_mode::sound);
+    });
+    const auto until = steady_clock::now() + seconds{10};
+    const auto runs = [&] { return system.on_loop([&] { return after.runs(); }); };
+    while (runs() == 0 && steady_clock::now() < until) {
+        (void)system.call(gateway, deployment::make_request("plain.example", "probe"));
+    }
+    CHECK(runs() > 0);
+}
