--- a/libs/catalog/tests/replica_test.cpp
+++ b/libs/catalog/tests/replica_test.cpp
@@ -143,6 +143,7 @@
         }
         if (random() % 9 == 0) {
             std::vector<published_item> all;
+            all.reserve(live.size());
             for (const auto& [name, item] : live) {
                 all.push_back(item);
             }
--- a/libs/http/tests/hostile_peer_test.cpp
+++ b/libs/http/tests/hostile_peer_test.cpp
@@ -231,9 +231,11 @@
 
 TEST_CASE("trouble: a flood does not keep other calls waiting") {
     hostile_peer flooding{{chunked_head, chunk_of_flood}};
+    constexpr int floods = 4;
     std::vector<std::thread> callers;
+    callers.reserve(floods);
     std::atomic<bool> over{false};
-    for (int i = 0; i < 4; ++i) {
+    for (int i = 0; i < floods; ++i) {
         callers.emplace_back([&] {
             while (!over) {
                 auto options = within(long_enough);
--- a/libs/stages/tests/divided_fleet_test.cpp
+++ b/libs/stages/tests/divided_fleet_test.cpp
@@ -97,8 +97,8 @@
         bool full;
     };
     struct asked_group {
-        time_point wanted_by;
-        bool during;
+        time_point wanted_by{};
+        bool during{false};
     };
 
     static sharing_entry entry(std::size_t number) {
@@ -264,12 +264,14 @@
 
 TEST_CASE("an entry to which no endpoint falls has one all the same") {
     std::vector<catalog::endpoint> endpoints(2);
-    std::vector<sharing_entry> silent;
     for (std::size_t i = 0; i < 2; ++i) {
         endpoints[i].id = "endpoint-" + std::to_string(i);
         endpoints[i].service = "stage";
     }
-    for (int i = 0; i < 300; ++i) {
+    constexpr int entries = 300;
+    std::vector<sharing_entry> silent;
+    silent.reserve(entries);
+    for (int i = 0; i < entries; ++i) {
         silent.push_back({"entry-" + std::to_string(i), 0.25});
     }
     CHECK(endpoints_of_silent(endpoints, "stage", "self", {{"self", 0.25}}, silent).size() == 1);
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -62,7 +62,8 @@
     auto late = make_group(1, 8);
     late.priority = 2;
     late.useless_at = now + seconds{3};
-    REQUIRE(queue.offer(std::move(late), now).accepted);
+    const auto admitted = queue.offer(std::move(late), now);
+    REQUIRE(admitted.accepted);
     for (std::uint64_t id = 2; id < 16; ++id) {
         offer(id, 8); // some 280 ms each, and more urgent
     }
@@ -72,7 +73,7 @@
     CHECK(ended[0].id == 1);
     CHECK(ended[0].expired);
     CHECK(ended[0].retry_after > milliseconds{500});
-    CHECK(queue.waiting_pieces() == 14 * 8);
+    CHECK(queue.waiting_pieces() == std::size_t{14} * 8);
 }
 
 TEST_CASE_METHOD(queue_fixture, "a group that is partly made is not given up for a long queue") {
@@ -80,7 +81,8 @@
     auto begun = make_group(1, 12);
     begun.priority = 2;
     begun.useless_at = now + seconds{3};
-    REQUIRE(queue.offer(std::move(begun), now).accepted);
+    const auto admitted = queue.offer(std::move(begun), now);
+    REQUIRE(admitted.accepted);
     REQUIRE(queue.next_calls(now).size() == 1);
     for (std::uint64_t id = 2; id < 16; ++id) {
         offer(id, 8);
@@ -97,7 +99,8 @@
     queue.call_ended(calls[0].id, call_outcome::refused, {}, now);
     auto next = make_group(2, 8);
     next.useless_at = now + milliseconds{700};
-    CHECK(queue.offer(std::move(next), now).accepted);
+    const auto admitted = queue.offer(std::move(next), now);
+    CHECK(admitted.accepted);
 }
 
 TEST_CASE_METHOD(queue_fixture, "an endpoint that another queue has a right to is taken last") {
