--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -125,7 +125,7 @@
 std::vector<wire::entry_info> peer_table::silent(time_point now, milliseconds window) const {
     std::vector<wire::entry_info> all;
     for (const auto& [address, one] : peers_) {
-        if (now - one.heard_at < window && !is_alive(one, now)) {
+        if (one.info.serving && now - one.heard_at < window && !is_alive(one, now)) {
             all.push_back(one.info);
         }
     }
