--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -103,14 +103,14 @@
     };
     auto seen = sharing(fleet.alive);
     seen.push_back({state_.self_id(), state_.role().processors});
-    auto others = stages::endpoints_of_silent(endpoints, queue.service, state_.self_id(), seen,
+    auto others = stages::contended_endpoints(endpoints, queue.service, state_.self_id(), seen,
                                               sharing(fleet.silent));
     log_change("stages", "endpoints_divided",
                {{"service", queue.service},
                 {"entries_seen", std::to_string(seen.size())},
                 {"entries_silent", std::to_string(fleet.silent.size())},
-                {"endpoints_of_silent", std::to_string(others.size())}});
-    queue.queue.set_others_share(std::move(others));
+                {"contended_endpoints", std::to_string(others.size())}});
+    queue.queue.set_contended(std::move(others));
 }
 
 milliseconds stage_exchange::service_time(const std::string& service, std::size_t pieces) {
--- a/libs/stages/include/stages/endpoint_shares.hpp
+++ b/libs/stages/include/stages/endpoint_shares.hpp
@@ -28,7 +28,7 @@
 /// \param seen entries that share one queue with it, itself included
 /// \param silent entries that were at work lately and do not answer now
 std::set<std::string, std::less<>>
-endpoints_of_silent(const std::vector<catalog::endpoint>& endpoints, std::string_view service,
+contended_endpoints(const std::vector<catalog::endpoint>& endpoints, std::string_view service,
                     std::string_view self, const std::vector<sharing_entry>& seen,
                     const std::vector<sharing_entry>& silent);
 
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -67,8 +67,8 @@
                        const std::string& service, time_point now);
 
     /// Names the endpoints that a dispatcher which this one cannot see is likely to use
-    /// (`endpoints_of_silent`). They get calls only while the others are far behind.
-    void set_others_share(std::set<std::string, std::less<>> endpoints);
+    /// (`contended_endpoints`). They get calls only while the others are far behind.
+    void set_contended(std::set<std::string, std::less<>> endpoints);
 
     /// Names the data centres that cannot be reached. Their endpoints get nothing, unless there are
     /// no others.
@@ -118,7 +118,7 @@
         catalog::endpoint self;
         bool in_service{true};
         bool avoided{false};   // its data centre cannot be reached
-        bool of_others{false}; // likely used by a dispatcher that this one cannot see
+        bool contended{false}; // likely used by a dispatcher that this one cannot see
         unsigned calls{0};
         time_point busy_until{};
         time_point held_until{};
@@ -202,7 +202,7 @@
     std::vector<std::string> orphans_;
     std::map<std::string, held_result> held_;                   // by handle
     std::deque<std::pair<time_point, std::string>> held_order_; // by expiry, released ones included
-    std::set<std::string, std::less<>> others_share_;
+    std::set<std::string, std::less<>> contended_;
     std::set<std::string, std::less<>> avoided_;
     std::uint64_t next_call_{1};
     time_point next_hopeless_look_{};
--- a/libs/stages/src/endpoint_shares.cpp
+++ b/libs/stages/src/endpoint_shares.cpp
@@ -18,7 +18,7 @@
 } // namespace
 
 std::set<std::string, std::less<>>
-endpoints_of_silent(const std::vector<catalog::endpoint>& endpoints, std::string_view service,
+contended_endpoints(const std::vector<catalog::endpoint>& endpoints, std::string_view service,
                     std::string_view self, const std::vector<sharing_entry>& seen,
                     const std::vector<sharing_entry>& silent) {
     std::set<std::string, std::less<>> others;
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -140,7 +140,7 @@
             free_at = std::max(free_at, later->second);
         }
         auto end = free_at + scaled(nominal, slowdown_now(one, plan.now));
-        if (one.of_others) {
+        if (one.contended) {
             // Its own dispatcher may have a call in progress there.
             end += service_time(capacity_.batch);
         }
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -1,5 +1,6 @@
 #include "stages/stage_queue.hpp"
 
+#include "queue_times.hpp"
 #include "scaled_time.hpp"
 
 #include <algorithm>
@@ -17,11 +18,10 @@
 constexpr milliseconds first_hold{150};
 constexpr milliseconds longest_hold{3'000};
 constexpr unsigned most_doublings = 3;
-constexpr milliseconds full_hold{40};         // until a full endpoint is asked again
-constexpr milliseconds others_full_hold{250}; // the same of one that another queue has a right to
-constexpr milliseconds room_look{25};         // until an endpoint without room is looked at again
-constexpr seconds foreign_lifetime{1};        // results are read and freed within about a second
-constexpr milliseconds missing_grace{1'200};  // as for endpoints that missed the platform's list
+// The same as `full_hold`, for an endpoint that another queue has a right to.
+constexpr milliseconds contended_full_hold{250};
+constexpr milliseconds room_look{25};        // until an endpoint without room is looked at again
+constexpr milliseconds missing_grace{1'200}; // as for endpoints that missed the platform's list
 constexpr milliseconds far_away{60'000};
 constexpr milliseconds hopeless_look{50}; // between looks for groups that cannot be made in time
 constexpr milliseconds short_hold{500};   // an endpoint that is held for less counts as capacity
@@ -54,7 +54,7 @@
             kept = endpoint_state{};
         }
         kept.self = one;
-        kept.of_others = others_share_.contains(one.id);
+        kept.contended = contended_.contains(one.id);
         const bool missing = one.removed_at && now - *one.removed_at > missing_grace;
         kept.in_service = one.state == catalog::endpoint_state::ready && !missing &&
                           !evacuated.contains(one.data_centre);
@@ -81,10 +81,10 @@
     }
 }
 
-void stage_queue::set_others_share(std::set<std::string, std::less<>> endpoints) {
-    others_share_ = std::move(endpoints);
+void stage_queue::set_contended(std::set<std::string, std::less<>> endpoints) {
+    contended_ = std::move(endpoints);
     for (auto& [id, one] : endpoints_) {
-        one.of_others = others_share_.contains(id);
+        one.contended = contended_.contains(id);
     }
 }
 
@@ -103,7 +103,7 @@
 double stage_queue::capacity_endpoints(time_point now) const {
     double sum = 0;
     for (const auto& [id, one] : endpoints_) {
-        const bool usable = one.in_service && !one.avoided && !one.of_others;
+        const bool usable = one.in_service && !one.avoided && !one.contended;
         if (usable && now + short_hold >= one.held_until) {
             sum += 1 / std::max(slowdown_now(one, now), 1.0);
         }
@@ -204,68 +204,6 @@
     }
 }
 
-// What is still there of results that this queue knows nothing of.
-std::uint64_t stage_queue::foreign_now(const endpoint_state& one, time_point now) const {
-    const auto age = std::chrono::duration<double>(now - one.foreign_at) / foreign_lifetime;
-    return static_cast<std::uint64_t>(static_cast<double>(one.foreign_bytes) *
-                                      std::max(1 - age, 0.0));
-}
-
-// Memory for results that nothing uses, as far as this queue knows.
-std::uint64_t stage_queue::free_room(const endpoint_state& one, time_point now) const {
-    const auto used = one.held_bytes + one.pending_bytes + foreign_now(one, now);
-    return capacity_.result_room_bytes - std::min(capacity_.result_room_bytes, used);
-}
-
-// An endpoint with less room than the accounts show keeps larger results than announced, or some
-// of another queue: of the dispatcher before this one, or of an earlier life of this one.
-void stage_queue::note_no_room(endpoint_state& one, std::uint64_t lacking, time_point now) {
-    if (capacity_.result_room_bytes == 0) {
-        one.held_until = now + full_hold;
-        return;
-    }
-    one.foreign_bytes = std::min(foreign_now(one, now) + lacking, capacity_.result_room_bytes);
-    one.foreign_at = now;
-}
-
-void stage_queue::hold_result(const std::string& endpoint, const std::string& handle,
-                              std::uint64_t bytes, time_point now) {
-    const auto found = endpoints_.find(endpoint);
-    if (found != endpoints_.end()) {
-        found->second.held_bytes += bytes;
-        const auto expires_at = now + capacity_.result_lifetime;
-        held_.insert_or_assign(handle, held_result{endpoint, bytes, expires_at});
-        held_order_.emplace_back(expires_at, handle);
-    }
-}
-
-bool stage_queue::release(const std::vector<std::string>& handles) {
-    const auto before = held_.size();
-    for (const auto& handle : handles) {
-        const auto found = held_.find(handle);
-        if (found == held_.end()) {
-            continue;
-        }
-        const auto place = endpoints_.find(found->second.endpoint);
-        if (place != endpoints_.end()) {
-            auto& held = place->second.held_bytes;
-            held -= std::min(held, found->second.bytes);
-        }
-        held_.erase(found);
-    }
-    return held_.size() < before;
-}
-
-// Makers drop results that nobody frees.
-void stage_queue::expire_results(time_point now) {
-    std::vector<std::string> expired;
-    while (!held_order_.empty() && held_order_.front().first <= now) {
-        expired.push_back(std::move(held_order_.front().second));
-        held_order_.pop_front();
-    }
-    (void)release(expired);
-}
-
 void stage_queue::finish_piece(std::uint64_t group, std::size_t index, piece_result result) {
     const auto found = groups_.find(group);
     if (found == groups_.end()) {
@@ -342,7 +280,7 @@
             break;
         case call_outcome::refused:
             // Another queue uses it too, and each refusal costs both sides.
-            one.held_until = now + (one.of_others ? others_full_hold : full_hold) *
+            one.held_until = now + (one.contended ? contended_full_hold : full_hold) *
                                        (1U << std::min(one.refusals_in_row, most_doublings));
             ++one.refusals_in_row;
             break;
--- a/libs/stages/tests/divided_fleet_test.cpp
+++ b/libs/stages/tests/divided_fleet_test.cpp
@@ -112,8 +112,8 @@
         for (std::size_t i = 0; i < fleet_.entries; ++i) {
             (i < fleet_.isolated + fleet_.gone ? apart : together).push_back(entry(i));
         }
-        queues_.back().set_others_share(
-            endpoints_of_silent(endpoints_, "stage", together.front().id, together, apart));
+        queues_.back().set_contended(
+            contended_endpoints(endpoints_, "stage", together.front().id, together, apart));
         for (std::size_t i = 0; i < fleet_.isolated; ++i) {
             std::vector<sharing_entry> silent = together;
             for (std::size_t other = 0; other < fleet_.isolated; ++other) {
@@ -121,14 +121,14 @@
                     silent.push_back(entry(other));
                 }
             }
-            queues_[i].set_others_share(
-                endpoints_of_silent(endpoints_, "stage", entry(i).id, {entry(i)}, silent));
+            queues_[i].set_contended(
+                contended_endpoints(endpoints_, "stage", entry(i).id, {entry(i)}, silent));
         }
     }
 
     void heal() {
         healed_ = true;
-        queues_.back().set_others_share({});
+        queues_.back().set_contended({});
     }
 
     void arrive() {
@@ -230,6 +230,11 @@
     CHECK(after.share_full() < 0.01);
     CHECK(during.share_in_time() > 0.9);
     CHECK(after.share_in_time() > 0.95);
+    auto undivided = large_fleet();
+    undivided.shares = false;
+    const auto [fighting, healed] = divided_world{undivided, seed}.run(seconds{20});
+    CHECK(fighting.share_in_time() < during.share_in_time());
+    CHECK(fighting.share_full() > during.share_full());
 }
 
 TEST_CASE("shares of entries that are gone are used when they are needed", "[load]") {
@@ -252,14 +257,14 @@
     for (int i = 0; i < 41; ++i) {
         (i < 9 ? one : other).push_back({"entry-" + std::to_string(i), i % 2 == 0 ? 0.2 : 0.4});
     }
-    const auto not_of_one = endpoints_of_silent(endpoints, "stage", "entry-0", one, other);
-    const auto not_of_other = endpoints_of_silent(endpoints, "stage", "entry-20", other, one);
+    const auto not_of_one = contended_endpoints(endpoints, "stage", "entry-0", one, other);
+    const auto not_of_other = contended_endpoints(endpoints, "stage", "entry-20", other, one);
     CHECK(not_of_one.size() + not_of_other.size() == endpoints.size());
     for (const auto& id : not_of_one) {
         CHECK_FALSE(not_of_other.contains(id));
     }
-    CHECK(endpoints_of_silent(endpoints, "stage", "entry-0", one, {}).empty());
-    CHECK(endpoints_of_silent(endpoints, "none", "entry-0", one, other).empty());
+    CHECK(contended_endpoints(endpoints, "stage", "entry-0", one, {}).empty());
+    CHECK(contended_endpoints(endpoints, "none", "entry-0", one, other).empty());
 }
 
 TEST_CASE("an entry to which no endpoint falls has one all the same") {
@@ -274,5 +279,5 @@
     for (int i = 0; i < entries; ++i) {
         silent.push_back({"entry-" + std::to_string(i), 0.25});
     }
-    CHECK(endpoints_of_silent(endpoints, "stage", "self", {{"self", 0.25}}, silent).size() == 1);
+    CHECK(contended_endpoints(endpoints, "stage", "self", {{"self", 0.25}}, silent).size() == 1);
 }
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -106,7 +106,7 @@
 TEST_CASE_METHOD(queue_fixture, "an endpoint that another queue has a right to is taken last") {
     add_endpoint("one");
     add_endpoint("two");
-    queue.set_others_share({"one"});
+    queue.set_contended({"one"});
     offer(1, 2);
     const auto first = queue.next_calls(now);
     REQUIRE(first.size() == 1);
