gateway: an entry whose control thread takes no turns is not ready

Why the thread stops is not found. Change: readiness needs a round of gossip within the last three seconds; the loss and return are logged. Conclusion: mends the consequence only.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds longest_retry{800}; // so that a store that returns is read within a second
 constexpr milliseconds publish_interval{300}; // of a snapshot that changes with time alone
 constexpr milliseconds gossip_timeout{400};
+// Ten rounds of gossip. Bounds on what is published hold from about then on after a disturbance.
+constexpr milliseconds silence_limit{3'000};
 constexpr unsigned asked_for_all_at_most = 2; // one, and another in case that one is gone
 // An entry whose own watch of the endpoints answered so lately needs no peer's changes of them:
 // there are many a second, and each peer would tell them again.
@@ -53,7 +55,13 @@
       peers_client_{wire::client::make(
           io_.get_executor(), {metrics.get_counter("boragefront_control_sent_bytes_total"),
                                metrics.get_counter("boragefront_control_received_bytes_total")})},
-      peers_{peering::peer_table::make(settings.id, other_seeds(settings.seed_peers))} {}
+      peers_{peering::peer_table::make(settings.id, other_seeds(settings.seed_peers))},
+      last_round_{steady_clock::now().time_since_epoch().count()} {}
+
+bool control_loop::is_responsive(time_point now) const {
+    const time_point last_round{duration{last_round_.load()}};
+    return now - last_round < silence_limit;
+}
 
 control_loop::~control_loop() = default;
 
@@ -187,6 +195,7 @@
     unsigned rounds_alone = 0;
     for (;;) {
         const auto now = steady_clock::now();
+        last_round_ = now.time_since_epoch().count();
         for (auto& address : peers_.targets(now, random_)) {
             asio::co_spawn(io_, gossip_with(std::move(address)), asio::detached);
         }
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -52,6 +53,9 @@
     /// Tells the other entries that this one takes no more work.
     void begin_draining();
 
+    /// Whether the control thread still takes turns; if not, nothing new is learned. Any thread.
+    bool is_responsive(time_point now) const;
+
     /// Takes over changed seeds.
     void reload(const settings::daemon_settings& settings);
 
@@ -108,6 +112,7 @@
     time_point changed_at_{};
     std::map<std::string, time_point, std::less<>> heard_; // when a part of the store last answered
     bool draining_{false};
+    std::atomic<duration::rep> last_round_; // of gossip, since the clock's epoch
 };
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -192,8 +192,15 @@
     }
 
     http::awaitable<void> tell_ready(const http::request& message, http::responder& out) {
-        const bool ready =
-            platform::asks_readiness(message) && state_.current() != nullptr && !state_.draining;
+        const bool responsive = control_->is_responsive(steady_clock::now());
+        if (responsive != control_responsive_) {
+            control_responsive_ = responsive;
+            log_change("gateway", responsive ? "control_thread_regained" : "control_thread_lost",
+                       {});
+        }
+        // An entry that learns nothing new must not go on serving by what was published once.
+        const bool ready = platform::asks_readiness(message) && state_.current() != nullptr &&
+                           !state_.draining && responsive;
         http::response answer;
         answer.status = ready ? status_ok : status_unavailable;
         (void)co_await out.send(std::move(answer));
@@ -289,6 +296,7 @@
     std::mutex mutex_;
     std::condition_variable shutdown_changed_;
     bool shutdown_requested_{false};
+    bool control_responsive_{true}; // of the traffic thread, as last told
 };
 
 } // namespace
