--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -49,6 +49,15 @@
     return caller_.prompt[shared].id;
 }
 
+// Tokens of the prompt up to and including the shared part.
+std::uint64_t request_handler::shared_prompt_tokens() const {
+    std::uint64_t tokens = 0;
+    for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i) {
+        tokens += caller_.prompt[i].tokens;
+    }
+    return tokens;
+}
+
 // The address of another engine that is likely to have the shared prompt cached. Empty if there is
 // none, or if it is the chosen one.
 std::string request_handler::cached_prompt_source(const balancing::chosen_endpoint& chosen) const {
@@ -75,12 +84,17 @@
     criteria.tried = &tried_endpoints_;
     criteria.allowed_data_centres = allowed_data_centres_ ? &*allowed_data_centres_ : nullptr;
     criteria.near_data_centre = state.data_centre();
-    auto preferred = data_centre_of_inputs();
-    if (preferred.empty()) {
-        preferred = state.preferred_data_centre(*route_, shared_prompt());
-    }
-    criteria.affinity_data_centre = preferred;
+    const auto inputs = inputs_location();
+    const auto home = state.preferred_data_centre(*route_, shared_prompt());
+    criteria.affinity_data_centre = inputs.data_centre.empty() ? home : inputs.data_centre;
     criteria.affinity = shared_prompt();
+    const auto cached_at =
+        state.prompt_locations().find(shared_prompt(), steady_clock::now()).value_or("");
+    if (caller_.prompt_tokens > 0) {
+        const auto shared = shared_prompt_tokens();
+        criteria.prompt = {shared, caller_.prompt_tokens - std::min(caller_.prompt_tokens, shared),
+                           home, cached_at, inputs.data_centre, inputs.bytes};
+    }
     criteria.affinity_max_wait = std::chrono::floor<milliseconds>(
         std::max(latency_goal_at_ - steady_clock::now(), duration{0}) / affinity_wait_divisor);
     const auto give_up_at =
@@ -180,7 +194,8 @@
     const send_attempt attempt{chosen->id,
                                pool->on_request_sent(chosen->id,
                                                      context_.state.cold_limit_of(service_),
-                                                     context_.state.entry_group(), now),
+                                                     context_.state.entry_group(), now,
+                                                     chosen->unread_tokens),
                                now};
     ++attempts_;
     http::call_options options;
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -8,6 +8,7 @@
 #include "request_context.hpp"
 #include "stages/stage_plan.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -36,6 +37,10 @@
         std::uint64_t ticket;
         time_point at;
     };
+    struct results_location {
+        std::string data_centre; // empty: none
+        std::uint64_t bytes{0};
+    };
     enum class next_step : std::uint8_t { done, retry };
 
     // Finds the route and checks the API key. Returns an error if the request is refused.
@@ -46,12 +51,14 @@
                                     cancellation_source& cancellation,
                                     boost::asio::steady_timer& stage_done);
 
+    milliseconds start_delay(std::size_t stage) const;
     bool discard_unreachable_results();
-    std::string data_centre_of_inputs() const;
-    std::string
+    results_location inputs_location() const;
+    results_location
     dominant_data_centre(const std::vector<std::pair<std::string, std::size_t>>& results,
                          std::size_t readers) const;
     std::string_view shared_prompt() const;
+    std::uint64_t shared_prompt_tokens() const;
     std::string cached_prompt_source(const balancing::chosen_endpoint& chosen) const;
     http::awaitable<std::optional<balancing::chosen_endpoint>> choose_endpoint();
     http::awaitable<next_step> send_to_endpoint();
@@ -112,6 +119,7 @@
     std::optional<std::uint64_t> last_event_id_; // last one sent to the caller
     std::optional<time_point> head_at_;          // when the last endpoint's response head arrived
     std::optional<time_point> first_event_at_;
+    std::map<std::size_t, time_point> stage_started_at_; // by index, of the last start
     time_point stages_done_at_{};
     std::string stage_times_; // "service:milliseconds" of each finished stage, for the log
     std::string last_endpoint_;
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -30,16 +30,30 @@
     asio::steady_timer stage_done{context_.executor, time_point::max()};
     std::optional<error> failure;
     std::optional<milliseconds> retry_after;
+    std::set<std::size_t> ready;
     for (;;) {
-        if (!failure) {
-            for (const auto stage : plan_->take_ready()) {
-                outcomes[stage] = std::nullopt;
-                asio::co_spawn(context_.executor,
-                               run_stage(stage, outcomes[stage], cancellation, stage_done),
-                               asio::detached);
+        auto next_start = time_point::max();
+        if (failure || caller_disconnected_) {
+            ready.clear();
+        } else {
+            const auto became_ready = plan_->take_ready();
+            ready.insert(became_ready.begin(), became_ready.end());
+        }
+        for (auto next = ready.begin(); next != ready.end();) {
+            const auto stage = *next;
+            const auto delay = start_delay(stage);
+            if (delay > milliseconds{0}) {
+                next_start = std::min(next_start, steady_clock::now() + delay);
+                ++next;
+                continue;
             }
+            next = ready.erase(next);
+            outcomes[stage] = std::nullopt;
+            asio::co_spawn(context_.executor,
+                           run_stage(stage, outcomes[stage], cancellation, stage_done),
+                           asio::detached);
         }
-        if (outcomes.empty()) {
+        if (outcomes.empty() && ready.empty()) {
             break;
         }
         const bool none_finished =
@@ -47,7 +61,7 @@
                          [](const auto& outcome) { return outcome.second.has_value(); });
         if (none_finished) {
             boost::system::error_code interrupted;
-            stage_done.expires_at(time_point::max());
+            stage_done.expires_at(next_start);
             co_await stage_done.async_wait(asio::redirect_error(asio::use_awaitable, interrupted));
         }
         for (auto outcome = outcomes.begin(); outcome != outcomes.end();) {
@@ -120,6 +134,28 @@
     return true;
 }
 
+// How long a stage can wait so that its results are complete together with those of the other
+// stages. Results take up memory at their endpoint until the request has read them, so large ones
+// that no other stage reads are not produced earlier.
+milliseconds request_handler::start_delay(std::size_t stage) const {
+    const auto bytes = route_->stages[stage].result_bytes * plan_->pieces_of(stage).size();
+    if (plan_->has_dependents(stage) || bytes < costly_transfer_bytes) {
+        return milliseconds{0};
+    }
+    const auto remaining_time_of = [&](std::size_t other, std::size_t pieces) {
+        const auto expected = context_.stages.expected_time(route_->stages[other].service, pieces);
+        const auto started = stage_started_at_.find(other);
+        const auto elapsed =
+            started == stage_started_at_.end()
+                ? milliseconds{0}
+                : std::chrono::floor<milliseconds>(steady_clock::now() - started->second);
+        return std::max(expected - elapsed, milliseconds{0});
+    };
+    return plan_->longest_path_beside(stage, remaining_time_of) -
+           context_.stages.expected_time(route_->stages[stage].service,
+                                         plan_->pieces_of(stage).size());
+}
+
 http::awaitable<void> request_handler::run_stage(std::size_t stage,
                                                  std::optional<group_outcome>& outcome,
                                                  cancellation_source& cancellation,
@@ -141,12 +177,13 @@
     const auto inputs = plan_->inputs_of(stage);
     group.near_data_centre = inputs.empty() && group.result_bytes >= costly_transfer_bytes
                                  ? context_.state.preferred_data_centre(*route_, shared_prompt())
-                                 : dominant_data_centre(inputs, group.pieces.size());
+                                 : dominant_data_centre(inputs, group.pieces.size()).data_centre;
     group.soft_deadline =
         latency_goal_at_ - engine_time - plan_->critical_path_after(stage, expected_time_of);
     const auto deadline = stream_started_ ? deadline_ : first_event_deadline_;
     group.hard_deadline = deadline - engine_time - plan_->critical_path_after(stage, idle_time_of);
     const auto started_at = steady_clock::now();
+    stage_started_at_[stage] = started_at;
     outcome = co_await context_.stages.run_group(route_->stages[stage].service, std::move(group),
                                                  cancellation);
     const auto elapsed = std::chrono::floor<milliseconds>(steady_clock::now() - started_at);
@@ -155,17 +192,14 @@
     stage_done.cancel();
 }
 
-// The data centre that holds most of the request's inputs, if they are costly to transfer.
-std::string request_handler::data_centre_of_inputs() const {
-    if (!plan_) {
-        return {};
-    }
-    return dominant_data_centre(plan_->final_results(), 1);
+// Where most of the request's inputs are, if they are costly to transfer.
+request_handler::results_location request_handler::inputs_location() const {
+    return plan_ ? dominant_data_centre(plan_->final_results(), 1) : results_location{};
 }
 
 // The data centre that holds most of these results, if they are costly to transfer to this number
 // of readers.
-std::string request_handler::dominant_data_centre(
+request_handler::results_location request_handler::dominant_data_centre(
     const std::vector<std::pair<std::string, std::size_t>>& results, std::size_t readers) const {
     std::map<std::string, std::uint64_t> bytes;
     for (const auto& [handle, stage] : results) {
@@ -175,8 +209,9 @@
     const auto most =
         std::max_element(bytes.begin(), bytes.end(),
                          [](const auto& a, const auto& b) { return a.second < b.second; });
-    return most == bytes.end() || most->second < costly_transfer_bytes ? std::string{}
-                                                                       : most->first;
+    return most == bytes.end() || most->second < costly_transfer_bytes
+               ? results_location{}
+               : results_location{most->first, most->second};
 }
 
 void request_handler::release_all_results() {
--- a/libs/stages/include/stages/stage_plan.hpp
+++ b/libs/stages/include/stages/stage_plan.hpp
@@ -77,6 +77,23 @@
         return longest;
     }
 
+    /// Returns the duration of the longest path through the unfinished stages other than `stage`.
+    /// \param time_of remaining duration of a stage, by its index and number of pieces.
+    template <class Time>
+    milliseconds longest_path_beside(std::size_t stage, Time time_of) const {
+        milliseconds longest{0};
+        for (std::size_t i = 0; i < stages_.size(); ++i) {
+            if (i != stage && !all_pieces_made(i)) {
+                longest = std::max(longest, time_of(i, stages_[i].handles.size()) +
+                                                critical_path_after(i, time_of));
+            }
+        }
+        return longest;
+    }
+
+    /// Returns whether another stage reads the results of this one.
+    bool has_dependents(std::size_t stage) const;
+
 private:
     struct progress {
         std::vector<std::string> handles; ///< one for each piece; empty: no result
@@ -85,7 +102,6 @@
     };
     bool all_pieces_made(std::size_t stage) const;
     bool depends_on(std::size_t stage, std::size_t other) const;
-    bool has_dependents(std::size_t stage) const;
 
     const catalog::route* route_{nullptr};
     std::string request_id_;
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -19,7 +19,7 @@
 } // namespace
 
 std::vector<stage_queue::group_state*> stage_queue::groups_by_rank(time_point now) {
-    using rank = std::tuple<bool, int, std::size_t, time_point, std::uint64_t>;
+    using rank = std::tuple<bool, bool, int, std::size_t, time_point, std::uint64_t>;
     // If more pieces wait than fit into one call, a group shares its call with others, and that
     // call takes as long as a full one.
     const auto shared_call =
@@ -30,7 +30,10 @@
         if (!state.waiting.empty()) {
             const auto own = std::max(service_time(state.waiting.size()), shared_call);
             const bool late = now + own > state.group.soft_deadline;
-            ranked.emplace_back(rank{late, state.group.priority, state.waiting.size(),
+            // Its results that are complete take up memory until the others are.
+            const bool begun = state.unfinished > state.waiting.size() ||
+                               state.waiting.size() < state.group.pieces.size();
+            ranked.emplace_back(rank{!begun, late, state.group.priority, state.waiting.size(),
                                      state.group.soft_deadline, id},
                                 &state);
         }
