--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -144,6 +144,8 @@
         std::vector<piece_result> results;
         std::vector<unsigned> attempts;
         std::size_t unfinished{0}; // pieces without a result
+        // Whether some of its pieces are running or complete.
+        bool begun() const { return waiting.size() < group.pieces.size(); }
     };
     struct call_piece {
         std::uint64_t group;
@@ -191,6 +193,8 @@
                           time_point now);
     void expire_overdue(time_point now);
     void expire_infeasible(time_point now);
+    void expire_late(time_point now);
+    milliseconds own_time(const group_state& state, milliseconds shared_call) const;
     void expire_group(std::map<std::uint64_t, group_state>::iterator group,
                       milliseconds retry_after);
     milliseconds retry_after(milliseconds expected, const piece_group& group, time_point now) const;
@@ -213,6 +217,8 @@
     std::set<std::string, std::less<>> avoided_data_centres_;
     std::uint64_t next_call_{1};
     time_point next_infeasible_check_{};
+    std::optional<time_point> last_late_at_; // when a group that is late was waiting last
+    time_point late_since_{};                // since when such groups have been waiting
 };
 
 } // namespace boragefront::stages
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -25,6 +25,8 @@
     1'200}; // as for endpoints missing from the platform's list
 constexpr milliseconds max_wakeup_delay{60'000};
 constexpr milliseconds infeasible_check_interval{50}; // for groups that cannot meet their deadline
+constexpr milliseconds standing_queue_interval{1000};
+constexpr seconds max_return_delay{5};
 constexpr milliseconds capacity_backoff_limit{
     500}; // an endpoint with a shorter back-off counts as capacity
 
@@ -199,8 +201,7 @@
     for (auto* const state : groups_by_rank(now)) {
         const auto pieces = state->waiting.size();
         const auto expected = queue_time(ahead, now) + service_time(pieces);
-        const bool begun = state->unfinished > pieces; // some of its pieces are running or complete
-        if (!begun && now + expected > state->group.hard_deadline) {
+        if (!state->begun() && now + expected > state->group.hard_deadline) {
             expire_group(groups_.find(state->group.id), retry_after(expected, state->group, now));
         } else {
             ahead += pieces;
@@ -208,6 +209,35 @@
     }
 }
 
+void stage_queue::expire_late(time_point now) {
+    const auto shared_call =
+        waiting_pieces() > capacity_.batch ? service_time(capacity_.batch) : milliseconds{0};
+    std::vector<std::uint64_t> late;
+    for (const auto& [id, state] : groups_) {
+        const bool first = state.group.pieces.front().inputs.empty();
+        if (!state.waiting.empty() && !state.begun() && first &&
+            now + own_time(state, shared_call) > state.group.soft_deadline) {
+            late.push_back(id);
+        }
+    }
+    if (late.empty()) {
+        return;
+    }
+    if (!last_late_at_ || now - *last_late_at_ > standing_queue_interval) {
+        late_since_ = now;
+    }
+    last_late_at_ = now;
+    const auto lasted = now - late_since_;
+    if (lasted < standing_queue_interval) {
+        return;
+    }
+    const auto after = queue_time(waiting_pieces(), now) +
+                       std::chrono::floor<milliseconds>(std::min<duration>(lasted, max_return_delay));
+    for (const auto id : late) {
+        expire_group(groups_.find(id), after);
+    }
+}
+
 void stage_queue::finish_piece(std::uint64_t group, std::size_t index, piece_result result) {
     const auto found = groups_.find(group);
     if (found == groups_.end()) {
@@ -340,6 +370,7 @@
 std::vector<finished_group> stage_queue::take_finished(time_point now) {
     expire_overdue(now);
     expire_infeasible(now);
+    expire_late(now);
     return std::exchange(finished_, {});
 }
 
