balancing: prompts keep their home wherever inputs are; late requests wait for it too

Change: endpoints are ranked for a prompt by its home data centre and hash alone; inputs elsewhere cost their transfer; a request that is late waits an eighth of the time to its deadline.

An engine's queue was no cause: the backlog that requests met was 0 in nine of ten.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -4,7 +4,6 @@
 
 #include "balancing/cold_limiter.hpp"
 #include "balancing/entry_group.hpp"
-#include "balancing/prefill_estimator.hpp"
 #include "base/random.hpp"
 #include "base/time.hpp"
 #include "catalog/types.hpp"
@@ -38,29 +37,20 @@
     unsigned slots{0};
 };
 
-/// What an engine has to read for a request, and where parts of it are already.
-struct prompt_work {
-    std::uint64_t shared_tokens{0};         ///< that other requests with this prompt share
-    std::uint64_t own_tokens{0};            ///< that only this request has
-    std::string_view home_data_centre{};    ///< of the engine that the prompt is assigned to
-    std::string_view cached_at{};           ///< id of an engine that has read the shared tokens
-    std::string_view inputs_data_centre{};  ///< where the results are that the engine reads
-    std::uint64_t input_bytes{0};           ///< size of these results
-};
-
 /// Constraints and preferences for choosing an endpoint.
 struct choice_request {
     std::string_view affinity{};                 ///< equal for requests that share a prompt
     std::string_view near_data_centre{};         ///< preferred among endpoints of equal cost
-    std::string_view affinity_data_centre{};     ///< preferred unless its endpoints are overloaded
+    /// Preferred unless its endpoints are overloaded; with `affinity`: has the first choices.
+    std::string_view affinity_data_centre{};
+    std::string_view inputs_data_centre{};       ///< holds the inputs; empty: none of note
+    std::uint64_t input_bytes{0};                ///< to transfer to any other data centre
     const std::set<std::string>* tried{nullptr}; ///< endpoints that must not be chosen again
     const std::set<std::string>* allowed_data_centres{nullptr}; ///< null: all
     /// Data centres to choose from only if no other one has an endpoint; null: none.
     const std::set<std::string, std::less<>>* avoided_data_centres{nullptr};
     /// Maximum cost at which the endpoint that shares the prompt is chosen regardless of its load.
     milliseconds affinity_max_wait{0};
-    /// For a service of engines: the work that the choice weighs; empty: unknown.
-    std::optional<prompt_work> prompt{};
     /// Time lost by a failure; weighs the failure rate of an endpoint.
     milliseconds failure_cost{500};
 };
@@ -70,7 +60,6 @@
     std::string id;
     std::string address;
     std::string data_centre;
-    std::uint64_t unread_tokens{0}; ///< of the prompt, if known
 };
 
 /// State of one endpoint, for dumps.
@@ -119,11 +108,9 @@
     milliseconds retry_after(time_point now) const;
 
     /// Records that a request was sent.
-    /// \param unread_tokens of its prompt, which the endpoint has to read
     /// \returns a ticket for `on_first_byte` and `on_request_ended`.
     std::uint64_t on_request_sent(const std::string& id, const cold_limit& cold,
-                                  const entry_group& group, time_point now,
-                                  std::uint64_t unread_tokens = 0);
+                                  const entry_group& group, time_point now);
     void on_first_byte(const std::string& id, std::uint64_t ticket, time_point now);
     void on_request_ended(const std::string& id, std::uint64_t ticket, send_outcome outcome,
                           time_point now);
@@ -141,15 +128,12 @@
     struct open_request {
         time_point sent_at;
         bool first_byte_received{false};
-        double tokens_to_read{0}; // until its first token, including those of requests ahead of it
     };
     struct tracked_endpoint {
         catalog::endpoint endpoint;
         bool evacuated{false};
         std::map<std::uint64_t, open_request> requests;
         std::optional<double> latency_ms; // time to the first byte, exponentially weighted
-        time_point reading_until{};       // when the prompts sent to it are expected to be read
-        double slowness{1};               // time to the first token relative to the estimate
         double failure_rate{0};           // exponentially weighted
         unsigned consecutive_failures{0};
         time_point backoff_until{}; // no new requests before
@@ -165,16 +149,6 @@
     double cost_ms(const tracked_endpoint& candidate, const choice_request& request,
                    time_point now) const;
     double queue_depth(const tracked_endpoint& candidate, time_point now) const;
-    double penalty_ms(const tracked_endpoint& candidate, const choice_request& request,
-                      time_point now) const;
-    double prompt_cost_ms(const tracked_endpoint& candidate, const choice_request& request,
-                          std::uint64_t unread_tokens, time_point now) const;
-    double reading_backlog_ms(const tracked_endpoint& candidate, time_point now) const;
-    chosen_endpoint choose_by_prompt_work(const std::vector<const tracked_endpoint*>& ready,
-                                          const choice_request& request, time_point now) const;
-    void record_prompt(tracked_endpoint& candidate, open_request& request, time_point now);
-    void record_first_token(tracked_endpoint& candidate, const open_request& request,
-                            time_point now);
     void back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now);
     void assume_restart(tracked_endpoint& candidate, time_point now);
     std::vector<const tracked_endpoint*>
@@ -186,8 +160,6 @@
     std::map<std::string, tracked_endpoint> endpoints_;
     catalog::service service_;
     std::optional<double> typical_latency_ms_;
-    prefill_estimator prefill_;
-    double mean_unread_tokens_{0}; // of the prompts sent, exponentially weighted
     std::uint64_t next_ticket_{1};
 };
 
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -29,12 +29,8 @@
 constexpr double affinity_load_slack = 4; // requests
 constexpr double affinity_cost_factor = 2.5;
 constexpr double prefill_queue_weight = 0.5; // per queued prompt, as about half of them are small
-constexpr double slowness_weight = 0.2;      // of the newest first token
-constexpr double min_slowness = 0.5;
-constexpr double max_slowness = 10;
-// Of results in another data centre. Links carry them faster, but are shared and paid for.
-constexpr double transfer_ms_per_megabyte = 10;
-constexpr double bytes_per_megabyte = 1e6;
+// Links carry more, but are shared and paid for.
+constexpr double transfer_ms_per_byte = 10e-6;
 constexpr double choice_jitter = 0.1;        // keeps entries from all choosing the same endpoint
 // When an endpoint's cold start ends, its next report may still be in transit.
 constexpr milliseconds cold_report_delay{1'500};
@@ -105,14 +101,7 @@
                           [](const auto& sent) { return !sent.second.first_byte_received; });
         cost = latency * (1 + prefill_queue_weight * static_cast<double>(prefilling));
     }
-    return cost + penalty_ms(candidate, request, now);
-}
-
-// Cost of failures, stalled requests and distance.
-double endpoint_pool::penalty_ms(const tracked_endpoint& candidate, const choice_request& request,
-                                 time_point now) const {
-    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
-    double cost = candidate.failure_rate * milliseconds_of(request.failure_cost);
+    cost += candidate.failure_rate * milliseconds_of(request.failure_cost);
     // A request without a first byte for this long counts as stalled.
     const double stall_threshold =
         std::max(stall_factor * typical, milliseconds_of(min_stall_threshold));
@@ -126,78 +115,13 @@
         candidate.endpoint.data_centre != request.near_data_centre) {
         cost += remote_cost_ms;
     }
-    return cost;
-}
-
-// Time until an engine has read the prompts that are ahead of a new request. Those of other entries
-// are known by number only.
-double endpoint_pool::reading_backlog_ms(const tracked_endpoint& candidate, time_point now) const {
-    double backlog = std::max(milliseconds_of(candidate.reading_until - now), 0.0);
-    if (now - candidate.load_reported_at <= load_report_lifetime) {
-        const auto own = std::count_if(
-            candidate.requests.begin(), candidate.requests.end(),
-            [](const auto& sent) { return !sent.second.first_byte_received; });
-        const double others = static_cast<double>(candidate.load.waiting) - static_cast<double>(own);
-        if (others > 0) {
-            backlog += prefill_.reading_time(others * mean_unread_tokens_).count();
-        }
-    }
-    return backlog;
-}
-
-// Expected time to the first token of a request, and what else it costs there.
-double endpoint_pool::prompt_cost_ms(const tracked_endpoint& candidate,
-                                     const choice_request& request, std::uint64_t unread_tokens,
-                                     time_point now) const {
-    const auto& work = *request.prompt;
-    double cost = cost_ms(candidate, request, now);
-    if (prefill_.has_estimate()) {
-        const auto own = prefill_.time_to_first_token(static_cast<double>(unread_tokens)).count();
-        cost = candidate.slowness * (reading_backlog_ms(candidate, now) + own) +
-               penalty_ms(candidate, request, now);
-    }
-    if (!work.inputs_data_centre.empty() &&
-        candidate.endpoint.data_centre != work.inputs_data_centre) {
-        cost += static_cast<double>(work.input_bytes) / bytes_per_megabyte *
-                transfer_ms_per_megabyte;
+    if (!request.inputs_data_centre.empty() &&
+        candidate.endpoint.data_centre != request.inputs_data_centre) {
+        cost += static_cast<double>(request.input_bytes) * transfer_ms_per_byte;
     }
     return cost;
 }
 
-// Each shared prompt has a home engine, on which all entries agree. Another one is chosen if it is
-// expected to produce the first token earlier although it has to read the shared tokens again.
-chosen_endpoint
-endpoint_pool::choose_by_prompt_work(const std::vector<const tracked_endpoint*>& ready,
-                                     const choice_request& request, time_point now) const {
-    const auto& work = *request.prompt;
-    const auto rank = [&](const tracked_endpoint& candidate) {
-        const bool in_home = candidate.endpoint.data_centre == work.home_data_centre;
-        return std::pair{in_home, rendezvous_score(request.affinity, candidate.endpoint.id)};
-    };
-    const auto* home = *std::max_element(
-        ready.begin(), ready.end(),
-        [&](const auto* left, const auto* right) { return rank(*left) < rank(*right); });
-    const tracked_endpoint* best = nullptr;
-    double min_cost = std::numeric_limits<double>::max();
-    std::uint64_t best_unread = 0;
-    if (prompt_cost_ms(*home, request, work.own_tokens, now) <=
-        milliseconds_of(request.affinity_max_wait)) {
-        return {home->endpoint.id, home->endpoint.address, home->endpoint.data_centre,
-                work.own_tokens};
-    }
-    for (const auto* candidate : ready) {
-        const bool cached = candidate == home || candidate->endpoint.id == work.cached_at;
-        const auto unread = work.own_tokens + (cached ? 0 : work.shared_tokens);
-        const double cost = prompt_cost_ms(*candidate, request, unread, now);
-        if (best == nullptr || cost < min_cost || (cost == min_cost && candidate == home)) {
-            best = candidate;
-            min_cost = cost;
-            best_unread = unread;
-        }
-    }
-    return {best->endpoint.id, best->endpoint.address, best->endpoint.data_centre, best_unread};
-}
-
 // The endpoints of the preferred data centre, or all if those are much slower than others.
 std::vector<const endpoint_pool::tracked_endpoint*>
 endpoint_pool::filter_by_data_centre(const std::vector<const tracked_endpoint*>& ready,
@@ -216,6 +140,8 @@
     return kept.empty() || min_kept_cost > min_cost * affinity_cost_factor ? ready : kept;
 }
 
+// Ranks the endpoints for a prompt, in the same order at all entries, and returns the first one that
+// is not overloaded.
 const endpoint_pool::tracked_endpoint*
 endpoint_pool::choose_by_affinity(const std::vector<const tracked_endpoint*>& ready,
                                   const choice_request& request, time_point now) const {
@@ -228,16 +154,18 @@
     const double mean = total / static_cast<double>(ready.size());
     const double bound = mean * affinity_load_factor + affinity_load_slack;
     const tracked_endpoint* best = nullptr;
-    std::uint64_t best_score = 0;
+    using affinity_rank = std::pair<bool, std::uint64_t>;
+    affinity_rank best_rank;
     for (const auto* candidate : ready) {
-        const auto score = rendezvous_score(request.affinity, candidate->endpoint.id);
+        const affinity_rank rank{candidate->endpoint.data_centre == request.affinity_data_centre,
+                                 rendezvous_score(request.affinity, candidate->endpoint.id)};
         const double cost = cost_ms(*candidate, request, now);
         const bool within_bounds =
             cost <= milliseconds_of(request.affinity_max_wait) ||
             (queue_depth(*candidate, now) <= bound && cost <= min_cost * affinity_cost_factor);
-        if (within_bounds && (best == nullptr || score > best_score)) {
+        if (within_bounds && (best == nullptr || rank > best_rank)) {
             best = candidate;
-            best_score = score;
+            best_rank = rank;
         }
     }
     return best;
@@ -270,13 +198,10 @@
     if (all.empty()) {
         return std::nullopt;
     }
-    if (service_.engine && request.prompt && !request.affinity.empty()) {
-        return choose_by_prompt_work(all, request, now);
-    }
-    const auto ready = filter_by_data_centre(all, request, now);
     const tracked_endpoint* best =
-        request.affinity.empty() ? nullptr : choose_by_affinity(ready, request, now);
+        request.affinity.empty() ? nullptr : choose_by_affinity(all, request, now);
     if (best == nullptr) {
+        const auto ready = filter_by_data_centre(all, request, now);
         std::uniform_real_distribution<double> jitter{1 - choice_jitter, 1 + choice_jitter};
         double min_cost = std::numeric_limits<double>::max();
         for (const auto* candidate : ready) {
@@ -287,7 +212,7 @@
             }
         }
     }
-    return chosen_endpoint{best->endpoint.id, best->endpoint.address, best->endpoint.data_centre, 0};
+    return chosen_endpoint{best->endpoint.id, best->endpoint.address, best->endpoint.data_centre};
 }
 
 bool endpoint_pool::is_healthy(const tracked_endpoint& candidate, time_point now) {
@@ -303,7 +228,7 @@
         return std::nullopt;
     }
     const auto& endpoint = found->second.endpoint;
-    return chosen_endpoint{endpoint.id, endpoint.address, endpoint.data_centre, 0};
+    return chosen_endpoint{endpoint.id, endpoint.address, endpoint.data_centre};
 }
 
 std::optional<chosen_endpoint> endpoint_pool::affinity_endpoint(std::string_view affinity,
@@ -325,7 +250,7 @@
         return std::nullopt;
     }
     return chosen_endpoint{preferred->endpoint.id, preferred->endpoint.address,
-                           preferred->endpoint.data_centre, 0};
+                           preferred->endpoint.data_centre};
 }
 
 unavailability endpoint_pool::unavailability_reason() const {
@@ -348,18 +273,12 @@
 }
 
 std::uint64_t endpoint_pool::on_request_sent(const std::string& id, const cold_limit& cold,
-                                             const entry_group& group, time_point now,
-                                             std::uint64_t unread_tokens) {
+                                             const entry_group& group, time_point now) {
     const auto ticket = next_ticket_++;
     const auto found = endpoints_.find(id);
     if (found != endpoints_.end()) {
         auto& candidate = found->second;
-        const auto unread = static_cast<double>(unread_tokens);
-        candidate.requests[ticket] = {now, false, unread};
-        if (unread_tokens > 0) {
-            mean_unread_tokens_ += latency_weight * (unread - mean_unread_tokens_);
-            record_prompt(candidate, candidate.requests[ticket], now);
-        }
+        candidate.requests[ticket] = {now};
         if (now < candidate.cold_until) {
             candidate.cold.record_send(cold, group, now);
         }
@@ -367,19 +286,6 @@
     return ticket;
 }
 
-// Adds the prompt of a request to those that an engine has to read.
-void endpoint_pool::record_prompt(tracked_endpoint& candidate, open_request& request,
-                                  time_point now) {
-    const double per_token = prefill_.reading_time(1).count();
-    const auto begins = std::max(now, candidate.reading_until);
-    const double own = request.tokens_to_read;
-    if (per_token > 0) {
-        request.tokens_to_read += milliseconds_of(begins - now) / per_token;
-    }
-    candidate.reading_until =
-        begins + std::chrono::duration_cast<duration>(prefill_.reading_time(own));
-}
-
 void endpoint_pool::on_first_byte(const std::string& id, std::uint64_t ticket, time_point now) {
     const auto found = endpoints_.find(id);
     if (found == endpoints_.end()) {
@@ -395,30 +301,10 @@
     const auto update_average = [](std::optional<double>& mean, double value, double weight) {
         mean = mean ? *mean + weight * (value - *mean) : value;
     };
-    record_first_token(candidate, sent->second, now);
     update_average(candidate.latency_ms, took, latency_weight);
     update_average(typical_latency_ms_, took, latency_weight / 4);
 }
 
-void endpoint_pool::record_first_token(tracked_endpoint& candidate, const open_request& request,
-                                       time_point now) {
-    const bool reads = std::any_of(candidate.requests.begin(), candidate.requests.end(),
-                                   [](const auto& sent) { return !sent.second.first_byte_received; });
-    if (!reads) {
-        candidate.reading_until = now;
-    }
-    if (request.tokens_to_read <= 0) {
-        return;
-    }
-    const double took = milliseconds_of(now - request.sent_at);
-    const double expected = prefill_.time_to_first_token(request.tokens_to_read).count();
-    if (prefill_.has_estimate() && expected > 0) {
-        const double ratio = std::clamp(took / expected, min_slowness, max_slowness);
-        candidate.slowness += slowness_weight * (ratio - candidate.slowness);
-    }
-    prefill_.record(request.tokens_to_read, now - request.sent_at);
-}
-
 void endpoint_pool::back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now) {
     ++candidate.consecutive_failures;
     const auto doublings = std::min(candidate.consecutive_failures - 1, 4U);
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds endpoint_poll_interval{10}; // while all endpoints are busy
 constexpr int endpoint_wait_divisor = 8; // part of the latency goal to wait for an endpoint
 constexpr int affinity_wait_divisor = 2; // part of the time to the goal to wait for a cached prompt
+constexpr int late_affinity_wait_divisor = 8; // the same, of the time to the deadline
 constexpr unsigned max_rejected_attempts = 5; // endpoints found unreachable or full by one request
 // A non-idempotent request uses a pooled connection only while it is almost certainly still open.
 constexpr milliseconds max_idle_for_reuse{250};
@@ -49,13 +50,13 @@
     return caller_.prompt[shared].id;
 }
 
-// Tokens of the prompt up to and including the shared part.
-std::uint64_t request_handler::shared_prompt_tokens() const {
-    std::uint64_t tokens = 0;
-    for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i) {
-        tokens += caller_.prompt[i].tokens;
-    }
-    return tokens;
+// How long the request may wait at the endpoint that has its shared prompt cached. One that misses
+// its goal anyway has more time to lose than one that can still meet it.
+milliseconds request_handler::max_affinity_wait() const {
+    const auto now = steady_clock::now();
+    const auto until_goal = (latency_goal_at_ - now) / affinity_wait_divisor;
+    const auto until_deadline = (first_event_deadline_ - now) / late_affinity_wait_divisor;
+    return std::chrono::floor<milliseconds>(std::max({until_goal, until_deadline, duration{0}}));
 }
 
 // The address of another engine that is likely to have the shared prompt cached. Empty if there is
@@ -85,18 +86,12 @@
     criteria.allowed_data_centres = allowed_data_centres_ ? &*allowed_data_centres_ : nullptr;
     criteria.near_data_centre = state.data_centre();
     const auto inputs = inputs_location();
+    criteria.inputs_data_centre = inputs.data_centre;
+    criteria.input_bytes = inputs.bytes;
     const auto home = state.preferred_data_centre(*route_, shared_prompt());
-    criteria.affinity_data_centre = inputs.data_centre.empty() ? home : inputs.data_centre;
+    criteria.affinity_data_centre = shared_prompt().empty() ? inputs.data_centre : home;
     criteria.affinity = shared_prompt();
-    const auto cached_at =
-        state.prompt_locations().find(shared_prompt(), steady_clock::now()).value_or("");
-    if (caller_.prompt_tokens > 0) {
-        const auto shared = shared_prompt_tokens();
-        criteria.prompt = {shared, caller_.prompt_tokens - std::min(caller_.prompt_tokens, shared),
-                           home, cached_at, inputs.data_centre, inputs.bytes};
-    }
-    criteria.affinity_max_wait = std::chrono::floor<milliseconds>(
-        std::max(latency_goal_at_ - steady_clock::now(), duration{0}) / affinity_wait_divisor);
+    criteria.affinity_max_wait = max_affinity_wait();
     const auto give_up_at =
         std::min(deadline_, steady_clock::now() + std::chrono::duration_cast<milliseconds>(
                                                       latency_goal_at_ - received_at_) /
@@ -194,8 +189,7 @@
     const send_attempt attempt{chosen->id,
                                pool->on_request_sent(chosen->id,
                                                      context_.state.cold_limit_of(service_),
-                                                     context_.state.entry_group(), now,
-                                                     chosen->unread_tokens),
+                                                     context_.state.entry_group(), now),
                                now};
     ++attempts_;
     http::call_options options;
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -58,7 +58,7 @@
     dominant_data_centre(const std::vector<std::pair<std::string, std::size_t>>& results,
                          std::size_t readers) const;
     std::string_view shared_prompt() const;
-    std::uint64_t shared_prompt_tokens() const;
+    milliseconds max_affinity_wait() const;
     std::string cached_prompt_source(const balancing::chosen_endpoint& chosen) const;
     http::awaitable<std::optional<balancing::chosen_endpoint>> choose_endpoint();
     http::awaitable<next_step> send_to_endpoint();
