--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -39,8 +39,8 @@
 
 /// Constraints and preferences for choosing an endpoint.
 struct choice_request {
-    std::string_view affinity{};                 ///< equal for requests that share a prompt
-    std::string_view near_data_centre{};         ///< preferred among endpoints of equal cost
+    std::string_view affinity{};         ///< equal for requests that share a prompt
+    std::string_view near_data_centre{}; ///< preferred among endpoints of equal cost
     /// Preferred unless its endpoints are overloaded; with `affinity`: has the first choices.
     std::string_view affinity_data_centre{};
     std::string_view inputs_data_centre{};       ///< holds the inputs; empty: none of note
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -31,7 +31,7 @@
 constexpr double prefill_queue_weight = 0.5; // per queued prompt, as about half of them are small
 // Links carry more, but are shared and paid for.
 constexpr double transfer_ms_per_byte = 10e-6;
-constexpr double choice_jitter = 0.1;        // keeps entries from all choosing the same endpoint
+constexpr double choice_jitter = 0.1; // keeps entries from all choosing the same endpoint
 // When an endpoint's cold start ends, its next report may still be in transit.
 constexpr milliseconds cold_report_delay{1'500};
 
@@ -140,8 +140,8 @@
     return kept.empty() || min_kept_cost > min_cost * affinity_cost_factor ? ready : kept;
 }
 
-// Ranks the endpoints for a prompt, in the same order at all entries, and returns the first one that
-// is not overloaded.
+// Ranks the endpoints for a prompt, in the same order at all entries, and returns the first one
+// that is not overloaded.
 const endpoint_pool::tracked_endpoint*
 endpoint_pool::choose_by_affinity(const std::vector<const tracked_endpoint*>& ready,
                                   const choice_request& request, time_point now) const {
--- a/libs/balancing/tests/endpoint_pool_test.cpp
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -156,6 +156,50 @@
     CHECK(loaded.size() > 3); // spills over once the load of the first is well above the mean
 }
 
+// Requests followed their inputs, so that a prompt was processed in every data centre that happened
+// to hold the inputs of a request.
+TEST_CASE_METHOD(pool_fixture, "requests that share a prompt go to its home, not to their inputs") {
+    service.engine = catalog::engine_capacity{};
+    for (int i = 0; i < 4; ++i) {
+        add("home-" + std::to_string(i), "a");
+        add("other-" + std::to_string(i), "b");
+    }
+    refresh();
+    choice_request request;
+    request.affinity = "5c1e07a2";
+    request.affinity_data_centre = "a";
+    request.inputs_data_centre = "b";
+    request.input_bytes = 7'500'000;
+    request.affinity_max_wait = milliseconds{400};
+    const auto home = choose(request);
+    REQUIRE(home.has_value());
+    CHECK(home->data_centre == "a");
+    CHECK(count_choices(50, request) == std::map<std::string, int>{{home->id, 50}});
+    // Once the home is slower than the request can wait, the transfer counts.
+    for (int i = 0; i < 20; ++i) {
+        (void)pool.on_request_sent(home->id, no_limit, group, start);
+    }
+    const auto other = choose(request);
+    REQUIRE(other.has_value());
+    CHECK(other->id != home->id);
+}
+
+TEST_CASE_METHOD(pool_fixture, "requests without a shared prompt go where their inputs are") {
+    for (int i = 0; i < 4; ++i) {
+        add("near-" + std::to_string(i), "a");
+        add("far-" + std::to_string(i), "b");
+    }
+    refresh();
+    choice_request request;
+    request.affinity_data_centre = "b";
+    request.inputs_data_centre = "b";
+    request.input_bytes = 4'500'000;
+    request.near_data_centre = "a";
+    for (const auto& [id, count] : count_choices(200, request)) {
+        CHECK(id.starts_with("far"));
+    }
+}
+
 TEST_CASE_METHOD(pool_fixture,
                  "requests stay in the affinity data centre unless it is overloaded") {
     add("near-1", "a");
--- a/libs/stages/include/stages/stage_plan.hpp
+++ b/libs/stages/include/stages/stage_plan.hpp
@@ -77,11 +77,12 @@
         return longest;
     }
 
-    /// Returns how long a stage can wait so that its results are complete together with those of the
-    /// other stages, 0 if another stage reads them. Results take up memory at their endpoint until
-    /// the request has read them.
-    /// \param time_of remaining duration of a stage, by its index and number of pieces.
-    template <class Time> milliseconds start_delay(std::size_t stage, Time time_of) const {
+    /// Returns how long a stage can wait so that its results are complete together with those of
+    /// the other stages, 0 if another stage reads them. Results take up memory at their endpoint
+    /// until the request has read them. \param time_of remaining duration of a stage, by its index
+    /// and number of pieces.
+    template <class Time>
+    milliseconds start_delay(std::size_t stage, Time time_of) const {
         milliseconds longest{0}; // through the other unfinished stages
         for (std::size_t i = 0; i < stages_.size(); ++i) {
             if (i != stage && !all_pieces_made(i)) {
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -51,13 +51,13 @@
     milliseconds retry_after{0}; ///< if refused: when it would be accepted
 };
 
-/// Orders groups by whether some of their pieces are running or complete (these come first, as their
-/// results take up memory until the others are complete), then by whether they can still meet their
-/// soft deadline (those that cannot come last), then by priority, then by waiting pieces, then by
-/// soft deadline. In an overload that lasts, late groups are dropped. Batches groups into full calls
-/// and assigns each call to the endpoint that is expected to finish it first. A group whose data is
-/// expensive to transfer waits for an endpoint near that data while its soft deadline permits.
-/// Reads no clock.
+/// Orders groups by whether some of their pieces are running or complete (these come first, as
+/// their results take up memory until the others are complete), then by whether they can still meet
+/// their soft deadline (those that cannot come last), then by priority, then by waiting pieces,
+/// then by soft deadline. In an overload that lasts, late groups are dropped. Batches groups into
+/// full calls and assigns each call to the endpoint that is expected to finish it first. A group
+/// whose data is expensive to transfer waits for an endpoint near that data while its soft deadline
+/// permits. Reads no clock.
 class stage_queue {
 public:
     /// \returns an empty queue. Batch size and concurrent calls of the capacity are raised to at
@@ -146,7 +146,7 @@
         std::vector<waiting_piece> waiting;
         std::vector<piece_result> results;
         std::vector<unsigned> attempts;
-        std::size_t unfinished{0}; // pieces without a result
+        std::size_t unfinished{0};     // pieces without a result
         bool goal_was_feasible{false}; // at its arrival, on an idle endpoint
         // Whether some of its pieces are running or complete.
         bool begun() const { return waiting.size() < group.pieces.size(); }
--- a/libs/stages/src/overload_detector.cpp
+++ b/libs/stages/src/overload_detector.cpp
@@ -3,8 +3,8 @@
 namespace boragefront::stages {
 namespace {
 
-constexpr milliseconds min_overload_time{2'500};     // several calls
-constexpr milliseconds max_interruption{300};        // about a call
+constexpr milliseconds min_overload_time{2'500};      // several calls
+constexpr milliseconds max_interruption{300};         // about a call
 constexpr milliseconds time_without_late_work{1'500}; // that ends an overload
 
 } // namespace
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -39,7 +39,8 @@
     for (auto& [id, state] : groups_) {
         if (!state.waiting.empty()) {
             ranked.emplace_back(rank{!state.begun(), is_late(state, min_call, now),
-                                     state.group.priority, state.waiting.size(), state.group.soft_deadline, id},
+                                     state.group.priority, state.waiting.size(),
+                                     state.group.soft_deadline, id},
                                 &state);
         }
     }
--- a/libs/stages/tests/stage_plan_test.cpp
+++ b/libs/stages/tests/stage_plan_test.cpp
@@ -122,3 +122,19 @@
     route.stages = {make_stage("a", {1}), make_stage("b", {})};
     CHECK_FALSE(stage_plan::make(route, "r", "key", {1, 1}));
 }
+
+TEST_CASE("a stage that only the request reads can wait for the longest path beside it") {
+    const auto route = chain(); // "a" beside "b", "c" and "d" one after another
+    auto plan = stage_plan::make(route, "r", "key", {2, 1, 2, 1});
+    REQUIRE(plan);
+    auto& stages = plan.value();
+    const auto time_of = [](std::size_t stage, std::size_t /*pieces*/) {
+        return stage == 0 ? milliseconds{250} : milliseconds{200};
+    };
+    CHECK(stages.start_delay(0, time_of) == milliseconds{350});
+    CHECK(stages.start_delay(1, time_of) == milliseconds{0}); // others read its results
+    stages.set_results(1, made_results({"x/1"}));
+    CHECK(stages.start_delay(0, time_of) == milliseconds{150});
+    stages.set_results(2, made_results({"y/1", "y/2"}));
+    CHECK(stages.start_delay(0, time_of) == milliseconds{0});
+}
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -55,6 +55,22 @@
     CHECK(order == std::vector<std::string>{"3", "1", "2"});
 }
 
+// A group that was split kept the memory of its first results while newer groups went before the
+// rest of it.
+TEST_CASE_METHOD(queue_fixture, "a group that has begun is completed before others are started") {
+    add_endpoint("one");
+    offer(1, 12, 1);
+    const auto first = queue.next_calls(now); // 8 of its 12 pieces
+    REQUIRE(first.size() == 1);
+    offer(2, 2, 0); // more urgent
+    complete(first[0]);
+    const auto second = queue.next_calls(now);
+    REQUIRE(second.size() == 1);
+    REQUIRE(second[0].pieces.size() == 6);
+    CHECK(second[0].pieces.front().request_id == "1");
+    CHECK(second[0].pieces.back().request_id == "2");
+}
+
 // In an overload, groups that had become late waited behind all newer ones until their callers gave
 // up.
 TEST_CASE_METHOD(queue_fixture,
