--- a/libs/stages/include/stages/stage_plan.hpp
+++ b/libs/stages/include/stages/stage_plan.hpp
@@ -79,8 +79,9 @@
 
     /// Returns how long a stage can wait so that its results are complete together with those of
     /// the other stages, 0 if another stage reads them. Results take up memory at their endpoint
-    /// until the request has read them. \param time_of remaining duration of a stage, by its index
-    /// and number of pieces.
+    /// until the request has read them.
+    ///
+    /// \param time_of remaining duration of a stage, by its index and number of pieces.
     template <class Time>
     milliseconds start_delay(std::size_t stage, Time time_of) const {
         milliseconds longest{0}; // through the other unfinished stages
--- a/libs/stages/tests/result_room_test.cpp
+++ b/libs/stages/tests/result_room_test.cpp
@@ -75,7 +75,7 @@
         time_point offered_at;
         time_point soft_deadline;
         time_point read_not_before; // the request reads the results then or once they are complete
-        int priority;
+        int priority{0};
     };
 
     milliseconds delay_of_long_requests() const {
