--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -41,15 +41,23 @@
         std::string data_centre; // empty: none
         std::uint64_t bytes{0};
     };
+    // The stages that are not complete, by index.
+    struct stage_runs {
+        explicit stage_runs(const boost::asio::any_io_executor& executor)
+            : stage_ended{executor, time_point::max()} {}
+        std::set<std::size_t> deferred;                               // ready, but not started
+        std::map<std::size_t, std::optional<group_outcome>> outcomes; // of the started ones
+        cancellation_source cancellation;
+        boost::asio::steady_timer stage_ended;
+    };
     enum class next_step : std::uint8_t { done, retry };
 
     // Finds the route and checks the API key. Returns an error if the request is refused.
     std::optional<error> admit();
 
     http::awaitable<bool> run_stages();
-    http::awaitable<void> run_stage(std::size_t stage, std::optional<group_outcome>& outcome,
-                                    cancellation_source& cancellation,
-                                    boost::asio::steady_timer& stage_done);
+    time_point start_stages(stage_runs& runs);
+    http::awaitable<void> run_stage(std::size_t stage, stage_runs& runs);
 
     milliseconds start_delay(std::size_t stage) const;
     bool discard_unreachable_results();
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -20,40 +20,42 @@
 
 } // namespace
 
-// Runs all stages without results, each as soon as its inputs are available. Returns whether the
-// request can be sent to an endpoint. If not, the caller has been sent a response or has
-// disconnected.
+// Starts the stages whose inputs are available, or defers them. Returns when to call this again
+// even if no stage ends.
+time_point request_handler::start_stages(stage_runs& runs) {
+    const auto became_ready = plan_->take_ready();
+    runs.deferred.insert(became_ready.begin(), became_ready.end());
+    auto next_start = time_point::max();
+    for (auto next = runs.deferred.begin(); next != runs.deferred.end();) {
+        const auto stage = *next;
+        if (const auto delay = start_delay(stage); delay > milliseconds{0}) {
+            next_start = std::min(next_start, steady_clock::now() + delay);
+            ++next;
+            continue;
+        }
+        next = runs.deferred.erase(next);
+        runs.outcomes[stage] = std::nullopt;
+        asio::co_spawn(context_.executor, run_stage(stage, runs), asio::detached);
+    }
+    return next_start;
+}
+
+// Runs all stages without results, each once its inputs are available. Returns whether the request
+// can be sent to an endpoint. If not, the caller has been sent a response or has disconnected.
 http::awaitable<bool> request_handler::run_stages() {
-    std::map<std::size_t, std::optional<group_outcome>> outcomes;
-    cancellation_source cancellation;
-    stage_cancellations_.insert(&cancellation);
-    asio::steady_timer stage_done{context_.executor, time_point::max()};
+    stage_runs runs{context_.executor};
+    auto& outcomes = runs.outcomes;
+    stage_cancellations_.insert(&runs.cancellation);
     std::optional<error> failure;
     std::optional<milliseconds> retry_after;
-    std::set<std::size_t> ready; // not started
     for (;;) {
         auto next_start = time_point::max();
         if (failure || caller_disconnected_) {
-            ready.clear();
+            runs.deferred.clear();
         } else {
-            const auto became_ready = plan_->take_ready();
-            ready.insert(became_ready.begin(), became_ready.end());
-        }
-        for (auto next = ready.begin(); next != ready.end();) {
-            const auto stage = *next;
-            const auto delay = start_delay(stage);
-            if (delay > milliseconds{0}) {
-                next_start = std::min(next_start, steady_clock::now() + delay);
-                ++next;
-                continue;
-            }
-            next = ready.erase(next);
-            outcomes[stage] = std::nullopt;
-            asio::co_spawn(context_.executor,
-                           run_stage(stage, outcomes[stage], cancellation, stage_done),
-                           asio::detached);
+            next_start = start_stages(runs);
         }
-        if (outcomes.empty() && ready.empty()) {
+        if (outcomes.empty() && runs.deferred.empty()) {
             break;
         }
         const bool none_finished =
@@ -61,8 +63,9 @@
                          [](const auto& outcome) { return outcome.second.has_value(); });
         if (none_finished) {
             boost::system::error_code interrupted;
-            stage_done.expires_at(next_start);
-            co_await stage_done.async_wait(asio::redirect_error(asio::use_awaitable, interrupted));
+            runs.stage_ended.expires_at(next_start);
+            co_await runs.stage_ended.async_wait(
+                asio::redirect_error(asio::use_awaitable, interrupted));
         }
         for (auto outcome = outcomes.begin(); outcome != outcomes.end();) {
             if (!outcome->second) {
@@ -99,10 +102,10 @@
             failure = make_error(error_kind::no_capacity, "stage results were lost too often");
         }
         if (failure) {
-            cancellation.cancel();
+            runs.cancellation.cancel();
         }
     }
-    stage_cancellations_.erase(&cancellation);
+    stage_cancellations_.erase(&runs.cancellation);
     stages_done_at_ = steady_clock::now();
     if (failure && !caller_disconnected_) {
         co_await refuse(std::move(*failure), retry_after);
@@ -151,10 +154,7 @@
     });
 }
 
-http::awaitable<void> request_handler::run_stage(std::size_t stage,
-                                                 std::optional<group_outcome>& outcome,
-                                                 cancellation_source& cancellation,
-                                                 asio::steady_timer& stage_done) {
+http::awaitable<void> request_handler::run_stage(std::size_t stage, stage_runs& runs) {
     const auto idle_time_of = [&](std::size_t later_stage, std::size_t pieces) {
         return context_.stages.service_time(route_->stages[later_stage].service, pieces);
     };
@@ -180,12 +180,13 @@
     group.hard_deadline = deadline - engine_time - plan_->critical_path_after(stage, idle_time_of);
     const auto started_at = steady_clock::now();
     stage_started_at_[stage] = started_at;
-    outcome = co_await context_.stages.run_group(route_->stages[stage].service, std::move(group),
-                                                 cancellation);
+    auto outcome = co_await context_.stages.run_group(route_->stages[stage].service,
+                                                      std::move(group), runs.cancellation);
+    runs.outcomes[stage] = std::move(outcome);
     const auto elapsed = std::chrono::floor<milliseconds>(steady_clock::now() - started_at);
     stage_times_ += (stage_times_.empty() ? "" : ",") + route_->stages[stage].service + ':' +
                     std::to_string(elapsed.count());
-    stage_done.cancel();
+    runs.stage_ended.cancel();
 }
 
 // Where most of the request's inputs are, if they are costly to transfer.
