--- a/libs/balancing/tests/endpoint_pool_test.cpp
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -26,6 +26,14 @@
         endpoints.push_back(made);
         return endpoints.back();
     }
+    // Adds four endpoints in data centre "a" and four in "b".
+    void add_four_each(const std::string& prefix_in_a, const std::string& prefix_in_b) {
+        for (int i = 0; i < 4; ++i) {
+            add(prefix_in_a + std::to_string(i), "a");
+            add(prefix_in_b + std::to_string(i), "b");
+        }
+        refresh();
+    }
     void refresh(time_point now = start) { pool.set_endpoints(endpoints, evacuated, service, now); }
     std::optional<chosen_endpoint> choose(choice_request request = {}, time_point now = start,
                                           cold_limit cold = no_limit) {
@@ -160,11 +168,7 @@
 // to hold the inputs of a request.
 TEST_CASE_METHOD(pool_fixture, "requests that share a prompt go to its home, not to their inputs") {
     service.engine = catalog::engine_capacity{};
-    for (int i = 0; i < 4; ++i) {
-        add("home-" + std::to_string(i), "a");
-        add("other-" + std::to_string(i), "b");
-    }
-    refresh();
+    add_four_each("home-", "other-");
     choice_request request;
     request.affinity = "5c1e07a2";
     request.affinity_data_centre = "a";
@@ -185,11 +189,7 @@
 }
 
 TEST_CASE_METHOD(pool_fixture, "requests without a shared prompt go where their inputs are") {
-    for (int i = 0; i < 4; ++i) {
-        add("near-" + std::to_string(i), "a");
-        add("far-" + std::to_string(i), "b");
-    }
-    refresh();
+    add_four_each("near-", "far-");
     choice_request request;
     request.affinity_data_centre = "b";
     request.inputs_data_centre = "b";
--- a/libs/stages/tests/result_room_test.cpp
+++ b/libs/stages/tests/result_room_test.cpp
@@ -1,4 +1,5 @@
 // Simulates a stage service whose endpoints run out of memory for results on a virtual clock.
+#include "simulated_endpoints.hpp"
 #include "stages/stage_plan.hpp"
 #include "stages/stage_queue.hpp"
 
@@ -40,13 +41,7 @@
         capacity_.result_memory_bytes = 44'000'000;
         capacity_.result_lifetime = seconds{4};
         queue_ = stage_queue::make(capacity_);
-        std::vector<catalog::endpoint> endpoints(3);
-        for (std::size_t i = 0; i < endpoints.size(); ++i) {
-            endpoints[i].id = "endpoint-" + std::to_string(i);
-            endpoints[i].address = endpoints[i].id;
-            endpoints[i].service = "stage";
-        }
-        queue_.set_endpoints(endpoints, {}, "stage", now_);
+        queue_.set_endpoints(make_endpoints(3), {}, "stage", now_);
     }
 
     // Returns the counts of the short requests.
