--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -41,7 +41,7 @@
 struct choice_request {
     std::string_view affinity{};         ///< equal for requests that share a prompt
     std::string_view near_data_centre{}; ///< preferred among endpoints of equal cost
-    /// Preferred unless its endpoints are overloaded; with `affinity`: has the first choices.
+    /// Preferred unless its endpoints are overloaded; with `affinity`: ranked before all others.
     std::string_view affinity_data_centre{};
     std::string_view inputs_data_centre{};       ///< holds the inputs; empty: none of note
     std::uint64_t input_bytes{0};                ///< to transfer to any other data centre
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -29,7 +29,7 @@
 constexpr double affinity_load_slack = 4; // requests
 constexpr double affinity_cost_factor = 2.5;
 constexpr double prefill_queue_weight = 0.5; // per queued prompt, as about half of them are small
-// Links carry more, but are shared and paid for.
+// Well above the time on an idle link, as links are shared.
 constexpr double transfer_ms_per_byte = 10e-6;
 constexpr double choice_jitter = 0.1; // keeps entries from all choosing the same endpoint
 // When an endpoint's cold start ends, its next report may still be in transit.
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -87,8 +87,8 @@
                     }
                 }
             } else if (const auto* const refused = std::get_if<group_refused>(&*outcome->second)) {
-                failure = make_error(error_kind::no_capacity,
-                                     "the stages would not complete before the request's deadline");
+                failure =
+                    make_error(error_kind::no_capacity, "the stages would not complete in time");
                 retry_after = refused->retry_after;
             } else if (!failure) {
                 // The caller disconnected. A stage cancelled because another one failed keeps that
