gateway, stages: log what an entry knew of an endpoint when it sent it work

The logs could not tell the hypotheses apart: a call for pieces did not show whether its endpoint's registration was missing, and nothing showed that an endpoint had announced in a response that it leaves. call_ended now has unregistered_ms and leaving, request ended has leaving, and boragefront_leaving_notices_total counts the announcements. No decision changes.

--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -226,6 +226,10 @@
 request_handler::handle_response(http::response_stream& stream, const send_attempt& attempt) {
     const auto head = platform::read_response_head(stream.head());
     head_at_ = steady_clock::now();
+    endpoint_leaving_ = head.leaving;
+    if (head.leaving) {
+        context_.state.metrics().get_counter("boragefront_leaving_notices_total").add();
+    }
     auto* const pool = context_.state.pool(service_);
     if (head.load && pool != nullptr) {
         pool->on_load_report(attempt.endpoint, to_reported_load(*head.load), steady_clock::now());
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -180,6 +180,7 @@
          {"route", route},
          {"service", service_},
          {"endpoint", last_endpoint_},
+         {"leaving", endpoint_leaving_ ? "true" : "false"},
          {"outcome", summary_.outcome},
          {"status", std::to_string(summary_.status)},
          {"whole", summary_.complete ? "true" : "false"},
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -131,6 +131,7 @@
     time_point stages_done_at_{};
     std::string stage_times_; // "service:milliseconds" of each finished stage, for the log
     std::string last_endpoint_;
+    bool endpoint_leaving_{false}; // by its last response
     request_summary summary_;
 };
 
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -257,6 +257,10 @@
         // The response to this call may still arrive on the connection in place of a later one.
         endpoints_.close_idle_connections(call.address);
     }
+    const bool leaving = response && platform::read_response_head(response.value()).leaving;
+    if (leaving) {
+        state_.metrics().get_counter("boragefront_leaving_notices_total").add();
+    }
     state_.metrics()
         .get_counter("boragefront_stage_calls_total", "service=\"" + service + "\",outcome=\"" +
                                                           std::string{to_string(outcome)} + '"')
@@ -274,6 +278,9 @@
          {"no_room", std::to_string(count_outcome(results, stages::piece_outcome::no_room))},
          {"left_waiting", std::to_string(call.left_waiting)},
          {"room_left", std::to_string(call.room_left)},
+         {"unregistered_ms",
+          call.unregistered_for ? std::to_string(call.unregistered_for->count()) : ""},
+         {"leaving", leaving ? "true" : "false"},
          {"expected_ms", std::to_string(call.expected.count())},
          {"took_ms", std::to_string(std::chrono::floor<milliseconds>(now - started).count())},
          {"outcome", std::string{to_string(outcome)}},
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -33,6 +33,7 @@
     milliseconds timeout{0};             ///< time after which the call has timed out
     std::size_t left_waiting{0};         ///< pieces still waiting after the call was planned
     std::uint64_t room_left{0};          ///< memory left for results at its endpoint, in bytes
+    std::optional<milliseconds> unregistered_for; ///< if its endpoint's registration is missing
 };
 
 /// Outcome of a call as a whole.
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -189,6 +189,9 @@
     }
     target.pending_bytes += bytes;
     call.room_left = free_room(target, now);
+    if (const auto removed_at = target.descriptor.removed_at) {
+        call.unregistered_for = std::chrono::floor<milliseconds>(now - *removed_at);
+    }
     ++target.calls;
     target.busy_until = now + expected;
     calls_[call.id] = {
