--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -27,7 +27,7 @@
     return asio::redirect_error(asio::use_awaitable, failure);
 }
 
-std::string head_of(unsigned status, const std::string& request_id, bool receipt) {
+std::string plain_head(unsigned status, const std::string& request_id, bool receipt) {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
     head += "Boragefront-Request-Id: " + request_id + "\r\n";
     if (receipt) {
@@ -52,6 +52,12 @@
 
 } // namespace
 
+std::string endpoint_stand_in::head_of(unsigned status, const std::string& request_id,
+                                       bool receipt) const {
+    return plain_head(status, request_id, receipt) +
+           (announces_leaving ? "Server-Leaving: 1\r\n" : "");
+}
+
 struct endpoint_stand_in::connection {
     explicit connection(tcp::socket from) : socket{std::move(from)} {}
 
@@ -118,6 +124,7 @@
                                         {"slots", 4},
                                         {"state", state},
                                         {"cold_remaining_ms", 0},
+                                        {"born", born},
                                         {"sequence", 1}});
 }
 
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -79,10 +79,12 @@
     /// The mode of the next `times` requests; sound afterwards. Calls for pieces are not counted.
     void set_mode(endpoint_mode mode, int times = 1'000'000);
 
-    milliseconds work{0}; ///< time until it answers
-    int events{0};        ///< of a stream; 0: a plain answer
-    milliseconds gap{5};  ///< between events
-    int cut_after{2};     ///< events, in mode `cut`
+    milliseconds work{0};          ///< time until it answers
+    int events{0};                 ///< of a stream; 0: a plain answer
+    milliseconds gap{5};           ///< between events
+    int cut_after{2};              ///< events, in mode `cut`
+    bool announces_leaving{false}; ///< in all responses
+    int born{1};                   ///< start time that it registers, in milliseconds
 
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
@@ -99,6 +101,7 @@
     boost::asio::awaitable<bool> flood(connection& with, std::size_t visit);
     boost::asio::awaitable<bool> answer_pieces(connection& with, std::size_t visit);
     endpoint_mode take_mode();
+    std::string head_of(unsigned status, const std::string& request_id, bool receipt) const;
 
     boost::asio::any_io_executor executor_;
     boost::asio::ip::tcp::acceptor acceptor_;
