stages, balancing: a registration's status is judged whenever an endpoint is chosen

Users saw stage work reach an endpoint that was to get nothing more.

Cause: an endpoint that leaves without a report only loses its registration, and stays usable for a grace of 1.2 s. The pool compared the removal with the clock at each choice. With the 0.4 s after which a removal is read at the latest, calls went out up to 2.04 s after it, where drain_ms is 2 s.

Class: a verdict that depends on the time is stored and outlives its inputs, in two copies with rules of their own.

Change: catalog::status_of is the only judgement of a registration; pool and queue ask it at each choice with the time as an argument. The queue settles which data centres it avoids when it plans, as that depends on the same verdict. The pool no longer counts an endpoint that has gone in the time after which callers may return.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -1,6 +1,7 @@
 #include "balancing/endpoint_pool.hpp"
 
 #include "base/hash.hpp"
+#include "catalog/registration.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -9,10 +10,8 @@
 namespace boragefront::balancing {
 namespace {
 
-// A registration that disappears from the platform's list without a notice of leaving may have
-// expired during a platform outage. Its endpoint stays usable for this time, but is chosen only if
-// no listed one is available. Well below the 2 s after which it must not get any work.
-constexpr milliseconds missing_grace{1'200};
+using catalog::registration_status;
+
 constexpr double latency_weight = 0.2; // weight of the newest observation
 constexpr double failure_weight = 0.2;
 constexpr milliseconds initial_backoff{250}; // a further failed connection attempt costs less
@@ -65,14 +64,15 @@
     std::erase_if(endpoints_, [&](const auto& candidate) {
         return !listed.contains(candidate.first) ||
                (candidate.second.endpoint.removed_at &&
-                now - *candidate.second.endpoint.removed_at > missing_grace &&
+                catalog::status_of(candidate.second.endpoint, now) ==
+                    registration_status::withdrawn &&
                 candidate.second.requests.empty());
     });
 }
 
 bool endpoint_pool::is_eligible(const tracked_endpoint& candidate,
                                 const choice_request& request) const {
-    return candidate.endpoint.state == catalog::endpoint_state::ready && !candidate.evacuated &&
+    return !candidate.evacuated &&
            (request.tried == nullptr || !request.tried->contains(candidate.endpoint.id)) &&
            (request.allowed_data_centres == nullptr ||
             request.allowed_data_centres->contains(candidate.endpoint.data_centre));
@@ -176,7 +176,7 @@
                                                      const entry_group& group, time_point now,
                                                      random_source& random) {
     std::vector<const tracked_endpoint*> listed;
-    std::vector<const tracked_endpoint*> missing;
+    std::vector<const tracked_endpoint*> missing; // used only if there is no listed one
     std::vector<const tracked_endpoint*> avoided;
     for (const auto& [id, candidate] : endpoints_) {
         const bool limited =
@@ -187,9 +187,10 @@
         const bool is_avoided =
             request.avoided_data_centres != nullptr &&
             request.avoided_data_centres->contains(candidate.endpoint.data_centre);
-        if (!candidate.endpoint.removed_at) {
+        const auto status = catalog::status_of(candidate.endpoint, now);
+        if (status == registration_status::ready) {
             (is_avoided ? avoided : listed).push_back(&candidate);
-        } else if (!is_avoided && now - *candidate.endpoint.removed_at < missing_grace) {
+        } else if (status == registration_status::missing && !is_avoided) {
             missing.push_back(&candidate);
         }
     }
@@ -216,9 +217,8 @@
 }
 
 bool endpoint_pool::is_healthy(const tracked_endpoint& candidate, time_point now) {
-    return candidate.endpoint.state == catalog::endpoint_state::ready &&
-           !candidate.endpoint.removed_at && now >= candidate.backoff_until &&
-           candidate.consecutive_failures == 0;
+    return catalog::status_of(candidate.endpoint, now) == registration_status::ready &&
+           now >= candidate.backoff_until && candidate.consecutive_failures == 0;
 }
 
 std::optional<chosen_endpoint> endpoint_pool::find_healthy(const std::string& id,
@@ -265,7 +265,8 @@
 milliseconds endpoint_pool::retry_after(time_point now) const {
     auto earliest = now + max_backoff;
     for (const auto& [id, candidate] : endpoints_) {
-        if (candidate.endpoint.state == catalog::endpoint_state::ready && !candidate.evacuated) {
+        if (catalog::status_of(candidate.endpoint, now) != registration_status::withdrawn &&
+            !candidate.evacuated) {
             earliest = std::min(earliest, std::max(candidate.backoff_until, now + initial_backoff));
         }
     }
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -124,7 +124,7 @@
     };
     struct endpoint_state {
         catalog::endpoint descriptor;
-        bool in_service{true};
+        bool evacuated{false};
         bool avoided{false};   // its data centre is unreachable and there are other endpoints
         bool contended{false}; // likely used by a dispatcher in another partition
         unsigned calls{0};
@@ -173,7 +173,8 @@
         std::set<std::string> skipped;                // endpoints for which no group is suitable
     };
 
-    void update_avoided();
+    static bool in_service(const endpoint_state& endpoint, time_point now);
+    void update_avoided(time_point now);
     double slowdown_now(const endpoint_state& endpoint, time_point now) const;
     double capacity_endpoints(time_point now) const;
     milliseconds queue_time(std::size_t pieces, time_point now) const;
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -54,7 +54,7 @@
 }
 
 bool stage_queue::is_idle(const endpoint_state& endpoint, time_point now) const {
-    return endpoint.in_service && !endpoint.avoided && endpoint.calls < capacity_.calls &&
+    return in_service(endpoint, now) && !endpoint.avoided && endpoint.calls < capacity_.calls &&
            now >= endpoint.backoff_until;
 }
 
@@ -62,7 +62,7 @@
 std::set<std::string, std::less<>> stage_queue::near_data_centres(time_point now) const {
     std::set<std::string, std::less<>> usable;
     for (const auto& [id, endpoint] : endpoints_) {
-        if (endpoint.in_service && !endpoint.avoided && now >= endpoint.backoff_until &&
+        if (in_service(endpoint, now) && !endpoint.avoided && now >= endpoint.backoff_until &&
             slowdown_now(endpoint, now) < near_slowdown_limit) {
             usable.insert(endpoint.descriptor.data_centre);
         }
@@ -143,7 +143,7 @@
     endpoint_state* best = nullptr;
     auto best_end = time_point::max();
     for (auto& [id, endpoint] : endpoints_) {
-        if (!endpoint.in_service || endpoint.avoided || plan.skipped.contains(id)) {
+        if (!in_service(endpoint, plan.now) || endpoint.avoided || plan.skipped.contains(id)) {
             continue;
         }
         auto free_at = std::max(plan.now, endpoint.backoff_until);
@@ -206,6 +206,7 @@
 std::vector<stage_call> stage_queue::next_calls(time_point now) {
     expire_overdue(now);
     expire_results(now);
+    update_avoided(now);
     auto idle = static_cast<std::size_t>(
         std::count_if(endpoints_.begin(), endpoints_.end(),
                       [&](const auto& item) { return is_idle(item.second, now); }));
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -1,6 +1,7 @@
 #include "stages/stage_queue.hpp"
 
 #include "backoff.hpp"
+#include "catalog/registration.hpp"
 #include "scaled_time.hpp"
 
 #include <algorithm>
@@ -21,8 +22,6 @@
 // Replaces `full_backoff` for a contended endpoint.
 constexpr milliseconds contended_full_backoff{250};
 constexpr milliseconds room_poll_interval{25}; // for endpoints without memory for results
-constexpr milliseconds missing_grace_period{
-    1'200}; // as for endpoints missing from the platform's list
 constexpr milliseconds max_wakeup_delay{60'000};
 constexpr milliseconds capacity_backoff_limit{
     500}; // an endpoint with a shorter back-off counts as capacity
@@ -57,27 +56,26 @@
         }
         kept.descriptor = endpoint;
         kept.contended = contended_.contains(endpoint.id);
-        const bool missing =
-            endpoint.removed_at && now - *endpoint.removed_at > missing_grace_period;
-        kept.in_service = endpoint.state == catalog::endpoint_state::ready && !missing &&
-                          !evacuated.contains(endpoint.data_centre);
+        kept.evacuated = evacuated.contains(endpoint.data_centre);
     }
     std::erase_if(endpoints_, [&](const auto& item) { return !listed.contains(item.first); });
-    update_avoided();
+    update_avoided(now);
 }
 
 void stage_queue::set_avoided_data_centres(std::set<std::string, std::less<>> data_centres) {
-    if (data_centres != avoided_data_centres_) {
-        avoided_data_centres_ = std::move(data_centres);
-        update_avoided();
-    }
+    avoided_data_centres_ = std::move(data_centres);
+}
+
+bool stage_queue::in_service(const endpoint_state& endpoint, time_point now) {
+    return !endpoint.evacuated &&
+           catalog::status_of(endpoint.descriptor, now) != catalog::registration_status::withdrawn;
 }
 
-void stage_queue::update_avoided() {
+void stage_queue::update_avoided(time_point now) {
     bool any_not_avoided = false;
     for (auto& [id, endpoint] : endpoints_) {
         endpoint.avoided = avoided_data_centres_.contains(endpoint.descriptor.data_centre);
-        any_not_avoided = any_not_avoided || (endpoint.in_service && !endpoint.avoided);
+        any_not_avoided = any_not_avoided || (in_service(endpoint, now) && !endpoint.avoided);
     }
     for (auto& [id, endpoint] : endpoints_) {
         endpoint.avoided = endpoint.avoided && any_not_avoided;
@@ -106,7 +104,7 @@
 double stage_queue::capacity_endpoints(time_point now) const {
     double sum = 0;
     for (const auto& [id, endpoint] : endpoints_) {
-        const bool usable = endpoint.in_service && !endpoint.avoided && !endpoint.contended;
+        const bool usable = in_service(endpoint, now) && !endpoint.avoided && !endpoint.contended;
         if (usable && now + capacity_backoff_limit >= endpoint.backoff_until) {
             sum += 1 / std::max(slowdown_now(endpoint, now), 1.0);
         }
@@ -306,11 +304,11 @@
         return earliest;
     }
     for (const auto& [id, endpoint] : endpoints_) {
-        if (endpoint.in_service && endpoint.backoff_until > now) {
+        if (in_service(endpoint, now) && endpoint.backoff_until > now) {
             earliest = std::min(earliest, endpoint.backoff_until);
         }
         const bool lacks_room = endpoint.held_bytes > 0 || endpoint.unaccounted_bytes > 0;
-        if (endpoint.in_service && endpoint.calls < capacity_.calls && lacks_room) {
+        if (in_service(endpoint, now) && endpoint.calls < capacity_.calls && lacks_room) {
             earliest = std::min(earliest, now + room_poll_interval);
         }
     }
