gateway, catalog: an endpoint that announces in a response that it leaves gets nothing more

An endpoint that leaves says so in all its responses. Nothing read it, so an entry that neither the store nor a peer reaches went on sending to it until its connections were refused.

Class: news that comes on the traffic itself is dropped, because state is thought to come from the control path only.

A new incarnation is used again.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -60,6 +60,7 @@
     std::string id;
     std::string address;
     std::string data_centre;
+    std::uint64_t incarnation{0};
 };
 
 /// State of one endpoint, for dumps.
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -34,6 +34,10 @@
 // When an endpoint's cold start ends, its next report may still be in transit.
 constexpr milliseconds cold_report_delay{1'500};
 
+chosen_endpoint to_chosen(const catalog::endpoint& endpoint) {
+    return {endpoint.id, endpoint.address, endpoint.data_centre, endpoint.incarnation};
+}
+
 double milliseconds_of(duration value) {
     return std::chrono::duration<double, std::milli>(value).count();
 }
@@ -213,7 +217,7 @@
             }
         }
     }
-    return chosen_endpoint{best->endpoint.id, best->endpoint.address, best->endpoint.data_centre};
+    return to_chosen(best->endpoint);
 }
 
 bool endpoint_pool::is_healthy(const tracked_endpoint& candidate, time_point now) {
@@ -227,8 +231,7 @@
     if (found == endpoints_.end() || !is_healthy(found->second, now)) {
         return std::nullopt;
     }
-    const auto& endpoint = found->second.endpoint;
-    return chosen_endpoint{endpoint.id, endpoint.address, endpoint.data_centre};
+    return to_chosen(found->second.endpoint);
 }
 
 std::optional<chosen_endpoint> endpoint_pool::affinity_endpoint(std::string_view affinity,
@@ -249,8 +252,7 @@
     if (preferred == nullptr) {
         return std::nullopt;
     }
-    return chosen_endpoint{preferred->endpoint.id, preferred->endpoint.address,
-                           preferred->endpoint.data_centre};
+    return to_chosen(preferred->endpoint);
 }
 
 unavailability endpoint_pool::unavailability_reason() const {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -175,7 +175,6 @@
         const bool first = state_.current() == nullptr;
         const auto now = steady_clock::now();
         state_.publish(next, now);
-        stages_->update_endpoints(now);
         const auto& limits = next->published.config->limits;
         http::server_limits applied;
         applied.header_bytes = limits.header_bytes;
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -186,7 +186,7 @@
     if (last_event_id_) {
         forwarding.last_event_id = std::to_string(*last_event_id_);
     }
-    const send_attempt attempt{chosen->id,
+    const send_attempt attempt{chosen->id, chosen->incarnation,
                                pool->on_request_sent(chosen->id,
                                                      context_.state.cold_limit_of(service_),
                                                      context_.state.entry_group(), now),
@@ -228,7 +228,7 @@
     head_at_ = steady_clock::now();
     endpoint_leaving_ = head.leaving;
     if (head.leaving) {
-        context_.state.metrics().get_counter("boragefront_leaving_notices_total").add();
+        context_.state.record_leaving(attempt.endpoint, attempt.incarnation, *head_at_);
     }
     auto* const pool = context_.state.pool(service_);
     if (head.load && pool != nullptr) {
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -34,6 +34,7 @@
 private:
     struct send_attempt {
         std::string endpoint;
+        std::uint64_t incarnation;
         std::uint64_t ticket;
         time_point at;
     };
--- a/libs/gateway/src/result_freer.cpp
+++ b/libs/gateway/src/result_freer.cpp
@@ -1,5 +1,6 @@
 #include "result_freer.hpp"
 
+#include "platform/requests.hpp"
 #include "platform/stage_calls.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -46,13 +47,13 @@
 
 http::awaitable<void> result_freer::free_at(std::string address, std::vector<std::string> handles) {
     const auto endpoint = state_.stage_endpoint_at(address);
-    if (endpoint.empty()) {
+    if (!endpoint) {
         on_freed_(handles); // the endpoint is gone, and its results with it
         co_return;
     }
     http::call_options options;
     options.deadline = steady_clock::now() + call_timeout;
-    auto call = platform::make_stage_free_request(endpoint, handles);
+    auto call = platform::make_stage_free_request(endpoint->id, handles);
     const auto response = co_await client_.call(std::move(address), std::move(call), options);
     if (!response) {
         state_.metrics()
@@ -62,6 +63,9 @@
             .add(handles.size());
         co_return;
     }
+    if (platform::read_response_head(response.value()).leaving) {
+        state_.record_leaving(endpoint->id, endpoint->incarnation, steady_clock::now());
+    }
     on_freed_(handles);
 }
 
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -64,6 +64,7 @@
 
 } // namespace
 
+// Applies the endpoints and capacities of the current snapshot.
 void stage_scheduler::update_endpoints(time_point now) {
     const auto& published = state_.current()->published;
     for (auto& [service, queue] : queues_) {
@@ -71,7 +72,7 @@
         if (found != published.config->services.end() && found->second.stages) {
             queue->queue.set_capacity(*found->second.stages);
         }
-        queue->queue.set_endpoints(published.endpoints, published.evacuated, service, now);
+        queue->queue.set_endpoints(state_.endpoints(), published.evacuated, service, now);
         update_endpoint_shares(*queue);
         run_queue(service);
     }
@@ -80,7 +81,7 @@
 // Reserves the share of a service's endpoints that entries which cannot be seen from here may use.
 void stage_scheduler::update_endpoint_shares(service_queue& queue) {
     const auto& fleet = state_.fleet();
-    const auto& endpoints = state_.current()->published.endpoints;
+    const auto& endpoints = state_.endpoints();
     std::uint64_t shares_hash = 0;
     if (!fleet.silent.empty()) {
         for (const auto& entry : fleet.silent) {
@@ -259,7 +260,7 @@
     }
     const bool leaving = response && platform::read_response_head(response.value()).leaving;
     if (leaving) {
-        state_.metrics().get_counter("boragefront_leaving_notices_total").add();
+        state_.record_leaving(call.endpoint, call.incarnation, now);
     }
     state_.metrics()
         .get_counter("boragefront_stage_calls_total", "service=\"" + service + "\",outcome=\"" +
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -51,6 +51,7 @@
     : executor_{std::move(executor)}, state_{state}, endpoints_{endpoints}, peers_{peers},
       freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {
     freer_.on_freed([this](const auto& handles) { on_results_freed(handles); });
+    state_.on_endpoints_changed([this](time_point now) { update_endpoints(now); });
 }
 
 stage_scheduler::service_queue* stage_scheduler::queue_for(const std::string& service) {
@@ -64,7 +65,7 @@
         queue = std::make_unique<service_queue>(executor_);
         queue->service = service;
         queue->queue = stages::stage_queue::make(*found->second.stages);
-        queue->queue.set_endpoints(published.endpoints, published.evacuated, service,
+        queue->queue.set_endpoints(state_.endpoints(), published.evacuated, service,
                                    steady_clock::now());
         update_endpoint_shares(*queue);
     }
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -75,9 +75,6 @@
     /// Expected time of a group of this size at a service, including queueing.
     milliseconds expected_time(const std::string& service, std::size_t pieces);
 
-    /// Applies the endpoints and capacities of the current snapshot.
-    void update_endpoints(time_point now);
-
     // Requests of other entries.
     wire::answer handle(const wire::make_pieces_request& request);
     void handle(const wire::pieces_done_request& done);
@@ -126,6 +123,7 @@
                                                   cancellation_source& cancellation);
     void record_expected_time(const std::string& service, milliseconds expected);
     service_queue* queue_for(const std::string& service);
+    void update_endpoints(time_point now);
     void update_endpoint_shares(service_queue& queue);
     dispatching_entry self() const;
     std::vector<wire::entry_info> dispatchers(const std::string& service) const;
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -1,6 +1,7 @@
 #include "traffic_state.hpp"
 
 #include "base/hash.hpp"
+#include "base/logging.hpp"
 
 #include <algorithm>
 
@@ -15,12 +16,33 @@
 
 void traffic_state::publish(std::shared_ptr<const indexed_snapshot> next, time_point now) {
     current_ = std::move(next);
+    leaving_.purge(now);
+    update_endpoints(now);
+}
+
+void traffic_state::update_endpoints(time_point now) {
     const auto& published = current_->published;
+    endpoints_ = published.endpoints;
+    leaving_.apply_to(endpoints_);
     const auto& services = published.config->services;
     for (const auto& [name, service] : services) {
-        pools_[name].set_endpoints(published.endpoints, published.evacuated, service, now);
+        pools_[name].set_endpoints(endpoints_, published.evacuated, service, now);
     }
     std::erase_if(pools_, [&](const auto& pool) { return !services.contains(pool.first); });
+    if (on_endpoints_changed_) {
+        on_endpoints_changed_(now);
+    }
+}
+
+void traffic_state::record_leaving(const std::string& id, std::uint64_t incarnation,
+                                   time_point now) {
+    if (!leaving_.record(id, incarnation, now)) {
+        return;
+    }
+    log_change("endpoints", "leaving_announced",
+               {{"endpoint", id}, {"incarnation", std::to_string(incarnation)}});
+    metrics_.get_counter("boragefront_leaving_notices_total").add();
+    update_endpoints(now);
 }
 
 void traffic_state::set_fleet(fleet_view view) {
@@ -70,21 +92,17 @@
     return allowed;
 }
 
-std::string traffic_state::stage_endpoint_at(std::string_view address) const {
-    if (current_ == nullptr) {
-        return {};
-    }
-    const auto& published = current_->published;
-    for (const auto& endpoint : published.endpoints) {
-        if (endpoint.address != address || endpoint.removed_at) {
-            continue;
-        }
-        const auto service = published.config->services.find(endpoint.service);
-        const bool is_stage_service =
-            service != published.config->services.end() && service->second.stages.has_value();
-        return is_stage_service ? endpoint.id : std::string{};
+std::optional<catalog::endpoint> traffic_state::stage_endpoint_at(std::string_view address) const {
+    const auto found = std::find_if(endpoints_.begin(), endpoints_.end(), [&](const auto& one) {
+        return one.address == address && !one.removed_at;
+    });
+    if (found == endpoints_.end()) {
+        return std::nullopt;
     }
-    return {};
+    const auto& services = current_->published.config->services;
+    const auto service = services.find(found->service);
+    const bool is_stage_service = service != services.end() && service->second.stages.has_value();
+    return is_stage_service ? std::optional{*found} : std::nullopt;
 }
 
 std::string traffic_state::preferred_data_centre(const catalog::route& route,
@@ -99,7 +117,7 @@
     const auto& published = current_->published;
     std::string data_centre;
     std::uint64_t best_score = 0;
-    for (const auto& endpoint : published.endpoints) {
+    for (const auto& endpoint : endpoints_) {
         const bool serves = endpoint.service == largest->service && !endpoint.removed_at &&
                             endpoint.state == catalog::endpoint_state::ready &&
                             !published.evacuated.contains(endpoint.data_centre);
@@ -113,14 +131,10 @@
 }
 
 std::string traffic_state::data_centre_of(std::string_view address) const {
-    if (current_ == nullptr) {
-        return {};
-    }
-    const auto& endpoints = current_->published.endpoints;
-    const auto found = std::find_if(endpoints.begin(), endpoints.end(), [&](const auto& endpoint) {
-        return endpoint.address == address;
-    });
-    return found == endpoints.end() ? std::string{} : found->data_centre;
+    const auto found =
+        std::find_if(endpoints_.begin(), endpoints_.end(),
+                     [&](const auto& endpoint) { return endpoint.address == address; });
+    return found == endpoints_.end() ? std::string{} : found->data_centre;
 }
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -9,12 +9,14 @@
 #include "balancing/retry_budget.hpp"
 #include "base/metrics.hpp"
 #include "base/random.hpp"
+#include "catalog/leaving_endpoints.hpp"
 #include "catalog/route_table.hpp"
 #include "catalog/types.hpp"
 #include "gateway/drain_plan.hpp"
 #include "settings/settings.hpp"
 #include "wire/messages.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,13 +55,25 @@
     traffic_state(settings::gateway_settings role, std::string self_id, std::string data_centre,
                   metrics_registry& metrics);
 
-    /// Replaces the current snapshot and updates the pools.
+    /// Replaces the current snapshot and updates the endpoints.
     void publish(std::shared_ptr<const indexed_snapshot> next, time_point now);
+
+    /// Takes an endpoint out of service that announced in a response that it leaves.
+    /// \param incarnation of the endpoint that was asked.
+    void record_leaving(const std::string& id, std::uint64_t incarnation, time_point now);
+
+    /// Sets the callback for changes of `endpoints`.
+    void on_endpoints_changed(std::function<void(time_point now)> callback) {
+        on_endpoints_changed_ = std::move(callback);
+    }
+
     void set_fleet(fleet_view view);
     void set_role(const settings::gateway_settings& role) { role_ = role; }
 
     /// The current snapshot, null until the first one is published.
     const std::shared_ptr<const indexed_snapshot>& current() const { return current_; }
+    /// The published endpoints, of which those that announced that they leave are draining.
+    const std::vector<catalog::endpoint>& endpoints() const { return endpoints_; }
     const fleet_view& fleet() const { return fleet_; }
     const balancing::entry_group& entry_group() const { return group_; }
 
@@ -78,8 +92,8 @@
     allowed_data_centres(const std::vector<std::string>& route_regions,
                          const std::vector<std::string>& workspace_regions) const;
 
-    /// The id of the stage service's endpoint at an address, empty if there is none.
-    std::string stage_endpoint_at(std::string_view address) const;
+    /// The stage service's endpoint at an address, if there is one.
+    std::optional<catalog::endpoint> stage_endpoint_at(std::string_view address) const;
     /// The data centre that requests with this shared prompt prefer: one that can produce the
     /// largest results of the route's stages, weighted by the number of endpoints that produce
     /// them. Empty if no stage has results that are costly to transfer.
@@ -97,12 +111,17 @@
     std::optional<drain_plan> draining; ///< set once a shutdown was requested
 
 private:
+    void update_endpoints(time_point now);
+
     settings::gateway_settings role_;
     std::string self_id_;
     std::string data_centre_;
     metrics_registry& metrics_;
     random_source random_{make_random_source()};
     std::shared_ptr<const indexed_snapshot> current_; // shared with requests in progress
+    catalog::leaving_endpoints leaving_;
+    std::vector<catalog::endpoint> endpoints_;
+    std::function<void(time_point)> on_endpoints_changed_;
     fleet_view fleet_;
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
--- a/libs/gateway/tests/traffic_state_test.cpp
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -47,15 +47,16 @@
 // Covers a restarted entry that is notified of results requested by its previous incarnation before
 // the first snapshot is published.
 TEST_CASE_METHOD(state_fixture, "addresses are unknown before the first snapshot") {
-    CHECK(state.stage_endpoint_at("10.0.0.1:1").empty());
+    CHECK_FALSE(state.stage_endpoint_at("10.0.0.1:1"));
     CHECK(state.data_centre_of("10.0.0.1:1").empty());
 }
 
 TEST_CASE_METHOD(state_fixture, "only endpoints of stage services are asked to free results") {
     publish();
-    CHECK(state.stage_endpoint_at("10.0.0.1:1") == "s1");
-    CHECK(state.stage_endpoint_at("10.0.0.3:1").empty());
-    CHECK(state.stage_endpoint_at("10.0.0.9:1").empty());
+    REQUIRE(state.stage_endpoint_at("10.0.0.1:1"));
+    CHECK(state.stage_endpoint_at("10.0.0.1:1")->id == "s1");
+    CHECK_FALSE(state.stage_endpoint_at("10.0.0.3:1"));
+    CHECK_FALSE(state.stage_endpoint_at("10.0.0.9:1"));
     CHECK(state.data_centre_of("10.0.0.2:1") == "b");
 }
 
@@ -89,3 +90,17 @@
     state.set_fleet({{other}, {other}, {}, 4});
     CHECK(state.entry_group().size() == 4);
 }
+
+// A snapshot that is published after the announcement still lists the endpoint as ready.
+TEST_CASE_METHOD(state_fixture, "an endpoint that announced that it leaves stays out of service") {
+    publish();
+    int changes = 0;
+    state.on_endpoints_changed([&](time_point) { ++changes; });
+    state.record_leaving("m1", 0, start);
+    state.record_leaving("m1", 0, start);
+    CHECK(changes == 1);
+    publish();
+    CHECK(changes == 2);
+    CHECK_FALSE(state.pool("model")->find_healthy("m1", start));
+    CHECK(state.pool("stage")->find_healthy("s1", start));
+}
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -26,6 +26,7 @@
 struct stage_call {
     std::uint64_t id{0};
     std::string endpoint; ///< its id
+    std::uint64_t incarnation{0};
     std::string address;
     std::vector<piece> pieces;
     std::vector<milliseconds> time_left; ///< of each piece, until its hard deadline
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -173,6 +173,7 @@
     stage_call call;
     call.id = next_call_++;
     call.endpoint = target.descriptor.id;
+    call.incarnation = target.descriptor.incarnation;
     call.address = target.descriptor.address;
     call.expected = expected;
     call.timeout = scaled(expected, timeout_factor) + timeout_margin;
