--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace boragefront::gateway {
 namespace {
@@ -139,6 +140,39 @@
     }
 }
 
+// The parts of the prompt that other requests may have in common with this one: all but the last.
+std::vector<std::string> request_handler::shared_parts() const {
+    std::vector<std::string> parts;
+    for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i) {
+        parts.push_back(caller_.prompt[i].id);
+    }
+    return parts;
+}
+
+// Logs an attempt that the endpoint broke off.
+void request_handler::record_lost_connection(const send_attempt& attempt, const error& failure) {
+    const bool lost = failure.kind == error_kind::connection_lost ||
+                      failure.kind == error_kind::incomplete_answer;
+    if (!lost || caller_disconnected_) {
+        return;
+    }
+    constexpr std::array names{"none", "head", "content"};
+    std::string parts;
+    for (const auto& part : shared_parts()) {
+        parts += (parts.empty() ? "" : ",") + part;
+    }
+    log_decision(
+        "request", "connection_lost",
+        {{"request", caller_.id},
+         {"endpoint", attempt.endpoint},
+         {"incarnation", std::to_string(attempt.incarnation)},
+         {"response", names.at(static_cast<std::size_t>(progress_))},
+         {"shared_parts", parts},
+         {"since_sent_ms",
+          std::to_string(
+              std::chrono::floor<milliseconds>(steady_clock::now() - attempt.at).count())}});
+}
+
 http::awaitable<request_handler::next_step> request_handler::send_to_endpoint() {
     if (caller_disconnected_) {
         summary_.outcome = "cancelled";
@@ -192,6 +226,7 @@
                                                      context_.state.entry_group(), now),
                                now};
     ++attempts_;
+    progress_ = response_progress::none;
     http::call_options options;
     options.deadline = attempt_deadline(now);
     options.connect_timeout = connect_timeout;
@@ -216,6 +251,7 @@
             context_.endpoints.close_idle_connections(chosen->address);
         }
         record_outcome(attempt, to_send_outcome(stream.error()));
+        record_lost_connection(attempt, stream.error());
         co_return co_await handle_failure(stream.error(), stream.error().ran != work_ran::no);
     }
     context_.state.reachability().record_reached(chosen->data_centre);
@@ -226,6 +262,7 @@
 request_handler::handle_response(http::response_stream& stream, const send_attempt& attempt) {
     const auto head = platform::read_response_head(stream.head());
     head_at_ = steady_clock::now();
+    progress_ = response_progress::head;
     endpoint_leaving_ = head.leaving;
     if (head.leaving) {
         context_.state.record_leaving(attempt.endpoint, attempt.incarnation, *head_at_);
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -32,6 +32,8 @@
     http::awaitable<void> run();
 
 private:
+    // How much of an attempt's response has arrived.
+    enum class response_progress : std::uint8_t { none, head, content };
     struct send_attempt {
         std::string endpoint;
         std::uint64_t incarnation;
@@ -88,6 +90,8 @@
     time_point attempt_deadline(time_point progress_at) const;
     time_point stream_deadline(const progress_tracker& progress) const;
     void record_outcome(const send_attempt& attempt, balancing::send_outcome outcome);
+    void record_lost_connection(const send_attempt& attempt, const error& failure);
+    std::vector<std::string> shared_parts() const;
 
     http::awaitable<void> refuse(error failure, std::optional<milliseconds> retry_after);
     http::awaitable<void> fail(const error& failure);
@@ -132,7 +136,8 @@
     time_point stages_done_at_{};
     std::string stage_times_; // "service:milliseconds" of each finished stage, for the log
     std::string last_endpoint_;
-    bool endpoint_leaving_{false}; // by its last response
+    bool endpoint_leaving_{false};                        // by its last response
+    response_progress progress_{response_progress::none}; // of the last attempt
     request_summary summary_;
 };
 
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -74,6 +74,7 @@
         auto chunk = co_await stream.next_bytes(attempt_deadline(progress.last_progress_at()));
         if (!chunk) {
             record_outcome(attempt, to_send_outcome(chunk.error()));
+            record_lost_connection(attempt, chunk.error());
             co_return co_await handle_failure(chunk.error(), true);
         }
         if (!chunk.value()) {
@@ -86,6 +87,7 @@
                                               "response body exceeds 16 MiB");
             co_return co_await handle_failure(oversized, true);
         }
+        progress_ = response_progress::content;
         progress.record(chunk.value()->size(), steady_clock::now());
     }
     const bool failed = response.status >= first_server_error;
@@ -128,6 +130,7 @@
         if (batch.count == 0) {
             continue;
         }
+        progress_ = response_progress::content;
         progress.record(batch.count, steady_clock::now());
         if (!first_event_at_) {
             first_event_at_ = steady_clock::now();
@@ -159,6 +162,7 @@
     }
     if (failure) {
         record_outcome(attempt, to_send_outcome(*failure));
+        record_lost_connection(attempt, *failure);
         co_return co_await handle_failure(*failure, true);
     }
     record_outcome(attempt, send_outcome::answered);
