--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace boragefront::gateway_tests {
 namespace {
@@ -115,6 +116,25 @@
     open_.clear();
 }
 
+bool endpoint_stand_in::restart_if_crashed() {
+    if (!std::exchange(crashed_, false)) {
+        return false;
+    }
+    ++born;
+    const tcp::endpoint address{asio::ip::address_v4::loopback(), port_};
+    acceptor_.open(address.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address{true});
+    acceptor_.bind(address);
+    acceptor_.listen();
+    asio::co_spawn(executor_, accept_loop(), asio::detached);
+    return true;
+}
+
+bool endpoint_stand_in::crashes_with(const http::request& message) const {
+    const auto prompt = message.headers.get("Boragefront-Prefix-Hash");
+    return !crashes_on.empty() && prompt.find(crashes_on + ':') != std::string_view::npos;
+}
+
 std::string endpoint_stand_in::registration(const std::string& service, const std::string& state,
                                             const std::string& data_centre) const {
     return json::serialize(json::object{{"service", service},
@@ -267,6 +287,12 @@
     }
     (void)co_await with.send(head_of(200, id, true) + "Content-Type: text/event-stream\r\n" +
                              "Transfer-Encoding: chunked\r\n\r\n");
+    if (crashes_with(visits_[visit].message)) {
+        (void)co_await with.wait(gap);
+        crashed_ = true;
+        stop();
+        co_return false;
+    }
     for (int sent = 0; number < events; ++sent) {
         while (mode == endpoint_mode::trickling && sent == cut_after) {
             if (!co_await with.send(chunk(": still here\n\n")) || !co_await with.wait(gap)) {
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -70,6 +70,10 @@
     /// Closes its port and all connections, as a process that ends.
     void stop();
 
+    /// Listens again after it crashed, as a new process.
+    /// \returns false if it has not crashed.
+    bool restart_if_crashed();
+
     const std::string& id() const { return id_; }
 
     /// The value that it registers with.
@@ -85,6 +89,7 @@
     int cut_after{2};              ///< events, in mode `cut`
     bool announces_leaving{false}; ///< in all responses
     int born{1};                   ///< start time that it registers, in milliseconds
+    std::string crashes_on{};      ///< a part of a prompt; crashes after the head of the response
 
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
@@ -101,6 +106,7 @@
     boost::asio::awaitable<bool> flood(connection& with, std::size_t visit);
     boost::asio::awaitable<bool> answer_pieces(connection& with, std::size_t visit);
     endpoint_mode take_mode();
+    bool crashes_with(const http::request& message) const;
     std::string head_of(unsigned status, const std::string& request_id, bool receipt) const;
 
     boost::asio::any_io_executor executor_;
@@ -111,6 +117,7 @@
     endpoint_mode mode_{endpoint_mode::sound};
     int mode_times_{0};
     int next_handle_{1};
+    bool crashed_{false};
     std::vector<endpoint_visit> visits_;
     std::vector<std::weak_ptr<connection>> open_;
 };
