quarantine, gateway, wire: a prompt part that crashes engines is refused

Callers saw engines go down one after the other, and answers cut with each of them.

Cause: a request was judged by its own attempts alone. Nothing compared the requests that were lost in crashes, so each further request with the part, and our own repeat of it, was sent to the next engine.

Class: a failure is put down to the place where it shows (the endpoint), never to the work that causes it.

Change: a library, quarantine. A lost request without any content of its response puts the shared parts of its prompt under suspicion; a response that begins clears its parts. Entries exchange the records by gossip, so that the crashes that each of them saw add up. An engine that still answers has not crashed. The refusal is 503, at once, before the stages run; from the second crash on we do not repeat such a request ourselves.

--- a/libs/base/include/base/error.hpp
+++ b/libs/base/include/base/error.hpp
@@ -33,6 +33,7 @@
     stage_failed,      ///< an endpoint returned an error
     incomplete_answer, ///< a response or stream ended before its explicit end
     no_endpoint,       ///< no endpoint is eligible at present
+    quarantined,       ///< requests like this one crashed the endpoints that processed them
     no_capacity,       ///< the queued work would take longer than the request's remaining time
     connect_failed,    ///< the peer could not be reached; nothing was sent
     connection_lost,   ///< the connection closed after data may have been sent
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -47,6 +47,8 @@
                      "The answer ended before it was whole."},
     error_properties{kind::no_endpoint, "no_endpoint", 503, work_ran::no, true,
                      "No endpoint can take the request now."},
+    error_properties{kind::quarantined, "quarantined", 503, work_ran::no, false,
+                     "Requests like this one crash the endpoints."},
     error_properties{kind::no_capacity, "no_capacity", 503, work_ran::no, true,
                      "The work ahead would take longer than the request has."},
     error_properties{kind::connect_failed, "connect_failed", 503, work_ran::no, true,
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "base/logging.hpp"
 #include "platform/published.hpp"
+#include "suspected_parts.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -109,6 +110,11 @@
     });
 }
 
+void control_loop::set_suspects(std::vector<quarantine::part_report> reports) {
+    asio::post(io_,
+               [this, reports = std::move(reports)]() mutable { suspects_ = std::move(reports); });
+}
+
 void control_loop::reload(const settings::daemon_settings& settings) {
     asio::post(io_, [this, seeds = other_seeds(settings.seed_peers)] { peers_.set_seeds(seeds); });
 }
@@ -216,9 +222,10 @@
 }
 
 http::awaitable<void> control_loop::gossip_with(std::string address) {
-    wire::gossip_request request{self(), peers_.gossip_sample(steady_clock::now(), random_),
+    const auto now = steady_clock::now();
+    wire::gossip_request request{self(), peers_.gossip_sample(now, random_),
                                  published_.operator_keys().through(),
-                                 published_.endpoint_keys().through()};
+                                 published_.endpoint_keys().through(), to_message(suspects_, now)};
     // At start-up the response contains the full published state, so only a few peers are asked for
     // it at a time.
     const bool is_full_sync = !published_.complete() && full_syncs_ < max_full_syncs;
@@ -244,6 +251,7 @@
     const auto now = steady_clock::now();
     peers_.record_contact(gossip.self, now);
     peers_.merge_gossip(gossip.others, now);
+    merge_suspects(gossip.suspected_parts, now);
     bool changed = published_.operator_keys().apply_delta(gossip.configuration, now);
     changed = published_.endpoint_keys().apply_delta(gossip.endpoints, now) || changed;
     if (changed) {
@@ -256,6 +264,12 @@
     publish_fleet();
 }
 
+void control_loop::merge_suspects(const std::vector<wire::suspected_part>& parts, time_point now) {
+    if (!parts.empty()) {
+        callbacks_.merge_suspects(from_message(parts, now));
+    }
+}
+
 void control_loop::notify_peers() {
     for (const auto& peer : peers_.alive_peers(steady_clock::now())) {
         asio::co_spawn(io_, gossip_with(peer.control_address), asio::detached);
@@ -273,8 +287,10 @@
     const auto now = steady_clock::now();
     peers_.record_contact(message.self, now);
     peers_.merge_gossip(message.others, now);
+    merge_suspects(message.suspected_parts, now);
     wire::gossip_answer response;
     response.self = self();
+    response.suspected_parts = to_message(suspects_, now);
     response.others = peers_.gossip_sample(now, random_);
     const auto& operators = published_.operator_keys();
     const auto& endpoints = published_.endpoint_keys();
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -9,6 +9,7 @@
 #include "peering/peer_table.hpp"
 #include "platform/store.hpp"
 #include "published_state.hpp"
+#include "quarantine/prompt_quarantine.hpp"
 #include "settings/settings.hpp"
 #include "traffic_state.hpp"
 #include "wire/client.hpp"
@@ -29,6 +30,7 @@
 struct control_callbacks {
     std::function<void(std::shared_ptr<const indexed_snapshot>)> publish;
     std::function<void(fleet_view)> set_fleet;
+    std::function<void(std::vector<quarantine::part_report>)> merge_suspects;
     std::function<std::string()> dump_traffic; ///< JSON; blocks until the traffic thread responds
     std::function<std::size_t()> open_requests;
 };
@@ -54,6 +56,9 @@
     /// Notifies the other entries that this one accepts no more work.
     void begin_draining();
 
+    /// Sets what other entries are told of suspected parts of prompts.
+    void set_suspects(std::vector<quarantine::part_report> reports);
+
     /// Whether the control thread still runs its gossip loop. If not, the entry's state goes stale.
     bool is_responsive(time_point now) const;
 
@@ -85,6 +90,7 @@
     http::awaitable<void> gossip_loop();
     http::awaitable<void> gossip_with(std::string address);
     void apply_gossip(const wire::gossip_answer& gossip);
+    void merge_suspects(const std::vector<wire::suspected_part>& parts, time_point now);
     void notify_peers();
     wire::entry_info self() const;
     wire::answer answer(const wire::request& message);
@@ -114,6 +120,7 @@
     time_point published_at_{};
     std::map<std::string, time_point, std::less<>>
         last_contact_; // when the store last responded, by part
+    std::vector<quarantine::part_report> suspects_;
     bool draining_{false};
     std::atomic<duration::rep>
         last_round_; // start of the last gossip round, since the clock's epoch
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -78,6 +78,9 @@
         }
         BOOST_OUTCOME_TRY(control_, control_loop::make(settings_, work_server_->address(),
                                                        make_callbacks(), metrics_));
+        state_.on_suspects_changed([this](std::vector<quarantine::part_report> reports) {
+            control_->set_suspects(std::move(reports));
+        });
         traffic_loop_.thread = std::thread{[this] { traffic_loop_.io.run(); }};
         control_thread_ = std::thread{[this] { control_->run(); }};
         log_change("gateway", "started",
@@ -160,6 +163,11 @@
                 state_.set_fleet(std::move(view));
             });
         };
+        callbacks.merge_suspects = [this](std::vector<quarantine::part_report> reports) {
+            asio::post(traffic_loop_.io, [this, reports = std::move(reports)] {
+                state_.merge_suspects(reports, steady_clock::now());
+            });
+        };
         callbacks.dump_traffic = [this] { return dump(); };
         callbacks.open_requests = [this] { return open_requests(); };
         return callbacks;
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace boragefront::gateway {
 namespace {
@@ -140,16 +141,8 @@
     }
 }
 
-// The parts of the prompt that other requests may have in common with this one: all but the last.
-std::vector<std::string> request_handler::shared_parts() const {
-    std::vector<std::string> parts;
-    for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i) {
-        parts.push_back(caller_.prompt[i].id);
-    }
-    return parts;
-}
-
-// Logs an attempt that the endpoint broke off.
+// Records an attempt that the endpoint broke off. If no content of its response had arrived, the
+// endpoint may have crashed because of it.
 void request_handler::record_lost_connection(const send_attempt& attempt, const error& failure) {
     const bool lost = failure.kind == error_kind::connection_lost ||
                       failure.kind == error_kind::incomplete_answer;
@@ -158,19 +151,32 @@
     }
     constexpr std::array names{"none", "head", "content"};
     std::string parts;
-    for (const auto& part : shared_parts()) {
+    for (const auto& part : shared_parts_) {
         parts += (parts.empty() ? "" : ",") + part;
     }
-    log_decision(
-        "request", "connection_lost",
-        {{"request", caller_.id},
-         {"endpoint", attempt.endpoint},
-         {"incarnation", std::to_string(attempt.incarnation)},
-         {"response", names.at(static_cast<std::size_t>(progress_))},
-         {"shared_parts", parts},
-         {"since_sent_ms",
-          std::to_string(
-              std::chrono::floor<milliseconds>(steady_clock::now() - attempt.at).count())}});
+    const auto now = steady_clock::now();
+    log_decision("request", "connection_lost",
+                 {{"request", caller_.id},
+                  {"endpoint", attempt.endpoint},
+                  {"incarnation", std::to_string(attempt.incarnation)},
+                  {"response", names.at(static_cast<std::size_t>(progress_))},
+                  {"shared_parts", parts},
+                  {"since_sent_ms",
+                   std::to_string(std::chrono::floor<milliseconds>(now - attempt.at).count())}});
+    if (progress_ != response_progress::content && !shared_parts_.empty()) {
+        context_.state.record_lost({attempt.endpoint, attempt.incarnation, shared_parts_,
+                                    attempt.at, progress_ == response_progress::head},
+                                   now);
+    }
+}
+
+// Records that content of the response to an attempt arrived.
+void request_handler::record_content(const send_attempt& attempt, time_point now) {
+    context_.state.record_alive(attempt.endpoint, attempt.incarnation, attempt.at, now);
+    if (std::exchange(progress_, response_progress::content) != response_progress::content &&
+        !shared_parts_.empty()) {
+        context_.state.record_response(shared_parts_, now);
+    }
 }
 
 http::awaitable<request_handler::next_step> request_handler::send_to_endpoint() {
@@ -203,6 +209,10 @@
                         std::nullopt);
         co_return next_step::done;
     }
+    if (const auto refused_for = context_.state.prompt_quarantine().begin(shared_parts_, now)) {
+        co_await refuse(quarantine_error(), *refused_for);
+        co_return next_step::done;
+    }
     tried_endpoints_.insert(chosen->id);
     last_endpoint_ = chosen->id;
     platform::forwarding_headers forwarding;
@@ -263,6 +273,9 @@
     const auto head = platform::read_response_head(stream.head());
     head_at_ = steady_clock::now();
     progress_ = response_progress::head;
+    if (!head.misdirected) {
+        context_.state.record_alive(attempt.endpoint, attempt.incarnation, attempt.at, *head_at_);
+    }
     endpoint_leaving_ = head.leaving;
     if (head.leaving) {
         context_.state.record_leaving(attempt.endpoint, attempt.incarnation, *head_at_);
@@ -317,7 +330,8 @@
         }
         co_await refuse(make_error(error_kind::no_endpoint, failure.detail), default_retry_after);
         co_return next_step::done;
-    } else if (may_retry() && acquire_retry()) {
+    } else if (may_retry() && context_.state.prompt_quarantine().may_repeat(shared_parts_) &&
+               acquire_retry()) {
         log_decision("request", "sent_again",
                      {{"request", caller_.id},
                       {"endpoint", last_endpoint_},
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -37,6 +37,9 @@
         } else if (refusal->kind == error_kind::shutting_down) {
             const bool other_entry_serves = !context_.state.fleet().serving.empty();
             retry_after = context_.state.draining->retry_after(other_entry_serves, received_at_);
+        } else if (refusal->kind == error_kind::quarantined) {
+            retry_after =
+                context_.state.prompt_quarantine().refused_for(shared_parts_, received_at_);
         }
         co_await refuse(std::move(*refusal), retry_after);
     } else {
@@ -113,10 +116,21 @@
             return make_error(error_kind::shutting_down, "this entry is shutting down");
         }
     }
+    for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i) {
+        shared_parts_.push_back(caller_.prompt[i].id);
+    }
+    if (context_.state.prompt_quarantine().refused_for(shared_parts_, received_at_)) {
+        return quarantine_error();
+    }
     context_.state.retry_budget(service_).record_request(received_at_);
     return std::nullopt;
 }
 
+error request_handler::quarantine_error() {
+    return make_error(error_kind::quarantined,
+                      "a part of the prompt crashed the endpoints that processed it");
+}
+
 // Tells the caller that the request was not run, or fails the request if it may have been run.
 http::awaitable<void> request_handler::refuse(error failure,
                                               std::optional<milliseconds> retry_after) {
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -57,6 +57,7 @@
 
     // Finds the route and checks the API key. Returns an error if the request is refused.
     std::optional<error> admit();
+    static error quarantine_error();
 
     http::awaitable<bool> run_stages();
     time_point start_stages(stage_runs& runs);
@@ -91,7 +92,7 @@
     time_point stream_deadline(const progress_tracker& progress) const;
     void record_outcome(const send_attempt& attempt, balancing::send_outcome outcome);
     void record_lost_connection(const send_attempt& attempt, const error& failure);
-    std::vector<std::string> shared_parts() const;
+    void record_content(const send_attempt& attempt, time_point now);
 
     http::awaitable<void> refuse(error failure, std::optional<milliseconds> retry_after);
     http::awaitable<void> fail(const error& failure);
@@ -109,6 +110,8 @@
     std::shared_ptr<const indexed_snapshot>
         snapshot_; // shared, as it may be replaced during the request
     const catalog::route* route_{nullptr};
+    std::vector<std::string> shared_parts_; // of the prompt: all but the last, which no other
+                                            // request has
     std::string workspace_;
     std::optional<std::set<std::string>>
         allowed_data_centres_; // by home regions; empty optional: all
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -87,11 +87,13 @@
                                               "response body exceeds 16 MiB");
             co_return co_await handle_failure(oversized, true);
         }
-        progress_ = response_progress::content;
         progress.record(chunk.value()->size(), steady_clock::now());
     }
     const bool failed = response.status >= first_server_error;
     record_outcome(attempt, failed ? send_outcome::failed : send_outcome::answered);
+    if (!failed) {
+        record_content(attempt, steady_clock::now());
+    }
     if (failed && may_retry() && acquire_retry()) {
         log_decision("request", "sent_again",
                      {{"request", caller_.id},
@@ -130,7 +132,7 @@
         if (batch.count == 0) {
             continue;
         }
-        progress_ = response_progress::content;
+        record_content(attempt, steady_clock::now());
         progress.record(batch.count, steady_clock::now());
         if (!first_event_at_) {
             first_event_at_ = steady_clock::now();
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -9,8 +9,8 @@
 
 traffic_state::traffic_state(settings::gateway_settings role, std::string self_id,
                              std::string data_centre, metrics_registry& metrics)
-    : role_{std::move(role)}, self_id_{std::move(self_id)},
-      data_centre_{std::move(data_centre)}, metrics_{metrics} {
+    : role_{std::move(role)}, self_id_{std::move(self_id)}, data_centre_{std::move(data_centre)},
+      metrics_{metrics}, quarantine_{quarantine::prompt_quarantine::make(self_id_)} {
     group_ = {self_id_, {self_id_}};
 }
 
@@ -51,12 +51,64 @@
     for (const auto& entry : fleet_.serving) {
         group_.members.push_back(entry.id);
     }
+    quarantine_.set_entries(group_.members);
     // Entries that are presumed to exist but whose ids are unknown count as well.
     while (group_.members.size() < fleet_.max_entry_count) {
         group_.members.push_back("unknown-" + std::to_string(group_.members.size()));
     }
 }
 
+void traffic_state::record_lost(const quarantine::lost_request& request, time_point now) {
+    if (quarantine_.record_lost(request, now)) {
+        publish_suspects();
+    }
+}
+
+void traffic_state::record_response(const std::vector<std::string>& parts, time_point began_at) {
+    if (quarantine_.record_response(parts, began_at)) {
+        publish_suspects();
+    }
+}
+
+void traffic_state::record_alive(std::string_view endpoint, std::uint64_t incarnation,
+                                 time_point sent_at, time_point now) {
+    if (quarantine_.record_alive(endpoint, incarnation, sent_at, now)) {
+        log_change("quarantine", "crash_refuted",
+                   {{"endpoint", std::string{endpoint}},
+                    {"incarnation", std::to_string(incarnation)},
+                    {"sent_ms_ago",
+                     std::to_string(std::chrono::floor<milliseconds>(now - sent_at).count())}});
+        publish_suspects();
+    }
+}
+
+void traffic_state::merge_suspects(const std::vector<quarantine::part_report>& reports,
+                                   time_point now) {
+    if (quarantine_.merge(reports, now)) {
+        publish_suspects();
+    }
+}
+
+void traffic_state::publish_suspects() {
+    auto parts = quarantine_.parts_in_quarantine();
+    const auto log_difference = [](const auto& from, const auto& to, std::string_view event) {
+        std::vector<std::string> gone;
+        std::set_difference(from.begin(), from.end(), to.begin(), to.end(),
+                            std::back_inserter(gone));
+        for (const auto& part : gone) {
+            log_change("quarantine", event, {{"part", part}});
+        }
+    };
+    log_difference(parts, parts_in_quarantine_, "part_quarantined");
+    log_difference(parts_in_quarantine_, parts, "part_released");
+    parts_in_quarantine_ = std::move(parts);
+    metrics_.get_gauge("boragefront_parts_in_quarantine")
+        .set(static_cast<double>(parts_in_quarantine_.size()));
+    if (on_suspects_changed_) {
+        on_suspects_changed_(quarantine_.report());
+    }
+}
+
 balancing::endpoint_pool* traffic_state::pool(std::string_view service) {
     const auto found = pools_.find(service);
     return found == pools_.end() ? nullptr : &found->second;
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -13,6 +13,7 @@
 #include "catalog/route_table.hpp"
 #include "catalog/types.hpp"
 #include "gateway/drain_plan.hpp"
+#include "quarantine/prompt_quarantine.hpp"
 #include "settings/settings.hpp"
 #include "wire/messages.hpp"
 
@@ -77,6 +78,20 @@
     const fleet_view& fleet() const { return fleet_; }
     const balancing::entry_group& entry_group() const { return group_; }
 
+    /// Which parts of prompts crash engines. `record_lost`, `record_response`, `record_alive` and
+    /// `merge_suspects` bring the observations.
+    quarantine::prompt_quarantine& prompt_quarantine() { return quarantine_; }
+    void record_lost(const quarantine::lost_request& request, time_point now);
+    void record_response(const std::vector<std::string>& parts, time_point began_at);
+    void record_alive(std::string_view endpoint, std::uint64_t incarnation, time_point sent_at,
+                      time_point now);
+    void merge_suspects(const std::vector<quarantine::part_report>& reports, time_point now);
+
+    /// Sets the callback for changes of what other entries are to know of suspected parts.
+    void on_suspects_changed(std::function<void(std::vector<quarantine::part_report>)> callback) {
+        on_suspects_changed_ = std::move(callback);
+    }
+
     /// The endpoint pool of a service, null if there is no such service.
     balancing::endpoint_pool* pool(std::string_view service);
     balancing::retry_budget& retry_budget(const std::string& service) { return budgets_[service]; }
@@ -112,6 +127,7 @@
 
 private:
     void update_endpoints(time_point now);
+    void publish_suspects();
 
     settings::gateway_settings role_;
     std::string self_id_;
@@ -128,6 +144,9 @@
     std::map<std::string, balancing::retry_budget> budgets_;
     balancing::prompt_locations prompt_locations_;
     balancing::reachability reachability_;
+    quarantine::prompt_quarantine quarantine_;
+    std::vector<std::string> parts_in_quarantine_; // as last logged
+    std::function<void(std::vector<quarantine::part_report>)> on_suspects_changed_;
 };
 
 } // namespace boragefront::gateway
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -121,18 +121,35 @@
     double processors{1};     ///< its share of processor cores
 };
 
+/// A crash of an engine while it processed a request with a certain part of a prompt.
+struct crash_info {
+    std::uint64_t engine{0};
+    milliseconds crashed_ago{0};
+    milliseconds sent_ago{0};
+    bool response_begun{false};
+    bool cleared{false};
+};
+
+/// A part of a prompt that is suspected to crash engines.
+struct suspected_part {
+    std::string part;
+    std::vector<crash_info> crashes;
+};
+
 /// Exchange between entries: who is there, and what of the published state the asker lacks.
 struct gossip_request {
     entry_info self;
     std::vector<entry_info> others;
     revision configuration_through{0};
     revision endpoints_through{0};
+    std::vector<suspected_part> suspected_parts{};
 };
 struct gossip_answer {
     entry_info self;
     std::vector<entry_info> others;
     catalog::replica_delta configuration;
     catalog::replica_delta endpoints;
+    std::vector<suspected_part> suspected_parts{};
 };
 
 /// Asks the entry that dispatches for a stage service to have pieces made.
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -8,6 +8,8 @@
 constexpr std::uint64_t most_milliseconds = 1'000ULL * 3'600 * 24 * 365;
 constexpr double least_processors = 0.01; // also of a peer that tells none
 constexpr double most_processors = 1'024;
+constexpr std::size_t most_suspected_parts = 64; // of a message; entries send fewer
+constexpr std::size_t most_crashes = 64;         // of a part; entries send fewer
 constexpr int most_pieces = 4'096; // far above any route's; bounds what a broken peer can ask for
 
 std::uint64_t as_count(milliseconds value) {
@@ -57,6 +59,43 @@
     return delta;
 }
 
+template <class Message>
+void write_parts(const std::vector<suspected_part>& parts, Message& out) {
+    for (const auto& part : parts) {
+        auto& one = *out.add_suspected_parts();
+        one.set_part(part.part);
+        for (const auto& crash : part.crashes) {
+            auto& written = *one.add_crashes();
+            written.set_engine(crash.engine);
+            written.set_crashed_ms_ago(as_count(crash.crashed_ago));
+            written.set_sent_ms_ago(as_count(crash.sent_ago));
+            written.set_response_begun(crash.response_begun);
+            written.set_cleared(crash.cleared);
+        }
+    }
+}
+
+template <class Field>
+std::vector<suspected_part> read_parts_of(const Field& field) {
+    std::vector<suspected_part> parts;
+    for (const auto& one : field) {
+        if (parts.size() == most_suspected_parts) {
+            break;
+        }
+        suspected_part part{one.part(), {}};
+        for (const auto& crash : one.crashes()) {
+            if (part.crashes.size() == most_crashes) {
+                break;
+            }
+            part.crashes.push_back({crash.engine(), read_milliseconds(crash.crashed_ms_ago()),
+                                    read_milliseconds(crash.sent_ms_ago()), crash.response_begun(),
+                                    crash.cleared()});
+        }
+        parts.push_back(std::move(part));
+    }
+    return parts;
+}
+
 template <class Field>
 std::vector<entry_info> read_entries_of(const Field& field) {
     std::vector<entry_info> entries;
@@ -83,6 +122,7 @@
     }
     out.set_configuration_through(message.configuration_through);
     out.set_endpoints_through(message.endpoints_through);
+    write_parts(message.suspected_parts, out);
 }
 
 void write(const gossip_answer& message, pb::gossip_answer& out) {
@@ -92,16 +132,17 @@
     }
     write_delta(message.configuration, *out.mutable_configuration());
     write_delta(message.endpoints, *out.mutable_endpoints());
+    write_parts(message.suspected_parts, out);
 }
 
 gossip_request read(const pb::gossip_request& in) {
     return {read_entry(in.self()), read_entries_of(in.others()), in.configuration_through(),
-            in.endpoints_through()};
+            in.endpoints_through(), read_parts_of(in.suspected_parts())};
 }
 
 gossip_answer read(const pb::gossip_answer& in) {
     return {read_entry(in.self()), read_entries_of(in.others()), read_delta(in.configuration()),
-            read_delta(in.endpoints())};
+            read_delta(in.endpoints()), read_parts_of(in.suspected_parts())};
 }
 
 // All pieces of a group share the request, the key and the inputs, so these travel once.
--- a/tests/gateway/quarantine_test.cpp
+++ b/tests/gateway/quarantine_test.cpp
@@ -3,12 +3,16 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace boragefront;
 using namespace boragefront::gateway_tests;
 
 namespace {
 
-constexpr int engines = 4;
+constexpr int engines = 6;
+constexpr milliseconds downtime{1'000};
+constexpr milliseconds round_pause{200}; // between requests that crash engines
 
 struct crashing_deployment {
     crashing_deployment() {
@@ -34,11 +38,11 @@
                                  std::move(request));
     }
 
-    // Starts the engines that have crashed again.
+    // Starts the engines that have crashed again, after some time.
     int restart_crashed() {
         int restarted = 0;
         for (auto* const endpoint : endpoints) {
-            if (system.on_loop([&] { return endpoint->restart_if_crashed(); })) {
+            if (system.on_loop([&] { return endpoint->restart_if_crashed(downtime); })) {
                 system.register_again(*endpoint, "model", "ready");
                 ++restarted;
             }
@@ -72,9 +76,12 @@
         for (int i = 0; i < sound_per_round; ++i) {
             sound += is_whole(fleet.send("common:10,subject:10")) ? 1 : 0;
         }
+        std::this_thread::sleep_for(round_pause);
     }
-    CHECK(crashes <=
-          5 + 3); // the fifth crash tells the part, and three requests may be on their way
+    std::this_thread::sleep_for(downtime);
+    crashes += fleet.restart_crashed();
+    // The fifth crash tells the part, and three requests may be on their way.
+    CHECK(crashes <= 5 + 3);
     CHECK(sound >= rounds * sound_per_round / 2);
     const auto refused = fleet.send("common:10,deadly:10");
     REQUIRE(refused);
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -12,7 +12,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace boragefront::gateway_tests {
 namespace {
@@ -116,10 +115,11 @@
     open_.clear();
 }
 
-bool endpoint_stand_in::restart_if_crashed() {
-    if (!std::exchange(crashed_, false)) {
+bool endpoint_stand_in::restart_if_crashed(milliseconds downtime) {
+    if (!crashed_at_ || steady_clock::now() < *crashed_at_ + downtime) {
         return false;
     }
+    crashed_at_.reset();
     ++born;
     const tcp::endpoint address{asio::ip::address_v4::loopback(), port_};
     acceptor_.open(address.protocol());
@@ -289,7 +289,7 @@
                              "Transfer-Encoding: chunked\r\n\r\n");
     if (crashes_with(visits_[visit].message)) {
         (void)co_await with.wait(gap);
-        crashed_ = true;
+        crashed_at_ = steady_clock::now();
         stop();
         co_return false;
     }
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,9 +71,9 @@
     /// Closes its port and all connections, as a process that ends.
     void stop();
 
-    /// Listens again after it crashed, as a new process.
-    /// \returns false if it has not crashed.
-    bool restart_if_crashed();
+    /// Listens again, as a new process, if it crashed at least this long ago.
+    /// \returns whether it did.
+    bool restart_if_crashed(milliseconds downtime);
 
     const std::string& id() const { return id_; }
 
@@ -117,7 +118,7 @@
     endpoint_mode mode_{endpoint_mode::sound};
     int mode_times_{0};
     int next_handle_{1};
-    bool crashed_{false};
+    std::optional<time_point> crashed_at_;
     std::vector<endpoint_visit> visits_;
     std::vector<std::weak_ptr<connection>> open_;
 };
