--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -108,6 +108,9 @@
     /// Time until an endpoint may become available.
     milliseconds retry_after(time_point now) const;
 
+    /// Whether all endpoints in service are backed off until after a point in time.
+    bool backed_off_until(time_point until, time_point now) const;
+
     /// Records that a request was sent.
     /// \returns a ticket for `on_first_byte` and `on_request_ended`.
     std::uint64_t on_request_sent(const std::string& id, const cold_limit& cold,
@@ -115,6 +118,8 @@
     void on_first_byte(const std::string& id, std::uint64_t ticket, time_point now);
     void on_request_ended(const std::string& id, std::uint64_t ticket, send_outcome outcome,
                           time_point now);
+    /// Records that an endpoint accepts no requests for a time.
+    void on_retry_after(const std::string& id, milliseconds retry_after, time_point now);
     void on_load_report(const std::string& id, reported_load load, time_point now);
 
     /// Typical time to the first byte of an answer, over all endpoints; empty before the first one.
@@ -147,6 +152,7 @@
     static std::string_view exclusion_reason(const tracked_endpoint& candidate, time_point now);
     static bool is_healthy(const tracked_endpoint& candidate, time_point now);
     bool is_eligible(const tracked_endpoint& candidate, const choice_request& request) const;
+    std::optional<time_point> first_backoff_end(time_point now) const;
     double cost_ms(const tracked_endpoint& candidate, const choice_request& request,
                    time_point now) const;
     double queue_depth(const tracked_endpoint& candidate, time_point now) const;
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -264,15 +264,28 @@
     return any_in_service ? unavailability::all_unavailable : unavailability::none_in_service;
 }
 
-milliseconds endpoint_pool::retry_after(time_point now) const {
-    auto earliest = now + max_backoff;
+// When the first endpoint in service is no longer backed off; empty if none is in service.
+std::optional<time_point> endpoint_pool::first_backoff_end(time_point now) const {
+    std::optional<time_point> first;
     for (const auto& [id, candidate] : endpoints_) {
         if (catalog::status_of(candidate.endpoint, now) != registration_status::withdrawn &&
             !candidate.evacuated) {
-            earliest = std::min(earliest, std::max(candidate.backoff_until, now + initial_backoff));
+            first = std::min(first.value_or(candidate.backoff_until), candidate.backoff_until);
         }
     }
-    return std::chrono::ceil<milliseconds>(earliest - now);
+    return first;
+}
+
+milliseconds endpoint_pool::retry_after(time_point now) const {
+    const auto first = first_backoff_end(now);
+    return first
+               ? std::chrono::ceil<milliseconds>(std::max<duration>(*first - now, initial_backoff))
+               : max_backoff;
+}
+
+bool endpoint_pool::backed_off_until(time_point until, time_point now) const {
+    const auto first = first_backoff_end(now);
+    return first && *first > until;
 }
 
 std::uint64_t endpoint_pool::on_request_sent(const std::string& id, const cold_limit& cold,
@@ -311,7 +324,8 @@
 void endpoint_pool::back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now) {
     ++candidate.consecutive_failures;
     const auto doublings = std::min(candidate.consecutive_failures - 1, 4U);
-    candidate.backoff_until = now + std::min(base_delay * (1U << doublings), max_backoff);
+    candidate.backoff_until = std::max(candidate.backoff_until,
+                                       now + std::min(base_delay * (1U << doublings), max_backoff));
 }
 
 // An endpoint that is unreachable or resets connections may be restarting, and is then cold before
@@ -370,6 +384,14 @@
     }
 }
 
+void endpoint_pool::on_retry_after(const std::string& id, milliseconds retry_after,
+                                   time_point now) {
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end()) {
+        found->second.backoff_until = std::max(found->second.backoff_until, now + retry_after);
+    }
+}
+
 void endpoint_pool::on_load_report(const std::string& id, reported_load load, time_point now) {
     const auto found = endpoints_.find(id);
     if (found != endpoints_.end()) {
--- a/libs/balancing/tests/endpoint_pool_test.cpp
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -254,3 +254,25 @@
     }
     CHECK(sent <= 10);
 }
+
+// An endpoint that had said when to come back got further requests within milliseconds.
+TEST_CASE_METHOD(pool_fixture, "an endpoint gets no request before the time that it named",
+                 "[invariant]") {
+    add("one");
+    add("two");
+    refresh();
+    const auto ticket = pool.on_request_sent("one", no_limit, group, start);
+    pool.on_request_ended("one", ticket, send_outcome::refused, start);
+    pool.on_retry_after("one", seconds{8}, start);
+    CHECK(count_choices(20, {}, start + milliseconds{7'900}) ==
+          std::map<std::string, int>{{"two", 20}});
+    pool.on_retry_after("two", seconds{10}, start);
+    CHECK(pool.retry_after(start) == seconds{8});
+    CHECK(pool.backed_off_until(start + seconds{7}, start));
+    CHECK_FALSE(pool.backed_off_until(start + seconds{8}, start));
+    // A request that was on its way fails later; its back-off is shorter.
+    const auto late = pool.on_request_sent("two", no_limit, group, start);
+    pool.on_request_ended("two", late, send_outcome::timed_out, start + seconds{1});
+    CHECK_FALSE(choose({}, start + milliseconds{7'900}));
+    CHECK(choose({}, start + seconds{8})->id == "one");
+}
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -109,6 +109,7 @@
         auto chosen = pool->choose(criteria, state.cold_limit_of(service_), state.entry_group(),
                                    now, state.random());
         if (chosen || now >= give_up_at || caller_disconnected_ ||
+            pool->backed_off_until(give_up_at, now) ||
             pool->unavailability_reason() == balancing::unavailability::none_in_service) {
             co_return chosen;
         }
@@ -281,6 +282,12 @@
         context_.state.record_leaving(attempt.endpoint, attempt.incarnation, *head_at_);
     }
     auto* const pool = context_.state.pool(service_);
+    if (head.retry_after && !head.misdirected && pool != nullptr) {
+        pool->on_retry_after(attempt.endpoint, *head.retry_after, *head_at_);
+        log_decision("request", "endpoint_holds_off",
+                     {{"endpoint", attempt.endpoint},
+                      {"retry_after_ms", std::to_string(head.retry_after->count())}});
+    }
     if (head.load && pool != nullptr) {
         pool->on_load_report(attempt.endpoint, to_reported_load(*head.load), steady_clock::now());
     }
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -239,12 +239,14 @@
     auto outcome = stages::call_outcome::answered;
     std::vector<stages::piece_result> results;
     std::string reason;
+    std::optional<milliseconds> retry_after;
     if (!response) {
         outcome = to_call_outcome(response.error());
         reason = to_string(response.error());
     } else if (const auto head = platform::read_response_head(response.value()); head.not_run) {
         outcome =
             head.misdirected ? stages::call_outcome::unreachable : stages::call_outcome::refused;
+        retry_after = head.misdirected ? std::nullopt : head.retry_after;
         reason = "status " + std::to_string(head.status);
     } else if (auto pieces = platform::read_stage_run_response(response.value(), count);
                pieces && !duplicates_.is_duplicate(pieces.value())) {
@@ -282,11 +284,16 @@
          {"unregistered_ms",
           call.unregistered_for ? std::to_string(call.unregistered_for->count()) : ""},
          {"leaving", leaving ? "true" : "false"},
+         {"retry_after_ms", retry_after ? std::to_string(retry_after->count()) : ""},
          {"expected_ms", std::to_string(call.expected.count())},
          {"took_ms", std::to_string(std::chrono::floor<milliseconds>(now - started).count())},
          {"outcome", std::string{to_string(outcome)}},
          {"reason", reason}});
-    queues_.at(service)->queue.call_ended(call.id, outcome, results, now);
+    auto& queue = queues_.at(service)->queue;
+    queue.call_ended(call.id, outcome, results, now);
+    if (retry_after) {
+        queue.on_retry_after(call.endpoint, *retry_after, now);
+    }
     run_queue(service);
 }
 
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -96,6 +96,9 @@
     void call_ended(std::uint64_t call, call_outcome outcome,
                     const std::vector<piece_result>& results, time_point now);
 
+    /// Records that an endpoint accepts no calls for a time.
+    void on_retry_after(const std::string& endpoint, milliseconds retry_after, time_point now);
+
     /// Returns the groups that ended since the last call of this function.
     std::vector<finished_group> take_finished(time_point now);
 
@@ -178,6 +181,7 @@
     void update_avoided(time_point now);
     double slowdown_now(const endpoint_state& endpoint, time_point now) const;
     double capacity_endpoints(time_point now) const;
+    milliseconds time_to_first_call(time_point now) const;
     milliseconds queue_time(std::size_t pieces, time_point now) const;
     std::vector<group_state*> groups_by_rank(time_point now);
     std::size_t batch_space(const group_state& state, std::size_t taken, std::uint64_t room) const;
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -120,13 +120,25 @@
     return scaled(full_call, calls / endpoints);
 }
 
+// Time until an endpoint in service is no longer backed off; 0 if none is in service, as one may
+// return at any time.
+milliseconds stage_queue::time_to_first_call(time_point now) const {
+    std::optional<time_point> first;
+    for (const auto& [id, endpoint] : endpoints_) {
+        if (in_service(endpoint, now)) {
+            first = std::min(first.value_or(endpoint.backoff_until), endpoint.backoff_until);
+        }
+    }
+    return std::chrono::ceil<milliseconds>(std::max(first.value_or(now) - now, duration{0}));
+}
+
 admission stage_queue::offer(piece_group group, time_point now) {
     const auto own = service_time(group.pieces.size());
     std::size_t ahead = 0;
     for (const auto& [id, state] : groups_) {
         ahead += state.waiting.size();
     }
-    const auto expected = queue_time(ahead, now) + own;
+    const auto expected = std::max(queue_time(ahead, now), time_to_first_call(now)) + own;
     if (now + expected > group.hard_deadline) {
         return {false, expected, retry_after(expected, group, now)};
     }
@@ -208,7 +220,8 @@
 void stage_queue::back_off(endpoint_state& endpoint, time_point now) {
     const auto doublings = std::min(endpoint.failures_in_row, 5U);
     ++endpoint.failures_in_row;
-    endpoint.backoff_until = now + std::min(initial_backoff * (1U << doublings), max_backoff);
+    endpoint.backoff_until = std::max(
+        endpoint.backoff_until, now + std::min(initial_backoff * (1U << doublings), max_backoff));
 }
 
 void stage_queue::call_ended(std::uint64_t call, call_outcome outcome,
@@ -237,9 +250,10 @@
             break;
         case call_outcome::refused:
             // Another queue uses the endpoint too, and each refusal costs both sides.
-            endpoint.backoff_until =
+            endpoint.backoff_until = std::max(
+                endpoint.backoff_until,
                 now + (endpoint.contended ? contended_full_backoff : full_backoff) *
-                          (1U << std::min(endpoint.refusals_in_row, max_refusal_doublings));
+                          (1U << std::min(endpoint.refusals_in_row, max_refusal_doublings)));
             ++endpoint.refusals_in_row;
             break;
         case call_outcome::silent:
@@ -286,6 +300,14 @@
     }
 }
 
+void stage_queue::on_retry_after(const std::string& endpoint, milliseconds retry_after,
+                                 time_point now) {
+    const auto found = endpoints_.find(endpoint);
+    if (found != endpoints_.end()) {
+        found->second.backoff_until = std::max(found->second.backoff_until, now + retry_after);
+    }
+}
+
 std::vector<finished_group> stage_queue::take_finished(time_point now) {
     expire_overdue(now);
     expire_hopeless(now);
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -341,3 +341,26 @@
     offer(1, 2);
     CHECK(queue.next_calls(now).empty());
 }
+
+// A full endpoint was called again after 40 ms, whatever time it had named.
+TEST_CASE_METHOD(queue_fixture, "an endpoint gets no call before the time that it named",
+                 "[invariant]") {
+    add_endpoint("one");
+    offer(1, 1);
+    const auto calls = queue.next_calls(now);
+    REQUIRE(calls.size() == 1);
+    queue.call_ended(calls[0].id, call_outcome::refused, {}, now);
+    queue.on_retry_after("one", seconds{3}, now);
+    now += milliseconds{2'900};
+    CHECK(queue.next_calls(now).empty());
+    now += milliseconds{100};
+    CHECK(queue.next_calls(now).size() == 1);
+}
+
+TEST_CASE_METHOD(queue_fixture, "a group is refused at once if no endpoint takes calls in time") {
+    add_endpoint("one");
+    queue.on_retry_after("one", seconds{30}, now);
+    const auto admitted = queue.offer(make_group(1, 1), now); // useless after 20 s
+    CHECK_FALSE(admitted.accepted);
+    CHECK(admitted.retry_after >= seconds{10});
+}
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -213,8 +213,11 @@
     const auto mode = take_mode();
     if (mode == endpoint_mode::refusing || mode == endpoint_mode::inputs_gone) {
         const unsigned status = mode == endpoint_mode::refusing ? 503 : 409;
-        co_return co_await with.send(with_body(
-            head_of(status, visits_[visit].id, false) + "Boragefront-Not-Executed: 1\r\n", ""));
+        const auto later =
+            retry_after.empty() ? std::string{} : "Retry-After: " + retry_after + "\r\n";
+        co_return co_await with.send(with_body(head_of(status, visits_[visit].id, false) + later +
+                                                   "Boragefront-Not-Executed: 1\r\n",
+                                               ""));
     }
     visits_[visit].ran = true;
     if (!co_await with.wait(work)) {
--- a/tests/gateway/trouble_test.cpp
+++ b/tests/gateway/trouble_test.cpp
@@ -213,3 +213,27 @@
     }
     CHECK(runs() > 0);
 }
+
+TEST_CASE("trouble: an endpoint that names a time is left alone until then, and callers learn it") {
+    deployment system;
+    system.publish_configuration();
+    auto& only = system.add_endpoint("i-1", "plain");
+    system.on_loop([&] {
+        only.retry_after = "5";
+        only.set_mode(endpoint_mode::refusing, 1);
+    });
+    auto& gateway = system.start_ready_gateway();
+    const auto began = steady_clock::now();
+    for (int i = 0; i < 10; ++i) {
+        const auto answer = system.call(
+            gateway, deployment::make_request("plain.example", "r" + std::to_string(i)));
+        REQUIRE(answer);
+        CHECK(answer.value().status == 503);
+        const auto after = std::stod(std::string{answer.value().headers.get("Retry-After")});
+        CHECK(after > 0);
+        CHECK(after <= 5);
+    }
+    const auto took = steady_clock::now() - began;
+    REQUIRE(took < seconds{5});
+    CHECK(system.on_loop([&] { return only.visits().size(); }) == 1);
+}
