gateway, http: a stream without framing that ends before its first event is broken off

Callers would have got a 200 with an empty stream that looked complete from an engine that crashed after the head.

Cause: the end of the connection was taken for the end of the stream unless an event was cut. Without framing it says nothing before the first event. The request is treated as after any lost connection.

Test: gateway_trouble_test, 'a stream without framing that ends before its first event is not complete', failed before (200 instead of 502). Streams without framing that are whole, or break inside an event, behaved before and have a test now.

--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -121,6 +121,9 @@
             if (events.has_partial_event()) {
                 failure = make_error(error_kind::incomplete_answer,
                                      "the stream ended in the middle of an event");
+            } else if (progress_ != response_progress::content && !stream.has_explicit_end()) {
+                failure = make_error(error_kind::incomplete_answer,
+                                     "the connection ended before the first event");
             }
             break;
         }
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -62,6 +62,10 @@
     /// late one to any of them.
     virtual bool on_reused_connection() const = 0;
 
+    /// Whether the response states where its body ends. Otherwise the body ends with the
+    /// connection, also if the peer crashed.
+    virtual bool has_explicit_end() const = 0;
+
     /// The next line of the body without its newline; `std::nullopt` at the body's explicit end.
     /// \returns `incomplete_answer` if the connection ends first, `deadline_exceeded` on time-out,
     /// `too_large` for a line over the length limit.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -142,6 +142,7 @@
 
     const response& head() const override { return head_; }
     bool on_reused_connection() const override { return reused_; }
+    bool has_explicit_end() const override { return !parser_->need_eof(); }
 
     awaitable<result<std::optional<std::string>>> next_line(time_point deadline) override {
         std::size_t searched = 0;
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -288,8 +288,9 @@
     if (mode == endpoint_mode::flooding) {
         co_return co_await flood(with, visit);
     }
+    const auto frame = [this](const std::string& text) { return unframed ? text : chunk(text); };
     (void)co_await with.send(head_of(200, id, true) + "Content-Type: text/event-stream\r\n" +
-                             "Transfer-Encoding: chunked\r\n\r\n");
+                             (unframed ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
     if (crashes_with(visits_[visit].message)) {
         (void)co_await with.wait(gap);
         crashed_at_ = steady_clock::now();
@@ -298,21 +299,25 @@
     }
     for (int sent = 0; number < events; ++sent) {
         while (mode == endpoint_mode::trickling && sent == cut_after) {
-            if (!co_await with.send(chunk(": still here\n\n")) || !co_await with.wait(gap)) {
+            if (!co_await with.send(frame(": still here\n\n")) || !co_await with.wait(gap)) {
                 visits_[visit].left = true;
                 co_return false;
             }
         }
         ++number;
         if (mode == endpoint_mode::cut && sent == cut_after) {
-            (void)co_await with.send(chunk(event(number).substr(0, 6)));
+            (void)co_await with.send(frame(event(number).substr(0, 6)));
             co_return false;
         }
-        if (!co_await with.send(chunk(event(number))) || !co_await with.wait(gap)) {
+        if (!co_await with.send(frame(event(number))) || !co_await with.wait(gap)) {
             visits_[visit].left = true;
             co_return false;
         }
     }
+    if (unframed) {
+        visits_[visit].answered = true;
+        co_return false;
+    }
     visits_[visit].answered = co_await with.send("0\r\n\r\n");
     co_return visits_[visit].answered;
 }
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -90,6 +90,7 @@
     int cut_after{2};              ///< events, in mode `cut`
     bool announces_leaving{false}; ///< in all responses
     int born{1};                   ///< start time that it registers, in milliseconds
+    bool unframed{false};          ///< streams have neither a length nor chunks
     std::string retry_after{};     ///< in mode `refusing`; empty: none
     std::string crashes_on{};      ///< a part of a prompt; crashes after the head of the response
 
--- a/tests/gateway/trouble_test.cpp
+++ b/tests/gateway/trouble_test.cpp
@@ -237,3 +237,46 @@
     REQUIRE(took < seconds{5});
     CHECK(system.on_loop([&] { return only.visits().size(); }) == 1);
 }
+
+TEST_CASE("trouble: a stream without framing is whole, or goes on elsewhere if it breaks off") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    auto& two = system.add_endpoint("i-2", "model");
+    constexpr int events = 6;
+    const bool breaks = GENERATE(false, true);
+    system.on_loop([&] {
+        for (auto* const endpoint : {&one, &two}) {
+            endpoint->events = events;
+            endpoint->unframed = true;
+        }
+        one.set_mode(breaks ? endpoint_mode::cut : endpoint_mode::sound);
+    });
+    auto& gateway = system.start_ready_gateway();
+    for (int i = 0; i < 6; ++i) {
+        const auto answer = system.call_lines(
+            gateway, deployment::make_request("stream.example", "r" + std::to_string(i)));
+        REQUIRE(answer);
+        CHECK_FALSE(answer.value().broken);
+        CHECK(answer.value().lines.size() == lines_of(events));
+    }
+}
+
+// An engine that crashed after the head of a stream without framing left an empty answer that
+// looked complete.
+TEST_CASE("trouble: a stream without framing that ends before its first event is not complete") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    system.on_loop([&] {
+        one.events = 3;
+        one.unframed = true;
+        one.crashes_on = "deadly";
+    });
+    auto& gateway = system.start_ready_gateway();
+    auto request = deployment::make_request("once.example", "r1");
+    request.headers.add("Boragefront-Prefix-Hash", "deadly:10,last:10");
+    const auto answer = system.call_lines(gateway, std::move(request));
+    REQUIRE(answer);
+    CHECK(answer.value().head.status == 502);
+}
