stages: the head of a call's response is read once

An endpoint that answers 503 with Retry-After, but without the statement that it did not run the call, is left alone for that time too.

--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -239,14 +239,14 @@
     auto outcome = stages::call_outcome::answered;
     std::vector<stages::piece_result> results;
     std::string reason;
-    std::optional<milliseconds> retry_after;
+    const auto head =
+        response ? platform::read_response_head(response.value()) : platform::response_head{};
     if (!response) {
         outcome = to_call_outcome(response.error());
         reason = to_string(response.error());
-    } else if (const auto head = platform::read_response_head(response.value()); head.not_run) {
+    } else if (head.not_run) {
         outcome =
             head.misdirected ? stages::call_outcome::unreachable : stages::call_outcome::refused;
-        retry_after = head.misdirected ? std::nullopt : head.retry_after;
         reason = "status " + std::to_string(head.status);
     } else if (auto pieces = platform::read_stage_run_response(response.value(), count);
                pieces && !duplicates_.is_duplicate(pieces.value())) {
@@ -260,8 +260,7 @@
         // The response to this call may still arrive on the connection in place of a later one.
         endpoints_.close_idle_connections(call.address);
     }
-    const bool leaving = response && platform::read_response_head(response.value()).leaving;
-    if (leaving) {
+    if (head.leaving) {
         state_.record_leaving(call.endpoint, call.incarnation, now);
     }
     state_.metrics()
@@ -283,16 +282,16 @@
          {"room_left", std::to_string(call.room_left)},
          {"unregistered_ms",
           call.unregistered_for ? std::to_string(call.unregistered_for->count()) : ""},
-         {"leaving", leaving ? "true" : "false"},
-         {"retry_after_ms", retry_after ? std::to_string(retry_after->count()) : ""},
+         {"leaving", head.leaving ? "true" : "false"},
+         {"retry_after_ms", head.retry_after ? std::to_string(head.retry_after->count()) : ""},
          {"expected_ms", std::to_string(call.expected.count())},
          {"took_ms", std::to_string(std::chrono::floor<milliseconds>(now - started).count())},
          {"outcome", std::string{to_string(outcome)}},
          {"reason", reason}});
     auto& queue = queues_.at(service)->queue;
     queue.call_ended(call.id, outcome, results, now);
-    if (retry_after) {
-        queue.on_retry_after(call.endpoint, *retry_after, now);
+    if (head.retry_after) {
+        queue.on_retry_after(call.endpoint, *head.retry_after, now);
     }
     run_queue(service);
 }
--- a/libs/quarantine/include/quarantine/prompt_quarantine.hpp
+++ b/libs/quarantine/include/quarantine/prompt_quarantine.hpp
@@ -68,7 +68,8 @@
     std::optional<milliseconds> refused_for(const std::vector<std::string>& parts,
                                             time_point now) const;
 
-    /// As `refused_for`, and if the request may be sent as the retry of a part, notes that it is.
+    /// Called when a request is sent. As `refused_for`, and if the request may be sent as the retry
+    /// of a part in quarantine, postpones the next retry.
     std::optional<milliseconds> begin(const std::vector<std::string>& parts, time_point now);
 
     /// Whether a request with these parts may be sent again after it was lost.
