gateway: an error of the next endpoint ends a stream that has begun, and is not written into it

Cause: the path that passes whole answers on did not ask whether a stream had begun at the caller. Change: such a stream ends incomplete, so that its caller sees that it is not whole.

--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -102,6 +102,13 @@
         last_failed_response_ = std::move(response);
         co_return next_step::retry;
     }
+    if (stream_started_) {
+        co_await fail(
+            make_error(error_kind::stage_failed,
+                       "the stream was resumed at an endpoint that responded with status " +
+                           std::to_string(response.status)));
+        co_return next_step::done;
+    }
     co_await send_response(std::move(response));
     co_return next_step::done;
 }
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -233,7 +233,12 @@
         visits_[visit].left = true;
         co_return false;
     }
-    if (events > 0) {
+    if (mode == endpoint_mode::cut_head) {
+        const auto head = head_of(200, visits_[visit].id, true);
+        (void)co_await with.send(head.substr(0, head.size() - 3));
+        co_return false;
+    }
+    if (events > 0 && mode != endpoint_mode::failing) {
         co_return co_await answer_stream(with, visit, mode);
     }
     co_return co_await answer_plain(with, visit, mode);
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -33,6 +33,7 @@
     /// On a connection that has served before: runs the request, and sends a refusal that names no
     /// request before its answer, as a late one to an earlier request.
     anonymous_refusal_first,
+    cut_head,  ///< breaks off in the middle of the head of the answer
     trickling, ///< after `cut_after` events sends a comment now and then, without end
     flooding,  ///< sends a body without end
 };
--- a/tests/gateway/trouble_test.cpp
+++ b/tests/gateway/trouble_test.cpp
@@ -1,6 +1,10 @@
 // What operators of similar systems saw go wrong, and endpoints that send bytes without end.
 #include "deployment.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <future>
@@ -17,6 +21,27 @@
     return static_cast<std::size_t>(events) * 3;
 }
 
+// All bytes that a caller receives on a connection of its own.
+std::string raw_response(const running_gateway& gateway, const std::string& host,
+                         const std::string& id) {
+    namespace asio = boost::asio;
+    const auto address = gateway.node->data_address();
+    const auto colon = address.rfind(':');
+    asio::io_context io;
+    asio::ip::tcp::socket socket{io};
+    socket.connect({asio::ip::make_address(address.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    const std::string request = "POST /path HTTP/1.1\r\nHost: " + host +
+                                "\r\nBoragefront-Request-Id: " + id +
+                                "\r\nBoragefront-Deadline-Ms: 8000\r\nApi-Key: key\r\n"
+                                "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    std::string bytes;
+    boost::system::error_code closed;
+    asio::read(socket, asio::dynamic_buffer(bytes), closed);
+    return bytes;
+}
+
 } // namespace
 
 TEST_CASE("trouble: a late refusal that names no request is not believed", "[invariant]") {
@@ -280,3 +305,45 @@
     REQUIRE(answer);
     CHECK(answer.value().head.status == 502);
 }
+
+// The next endpoint's response to a stream that had begun, head and body, was written into it.
+TEST_CASE("trouble: an error of the next endpoint is not written into a stream that has begun") {
+    deployment system;
+    system.publish_configuration();
+    auto& one = system.add_endpoint("i-1", "model");
+    auto& two = system.add_endpoint("i-2", "model");
+    system.on_loop([&] {
+        one.events = two.events = 6;
+        one.set_mode(endpoint_mode::cut);
+        two.set_mode(endpoint_mode::failing);
+    });
+    auto& gateway = system.start_ready_gateway();
+    int begun = 0;
+    for (int i = 0; i < 30; ++i) {
+        const auto bytes = raw_response(gateway, "stream.example", "r" + std::to_string(i));
+        INFO(bytes);
+        begun += bytes.find("event-1") != std::string::npos ? 1 : 0;
+        CHECK(bytes.rfind("HTTP/1.1") == 0);
+        CHECK(bytes.find("0\r\n\r\n") == std::string::npos); // must not look complete
+    }
+    CHECK(begun > 0);
+}
+
+TEST_CASE("trouble: a response that breaks off inside its head is no answer") {
+    deployment system;
+    system.publish_configuration();
+    auto& plain = system.add_endpoint("i-1", "plain");
+    auto& model = system.add_endpoint("i-2", "model");
+    system.on_loop([&] {
+        plain.set_mode(endpoint_mode::cut_head);
+        model.set_mode(endpoint_mode::cut_head);
+        model.events = 3;
+    });
+    auto& gateway = system.start_ready_gateway();
+    for (const auto* const host : {"plain.example", "once.example", "stream.example"}) {
+        INFO(host);
+        const auto answer = system.call_lines(gateway, deployment::make_request(host, host));
+        REQUIRE(answer);
+        CHECK(answer.value().head.status >= 500);
+    }
+}
