gateway, http: a silent endpoint is left only once another one has accepted its stream

Callers saw a stream that had begun end in the middle, though its endpoint was sound and had only been silent for a second.

Cause: an endpoint that is silent for longer than a stream's pause was abandoned because another one *could* be tried. Its connection was closed first; only then was the retry taken from the budget, the stages run again, an endpoint chosen and asked. When any of that failed there was nothing left to give the caller, and its connection was closed. Class: something that works is given up before its replacement is certain.

Change: a response is waited for without ending its connection (response_stream::wait_for_bytes). When an endpoint has been silent for as long as before, another one is asked beside it, with a retry reserved first and the results of its stages produced again; the silent one is read on meanwhile. It is left when the other one has accepted, and stays if that one refuses, fails, or answers after the silent one went on. Before the head of a response has arrived, an endpoint is only abandoned if another one can be chosen now, with a retry reserved for it.

Not mended: before the head of its response has arrived, a request that is sent elsewhere for silence and refused there ends with 502, a whole answer, where the first endpoint might have answered.

--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -81,8 +81,12 @@
     return source && source->id != chosen.id ? source->address : std::string{};
 }
 
-http::awaitable<std::optional<balancing::chosen_endpoint>> request_handler::choose_endpoint() {
+std::optional<balancing::chosen_endpoint> request_handler::find_endpoint(time_point now) {
     auto& state = context_.state;
+    auto* const pool = state.pool(service_);
+    if (pool == nullptr) {
+        return std::nullopt;
+    }
     balancing::choice_request criteria;
     criteria.tried = &tried_endpoints_;
     criteria.allowed_data_centres = allowed_data_centres_ ? &*allowed_data_centres_ : nullptr;
@@ -94,21 +98,22 @@
     criteria.affinity_data_centre = shared_prompt().empty() ? inputs.data_centre : home;
     criteria.affinity = shared_prompt();
     criteria.affinity_max_wait = max_affinity_wait();
+    const auto avoided = state.reachability().avoided_data_centres(now);
+    criteria.avoided_data_centres = &avoided;
+    return pool->choose(criteria, state.cold_limit_of(service_), state.entry_group(), now,
+                        state.random());
+}
+
+http::awaitable<std::optional<balancing::chosen_endpoint>> request_handler::choose_endpoint() {
     const auto give_up_at =
         std::min(deadline_, steady_clock::now() + std::chrono::duration_cast<milliseconds>(
                                                       latency_goal_at_ - received_at_) /
                                                       endpoint_wait_divisor);
     for (;;) {
-        auto* const pool = state.pool(service_);
         const auto now = steady_clock::now();
-        if (pool == nullptr) {
-            co_return std::nullopt;
-        }
-        const auto avoided = state.reachability().avoided_data_centres(now);
-        criteria.avoided_data_centres = &avoided;
-        auto chosen = pool->choose(criteria, state.cold_limit_of(service_), state.entry_group(),
-                                   now, state.random());
-        if (chosen || now >= give_up_at || caller_disconnected_ ||
+        auto chosen = find_endpoint(now);
+        const auto* const pool = context_.state.pool(service_);
+        if (chosen || pool == nullptr || now >= give_up_at || caller_disconnected_ ||
             pool->backed_off_until(give_up_at, now) ||
             pool->unavailability_reason() == balancing::unavailability::none_in_service) {
             co_return chosen;
@@ -134,6 +139,16 @@
                                                     steady_clock::now());
 }
 
+// Takes a retry from the budget, unless one is reserved already.
+bool request_handler::reserve_retry() {
+    retry_reserved_ = retry_reserved_ || acquire_retry();
+    return retry_reserved_;
+}
+
+http::cancel_source& request_handler::add_cancel_source() {
+    return *cancel_sources_.emplace_back(std::make_unique<http::cancel_source>());
+}
+
 void request_handler::record_outcome(const send_attempt& attempt, send_outcome outcome) {
     if (auto* const pool = context_.state.pool(service_); pool != nullptr) {
         pool->on_request_ended(attempt.endpoint, attempt.ticket,
@@ -214,10 +229,34 @@
         co_await refuse(quarantine_error(), *refused_for);
         co_return next_step::done;
     }
-    tried_endpoints_.insert(chosen->id);
+    const auto prepared = prepare_send(*chosen, *pool, now);
     last_endpoint_ = chosen->id;
+    progress_ = response_progress::none;
+    auto stream =
+        co_await context_.endpoints.open(prepared.address, prepared.message, prepared.options);
+    if (!stream) {
+        record_failed_open(prepared, stream.error(), now);
+        record_lost_connection(prepared.attempt, stream.error());
+        co_return co_await handle_failure(stream.error(), stream.error().ran != work_ran::no);
+    }
+    context_.state.reachability().record_reached(chosen->data_centre);
+    auto accepted = std::move(stream.value());
+    auto step = co_await handle_response(*accepted, prepared.attempt);
+    while (step == next_step::replaced) {
+        const auto replacement = std::exchange(replacement_, std::nullopt);
+        accepted.reset(); // the silent endpoint must not work on while the other one does
+        step = co_await handle_response(*replacement->stream, replacement->attempt);
+    }
+    co_return step;
+}
+
+// Records an attempt at an endpoint, and makes the request to send.
+request_handler::prepared_send
+request_handler::prepare_send(const balancing::chosen_endpoint& chosen,
+                              balancing::endpoint_pool& pool, time_point now) {
+    tried_endpoints_.insert(chosen.id);
     platform::forwarding_headers forwarding;
-    forwarding.endpoint = chosen->id;
+    forwarding.endpoint = chosen.id;
     forwarding.workspace = workspace_;
     // The caller's timeout, not the route's, which is enforced here.
     const auto time_left = caller_.time_left.value_or(default_timeout);
@@ -227,21 +266,25 @@
     if (plan_) {
         forwarding.inputs = plan_->final_inputs();
     }
-    forwarding.kv_cache_source = cached_prompt_source(*chosen);
+    forwarding.kv_cache_source = cached_prompt_source(chosen);
     if (last_event_id_) {
         forwarding.last_event_id = std::to_string(*last_event_id_);
     }
-    const send_attempt attempt{chosen->id, chosen->incarnation,
-                               pool->on_request_sent(chosen->id,
-                                                     context_.state.cold_limit_of(service_),
-                                                     context_.state.entry_group(), now),
-                               now};
+    prepared_send prepared{chosen.address,
+                           chosen.data_centre,
+                           platform::forward(request_, forwarding),
+                           {},
+                           {chosen.id, chosen.incarnation,
+                            pool.on_request_sent(chosen.id, context_.state.cold_limit_of(service_),
+                                                 context_.state.entry_group(), now),
+                            now}};
     ++attempts_;
-    progress_ = response_progress::none;
-    http::call_options options;
-    options.deadline = attempt_deadline(now);
+    auto& options = prepared.options;
+    options.deadline = deadline_;
+    options.silent_at = silent_at(now);
+    options.end_when_silent = [this] { return may_retry() && reserve_other_endpoint(); };
     options.connect_timeout = connect_timeout;
-    options.cancel = &cancel_;
+    options.cancel = &add_cancel_source();
     if (route_->idempotency == catalog::idempotency_class::non_idempotent) {
         options.max_idle_time = max_idle_for_reuse;
     }
@@ -249,48 +292,52 @@
         const auto id = platform::read_response_head(head).request_id;
         return id.empty() || id == caller_.id;
     };
-    auto stream = co_await context_.endpoints.open(
-        chosen->address, platform::forward(request_, forwarding), options);
-    if (!stream) {
-        const bool timed_out = steady_clock::now() - now >= connect_timeout;
-        if (stream.error().kind == error_kind::connect_failed && timed_out) {
-            context_.state.reachability().record_unreachable(chosen->data_centre, chosen->id,
-                                                             steady_clock::now());
-        }
-        if (stream.error().kind == error_kind::deadline_exceeded) {
-            // Other pooled connections to this endpoint may be silent as well.
-            context_.endpoints.close_idle_connections(chosen->address);
-        }
-        record_outcome(attempt, to_send_outcome(stream.error()));
-        record_lost_connection(attempt, stream.error());
-        co_return co_await handle_failure(stream.error(), stream.error().ran != work_ran::no);
+    return prepared;
+}
+
+void request_handler::record_failed_open(const prepared_send& prepared, const error& failure,
+                                         time_point began_at) {
+    const auto now = steady_clock::now();
+    if (failure.kind == error_kind::connect_failed && now - began_at >= connect_timeout) {
+        context_.state.reachability().record_unreachable(prepared.data_centre,
+                                                         prepared.attempt.endpoint, now);
     }
-    context_.state.reachability().record_reached(chosen->data_centre);
-    co_return co_await handle_response(*stream.value(), attempt);
+    if (failure.kind == error_kind::deadline_exceeded) {
+        // Other pooled connections to this endpoint may be silent as well.
+        context_.endpoints.close_idle_connections(prepared.address);
+    }
+    record_outcome(prepared.attempt, to_send_outcome(failure));
 }
 
-http::awaitable<request_handler::next_step>
-request_handler::handle_response(http::response_stream& stream, const send_attempt& attempt) {
-    const auto head = platform::read_response_head(stream.head());
-    head_at_ = steady_clock::now();
-    progress_ = response_progress::head;
+// Records what the head of a response says about its endpoint.
+void request_handler::record_response_head(const platform::response_head& head,
+                                           const send_attempt& attempt) {
+    const auto now = steady_clock::now();
     if (!head.misdirected) {
-        context_.state.record_alive(attempt.endpoint, attempt.incarnation, attempt.at, *head_at_);
+        context_.state.record_alive(attempt.endpoint, attempt.incarnation, attempt.at, now);
     }
     endpoint_leaving_ = head.leaving;
     if (head.leaving) {
-        context_.state.record_leaving(attempt.endpoint, attempt.incarnation, *head_at_);
+        context_.state.record_leaving(attempt.endpoint, attempt.incarnation, now);
     }
     auto* const pool = context_.state.pool(service_);
     if (head.retry_after && !head.misdirected && pool != nullptr) {
-        pool->on_retry_after(attempt.endpoint, *head.retry_after, *head_at_);
+        pool->on_retry_after(attempt.endpoint, *head.retry_after, now);
         log_decision("request", "endpoint_holds_off",
                      {{"endpoint", attempt.endpoint},
                       {"retry_after_ms", std::to_string(head.retry_after->count())}});
     }
     if (head.load && pool != nullptr) {
-        pool->on_load_report(attempt.endpoint, to_reported_load(*head.load), steady_clock::now());
+        pool->on_load_report(attempt.endpoint, to_reported_load(*head.load), now);
     }
+}
+
+http::awaitable<request_handler::next_step>
+request_handler::handle_response(http::response_stream& stream, const send_attempt& attempt) {
+    const auto head = platform::read_response_head(stream.head());
+    head_at_ = steady_clock::now();
+    progress_ = response_progress::head;
+    record_response_head(head, attempt);
     if (head.request_id.empty() && stream.on_reused_connection()) {
         // This may be a late response to any earlier request on the connection, so it says nothing
         // about this one.
@@ -338,7 +385,8 @@
         co_await refuse(make_error(error_kind::no_endpoint, failure.detail), default_retry_after);
         co_return next_step::done;
     } else if (may_retry() && context_.state.prompt_quarantine().may_repeat(shared_parts_) &&
-               acquire_retry()) {
+               reserve_retry()) {
+        retry_reserved_ = false;
         log_decision("request", "sent_again",
                      {{"request", caller_.id},
                       {"endpoint", last_endpoint_},
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -25,7 +25,9 @@
 http::awaitable<void> request_handler::run() {
     responder_.on_peer_closed([this] {
         caller_disconnected_ = true;
-        cancel_.cancel();
+        for (const auto& source : cancel_sources_) {
+            source->cancel();
+        }
         for (auto* const source : stage_cancellations_) {
             source->cancel();
         }
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -8,10 +8,13 @@
 #include "request_context.hpp"
 #include "stages/stage_plan.hpp"
 
+#include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace boragefront::gateway {
 
@@ -53,13 +56,36 @@
         cancellation_source cancellation;
         boost::asio::steady_timer stage_ended;
     };
-    enum class next_step : std::uint8_t { done, retry };
+    enum class next_step : std::uint8_t {
+        done,
+        retry,    // send the request to another endpoint
+        replaced, // another endpoint has accepted the request; relay its response
+    };
+    // A request that is ready to be sent to a chosen endpoint.
+    struct prepared_send {
+        std::string address;
+        std::string data_centre;
+        http::request message;
+        http::call_options options;
+        send_attempt attempt;
+    };
+    struct accepted_response {
+        std::unique_ptr<http::response_stream> stream;
+        send_attempt attempt;
+    };
+    // Consumes bytes of a response. Returns whether they are progress.
+    using byte_consumer = std::function<bool(const std::string& bytes)>;
+    struct stages_failure {
+        error reason;
+        std::optional<milliseconds> retry_after;
+    };
 
     // Finds the route and checks the API key. Returns an error if the request is refused.
     std::optional<error> admit();
     static error quarantine_error();
 
     http::awaitable<bool> run_stages();
+    http::awaitable<std::optional<stages_failure>> produce_results(stage_runs& runs);
     time_point start_stages(stage_runs& runs);
     http::awaitable<void> run_stage(std::size_t stage, stage_runs& runs);
 
@@ -72,8 +98,12 @@
     std::string_view shared_prompt() const;
     milliseconds max_affinity_wait() const;
     std::string cached_prompt_source(const balancing::chosen_endpoint& chosen) const;
+    std::optional<balancing::chosen_endpoint> find_endpoint(time_point now);
     http::awaitable<std::optional<balancing::chosen_endpoint>> choose_endpoint();
     http::awaitable<next_step> send_to_endpoint();
+    prepared_send prepare_send(const balancing::chosen_endpoint& chosen,
+                               balancing::endpoint_pool& pool, time_point now);
+    http::cancel_source& add_cancel_source();
     http::awaitable<next_step> handle_response(http::response_stream& stream,
                                                const send_attempt& attempt);
     http::awaitable<next_step> relay_stream(http::response_stream& stream,
@@ -81,16 +111,32 @@
     http::awaitable<next_step> relay_response(http::response_stream& stream,
                                               const send_attempt& attempt);
     http::awaitable<next_step> handle_failure(const error& failure, bool may_have_run);
+    void record_response_head(const platform::response_head& head, const send_attempt& attempt);
+
+    // Replacement of an endpoint that falls silent in the middle of its response.
+    http::awaitable<bool> wait_or_replace(http::response_stream& stream,
+                                          const progress_tracker& progress,
+                                          const byte_consumer& consume);
+    http::awaitable<bool> replace(http::response_stream& silent, const byte_consumer& consume);
+    http::awaitable<bool> reproduce_results(http::response_stream& silent,
+                                            const byte_consumer& consume);
+    http::awaitable<void> open_replacement(const prepared_send& prepared,
+                                           std::unique_ptr<http::response_stream>& accepted);
+    bool reserve_retry();
+    bool reserve_other_endpoint();
     http::awaitable<next_step> handle_refusal(const platform::response_head& head);
 
     bool may_retry() const;
     bool acquire_retry();
     bool has_time_left() const;
     bool has_first_event() const { return first_event_at_.has_value(); }
-    bool can_try_another_endpoint() const;
-    time_point attempt_deadline(time_point progress_at) const;
+    bool may_try_another_endpoint() const;
+    time_point silent_at(time_point progress_at) const;
+    time_point silent_at(const progress_tracker& progress) const;
     time_point stream_deadline(const progress_tracker& progress) const;
     void record_outcome(const send_attempt& attempt, balancing::send_outcome outcome);
+    void record_failed_open(const prepared_send& prepared, const error& failure,
+                            time_point began_at);
     void record_lost_connection(const send_attempt& attempt, const error& failure);
     void record_content(const send_attempt& attempt, time_point now);
 
@@ -122,14 +168,17 @@
     time_point latency_goal_at_{};
 
     std::optional<stages::stage_plan> plan_;
-    http::cancel_source cancel_;
+    std::vector<std::unique_ptr<http::cancel_source>> cancel_sources_; // one per attempt
     std::set<cancellation_source*> stage_cancellations_;
     bool caller_disconnected_{false};
 
     std::set<std::string> tried_endpoints_;
-    unsigned attempts_{0};     // that may have been run
-    unsigned refusals_{0};     // by endpoints, including failed connections
-    unsigned input_losses_{0}; // times that stage results were lost
+    unsigned attempts_{0};             // that may have been run
+    unsigned refusals_{0};             // by endpoints, including failed connections
+    unsigned input_losses_{0};         // times that stage results were lost
+    bool retry_reserved_{false};       // a retry was taken from the budget and is not used yet
+    time_point next_replacement_at_{}; // none is tried before
+    std::optional<accepted_response> replacement_;       // of an endpoint that fell silent
     std::optional<http::response> last_failed_response_; // sent to the caller if no retry succeeds
     bool stream_started_{false};                 // whether the response head was sent to the caller
     std::optional<std::uint64_t> last_event_id_; // last one sent to the caller
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -28,39 +28,43 @@
 
 } // namespace
 
-// Whether another endpoint can be tried if this one is abandoned.
-bool request_handler::can_try_another_endpoint() const {
-    auto& state = context_.state;
-    auto* const pool = state.pool(service_);
+// Whether the request may be sent to another endpoint if this one falls silent.
+bool request_handler::may_try_another_endpoint() const {
     return route_->idempotency == catalog::idempotency_class::idempotent &&
-           attempts_ < route_->endpoint_limit && pool != nullptr && pool->size() > 1 &&
-           state.retry_budget(service_).allows_retry(
-               state.retry_limit(), state.entry_group().size(), steady_clock::now());
+           attempts_ < route_->endpoint_limit;
 }
 
-// When an endpoint without progress counts as silent. If no other endpoint can be tried, the
-// request waits until its deadline: the endpoint may just be slow, and there is nothing to gain
-// from abandoning it.
-time_point request_handler::attempt_deadline(time_point progress_at) const {
-    if (!can_try_another_endpoint()) {
-        return deadline_;
+// When an endpoint without progress counts as silent.
+time_point request_handler::silent_at(time_point progress_at) const {
+    if (!may_try_another_endpoint()) {
+        return time_point::max();
     }
+    const auto* const pool = context_.state.pool(service_);
     const auto typical_latency =
-        context_.state.pool(service_)->typical_latency().value_or(milliseconds{0});
+        pool == nullptr ? milliseconds{0} : pool->typical_latency().value_or(milliseconds{0});
     const auto min_timeout = route_->streaming ? min_stream_stall_timeout : min_stall_timeout;
-    return std::min(deadline_,
-                    progress_at + std::max(typical_latency * stall_latency_factor, min_timeout));
+    return progress_at + std::max(typical_latency * stall_latency_factor, min_timeout);
 }
 
+time_point request_handler::silent_at(const progress_tracker& progress) const {
+    if (!route_->streaming || !progress.has_progress()) {
+        return silent_at(progress.last_progress_at());
+    }
+    if (!may_try_another_endpoint()) {
+        return time_point::max();
+    }
+    return progress.last_progress_at() +
+           std::max(route_->event_gap_goal * event_gap_factor, min_event_gap_timeout);
+}
+
+// When the caller disconnects for lack of events, or the request's deadline.
 time_point request_handler::stream_deadline(const progress_tracker& progress) const {
     if (!progress.has_progress()) {
-        return attempt_deadline(progress.last_progress_at());
+        return deadline_;
     }
-    const auto gap_goal = route_->event_gap_goal;
-    const auto gap_timeout = can_try_another_endpoint()
-                                 ? std::max(gap_goal * event_gap_factor, min_event_gap_timeout)
-                                 : platform::stream_event_timeout(route_->latency_goal, gap_goal);
-    return std::min(deadline_, progress.last_progress_at() + gap_timeout);
+    return std::min(deadline_, progress.last_progress_at() +
+                                   platform::stream_event_timeout(route_->latency_goal,
+                                                                  route_->event_gap_goal));
 }
 
 http::awaitable<request_handler::next_step>
@@ -70,8 +74,18 @@
     }
     http::response response = stream.head();
     progress_tracker progress{min_progress_bytes, *head_at_};
+    const byte_consumer consume = [&](const std::string& bytes) {
+        response.body += bytes;
+        const auto before = progress.last_progress_at();
+        progress.record(bytes.size(), steady_clock::now());
+        return progress.last_progress_at() != before;
+    };
     for (;;) {
-        auto chunk = co_await stream.next_bytes(attempt_deadline(progress.last_progress_at()));
+        if (co_await wait_or_replace(stream, progress, consume)) {
+            record_outcome(attempt, send_outcome::timed_out);
+            co_return next_step::replaced;
+        }
+        auto chunk = co_await stream.next_bytes(deadline_);
         if (!chunk) {
             record_outcome(attempt, to_send_outcome(chunk.error()));
             record_lost_connection(attempt, chunk.error());
@@ -80,14 +94,13 @@
         if (!chunk.value()) {
             break;
         }
-        response.body += *chunk.value();
+        (void)consume(*chunk.value());
         if (response.body.size() > max_response_bytes) {
             record_outcome(attempt, send_outcome::broken);
             const auto oversized = make_error(error_kind::too_large, work_ran::unknown,
                                               "response body exceeds 16 MiB");
             co_return co_await handle_failure(oversized, true);
         }
-        progress.record(chunk.value()->size(), steady_clock::now());
     }
     const bool failed = response.status >= first_server_error;
     record_outcome(attempt, failed ? send_outcome::failed : send_outcome::answered);
@@ -118,23 +131,38 @@
     event_splitter events{last_event_id_};
     progress_tracker progress{1, *head_at_}; // counts complete events
     std::optional<error> failure;
+    event_batch batch; // complete events that are not relayed yet
+    const byte_consumer consume = [&](const std::string& bytes) {
+        auto completed = events.append(bytes);
+        batch.bytes += completed.bytes;
+        batch.count += completed.count;
+        batch.last_id = completed.last_id ? completed.last_id : batch.last_id;
+        return completed.count > 0;
+    };
     for (;;) {
-        auto chunk = co_await stream.next_bytes(stream_deadline(progress));
-        if (!chunk) {
-            failure = chunk.error();
-            break;
+        batch = {};
+        if (co_await wait_or_replace(stream, progress, consume)) {
+            record_outcome(attempt, send_outcome::timed_out);
+            co_return next_step::replaced;
         }
-        if (!chunk.value()) {
-            if (events.has_partial_event()) {
-                failure = make_error(error_kind::incomplete_answer,
-                                     "the stream ended in the middle of an event");
-            } else if (progress_ != response_progress::content && !stream.has_explicit_end()) {
-                failure = make_error(error_kind::incomplete_answer,
-                                     "the connection ended before the first event");
+        if (batch.count == 0) {
+            auto chunk = co_await stream.next_bytes(stream_deadline(progress));
+            if (!chunk) {
+                failure = chunk.error();
+                break;
             }
-            break;
+            if (!chunk.value()) {
+                if (events.has_partial_event()) {
+                    failure = make_error(error_kind::incomplete_answer,
+                                         "the stream ended in the middle of an event");
+                } else if (progress_ != response_progress::content && !stream.has_explicit_end()) {
+                    failure = make_error(error_kind::incomplete_answer,
+                                         "the connection ended before the first event");
+                }
+                break;
+            }
+            (void)consume(*chunk.value());
         }
-        auto batch = events.append(*chunk.value());
         if (events.pending_bytes() > max_event_bytes) {
             failure = make_error(error_kind::too_large, work_ran::unknown, "event exceeds 1 MiB");
             break;
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -40,17 +40,31 @@
     return next_start;
 }
 
-// Runs all stages without results, each once its inputs are available. Returns whether the request
-// can be sent to an endpoint. If not, the caller has been sent a response or has disconnected.
+// Runs all stages without results. Returns whether the request can be sent to an endpoint. If not,
+// the caller has been sent a response or has disconnected.
 http::awaitable<bool> request_handler::run_stages() {
     stage_runs runs{context_.executor};
+    auto failure = co_await produce_results(runs);
+    stages_done_at_ = steady_clock::now();
+    if (caller_disconnected_) {
+        summary_.outcome = "cancelled";
+    } else if (failure) {
+        co_await refuse(std::move(failure->reason), failure->retry_after);
+    }
+    co_return !failure && !caller_disconnected_;
+}
+
+// Runs all stages without results, each once its inputs are available. Returns why a result cannot
+// be produced.
+http::awaitable<std::optional<request_handler::stages_failure>>
+request_handler::produce_results(stage_runs& runs) {
     auto& outcomes = runs.outcomes;
     stage_cancellations_.insert(&runs.cancellation);
     std::optional<error> failure;
     std::optional<milliseconds> retry_after;
     for (;;) {
         auto next_start = time_point::max();
-        if (failure || caller_disconnected_) {
+        if (failure || caller_disconnected_ || runs.cancellation.cancelled()) {
             runs.deferred.clear();
         } else {
             next_start = start_stages(runs);
@@ -91,9 +105,8 @@
                     make_error(error_kind::no_capacity, "the stages would not complete in time");
                 retry_after = refused->retry_after;
             } else if (!failure) {
-                // The caller disconnected. A stage cancelled because another one failed keeps that
-                // failure.
-                failure = make_error(error_kind::cancelled, "the caller disconnected");
+                // A stage cancelled because another one failed keeps that failure.
+                failure = make_error(error_kind::cancelled, "the results are not needed any more");
             }
             outcome = outcomes.erase(outcome);
         }
@@ -106,13 +119,14 @@
         }
     }
     stage_cancellations_.erase(&runs.cancellation);
-    stages_done_at_ = steady_clock::now();
-    if (failure && !caller_disconnected_) {
-        co_await refuse(std::move(*failure), retry_after);
-    } else if (caller_disconnected_) {
-        summary_.outcome = "cancelled";
+    if (!failure && runs.cancellation.cancelled()) {
+        failure = make_error(error_kind::cancelled, "the results are not needed any more");
     }
-    co_return !failure && !caller_disconnected_;
+    if (!failure) {
+        co_return std::nullopt;
+    }
+    std::optional<stages_failure> failed{stages_failure{std::move(*failure), retry_after}};
+    co_return failed;
 }
 
 // Discards results in a data centre that is cut off, as they cannot be read from here. Returns
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -45,6 +45,10 @@
     /// on the connection; they are read and discarded. Empty: every response matches.
     std::function<bool(const response& head)> matches_request{};
     std::size_t body_limit{16U << 20U}; ///< a longer response fails with `too_large`
+    /// Called now and then while no byte of the response has arrived, from `silent_at` on. Returns
+    /// whether to end the call with `deadline_exceeded` before its deadline. May be empty.
+    std::function<bool()> end_when_silent{};
+    time_point silent_at{time_point::max()};
 };
 
 /// A response that is read incrementally. Destroying it before its end closes the connection.
@@ -66,6 +70,11 @@
     /// connection, also if the peer crashed.
     virtual bool has_explicit_end() const = 0;
 
+    /// Waits for more of the response without ending it. Bytes need not complete an event or line.
+    /// \returns whether bytes or the end of the response can be read; false once `until` has
+    /// passed.
+    virtual awaitable<bool> wait_for_bytes(time_point until) = 0;
+
     /// The next line of the body without its newline; `std::nullopt` at the body's explicit end.
     /// \returns `incomplete_answer` if the connection ends first, `deadline_exceeded` on time-out,
     /// `too_large` for a line over the length limit.
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -4,6 +4,8 @@
 #include "beast_messages.hpp"
 #include "connection_pool.hpp"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -20,6 +22,7 @@
 constexpr std::size_t max_unmatched_bytes = 256U << 10U; // many times the typical response size
 // A late response was complete when it was sent, so it arrives without delay.
 constexpr milliseconds unmatched_response_timeout{500};
+constexpr milliseconds silence_check_interval{100};
 constexpr std::size_t max_interim_responses = 8;   // normally at most one 100 and one 103
 constexpr std::size_t max_head_size = 16U << 10U;  // equals the platform's limit for callers
 constexpr std::size_t max_line_length = 1U << 20U; // a stream event takes a few hundred bytes
@@ -103,7 +106,8 @@
                  const call_options& options)
         : connection_{std::move(connection)}, reused_{reused}, address_{std::move(address)},
           pool_{std::move(pool)}, guard_{options.cancel, *connection_},
-          matches_request_{options.matches_request}, body_limit_{options.body_limit} {
+          matches_request_{options.matches_request}, body_limit_{options.body_limit},
+          end_when_silent_{options.end_when_silent}, silent_at_{options.silent_at} {
         start_parser();
     }
     ~beast_stream() override {
@@ -128,6 +132,14 @@
         if (failure) {
             co_return call_failure(failure, guard_.cancelled());
         }
+        while (end_when_silent_ && connection_->buffer.size() == 0 &&
+               !co_await wait_readable(std::min(silent_at_, deadline)) &&
+               steady_clock::now() < deadline) {
+            if (end_when_silent_()) {
+                co_return make_error(error_kind::deadline_exceeded, "no answer in time");
+            }
+            silent_at_ = steady_clock::now() + silence_check_interval;
+        }
         for (std::size_t unmatched = 0; unmatched <= max_unmatched_responses; ++unmatched) {
             BOOST_OUTCOME_CO_TRY(co_await read_head(deadline));
             if (!matches_request_ || matches_request_(head_)) {
@@ -144,6 +156,16 @@
     bool on_reused_connection() const override { return reused_; }
     bool has_explicit_end() const override { return !parser_->need_eof(); }
 
+    awaitable<bool> wait_for_bytes(time_point until) override {
+        bool readable = has_more_to_read();
+        bool in_time = true;
+        while (!readable && in_time) {
+            in_time = co_await wait_readable(until);
+            readable = in_time && (!receive_available() || has_more_to_read());
+        }
+        co_return readable;
+    }
+
     awaitable<result<std::optional<std::string>>> next_line(time_point deadline) override {
         std::size_t searched = 0;
         for (;;) {
@@ -197,6 +219,78 @@
                                  });
     }
 
+    // Whether the next read returns without waiting.
+    bool has_more_to_read() {
+        return !pending_.empty() || parser_->is_done() || connection_ == nullptr ||
+               parse_received();
+    }
+
+    // Waits until the socket can be read, without ending the connection. Returns false once `until`
+    // has passed.
+    awaitable<bool> wait_readable(time_point until) {
+        using asio::experimental::awaitable_operators::operator||;
+        auto& socket = connection_->stream.socket();
+        asio::steady_timer timer{socket.get_executor(), until};
+        boost::system::error_code wait_failure;
+        boost::system::error_code timer_failure;
+        const auto first =
+            co_await (socket.async_wait(tcp::socket::wait_read, awaitable_into(wait_failure)) ||
+                      timer.async_wait(awaitable_into(timer_failure)));
+        co_return first.index() == 0;
+    }
+
+    // Reads what has arrived. Returns false if the connection has ended or cannot be read further
+    // without parsing.
+    bool receive_available() {
+        auto& socket = connection_->stream.socket();
+        auto& buffer = connection_->buffer;
+        const auto space = std::min(read_size, buffer.max_size() - buffer.size());
+        if (space == 0) {
+            return false;
+        }
+        boost::system::error_code failure;
+        socket.non_blocking(true, failure);
+        const auto size = socket.read_some(buffer.prepare(space), failure);
+        buffer.commit(size);
+        if (failure && failure != asio::error::would_block) {
+            // A second read might report a reset as an orderly end.
+            receive_failure_ = failure;
+            return false;
+        }
+        return true;
+    }
+
+    // Parses bytes of the body that have been received. Returns whether they contain any of its
+    // content, its end or an error, which the next read reports.
+    bool parse_received() {
+        auto& buffer = connection_->buffer;
+        boost::system::error_code failure;
+        std::size_t parsed = 1;
+        while (buffer.size() > 0 && parsed > 0 && pending_.empty() && !parser_->is_done() &&
+               !failure) {
+            std::array<char, read_size> bytes{};
+            auto& body = parser_->get().body();
+            body.data = bytes.data();
+            body.size = bytes.size();
+            parsed = parser_->put(buffer.data(), failure);
+            buffer.consume(parsed);
+            append_body(bytes.data(), bytes.size() - body.size);
+        }
+        if (failure && failure != beast::http::error::need_more &&
+            failure != beast::http::error::need_buffer) {
+            receive_failure_ = failure;
+            return true;
+        }
+        recycle_if_done();
+        return !pending_.empty() || parser_->is_done();
+    }
+
+    void append_body(const char* data, std::size_t size) {
+        pending_.append(data, size);
+        pool_->buffered_bytes += pending_.size() - counted_;
+        counted_ = pending_.size();
+    }
+
     void start_parser() {
         parser_.emplace();
         parser_->header_limit(max_head_size);
@@ -258,6 +352,9 @@
             co_return make_error(error_kind::deadline_exceeded,
                                  "response incomplete at the deadline");
         }
+        if (receive_failure_ && receive_failure_ != asio::error::eof) {
+            co_return call_failure(receive_failure_, guard_.cancelled());
+        }
         std::array<char, read_size> bytes{};
         auto& body = parser_->get().body();
         body.data = bytes.data();
@@ -272,9 +369,7 @@
         if (failure) {
             co_return call_failure(failure, guard_.cancelled());
         }
-        pending_.append(bytes.data(), bytes.size() - body.size);
-        pool_->buffered_bytes += pending_.size() - counted_;
-        counted_ = pending_.size();
+        append_body(bytes.data(), bytes.size() - body.size);
         const bool over_total =
             counted_ > typical_response_size && pool_->buffered_bytes > max_buffered_bytes;
         if (counted_ > body_limit_ || over_total) {
@@ -309,6 +404,9 @@
     cancel_guard guard_;
     std::function<bool(const response&)> matches_request_;
     std::size_t body_limit_;
+    std::function<bool()> end_when_silent_;
+    time_point silent_at_;
+    boost::system::error_code receive_failure_; // of a read that did not wait
     std::optional<body_parser> parser_;
     std::shared_ptr<body_write> write_; // shared with the completion handler
     response head_;
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -309,6 +309,10 @@
                 co_return false;
             }
         }
+        if (mode == endpoint_mode::pausing && sent == cut_after && !co_await with.wait(pause)) {
+            visits_[visit].left = true;
+            co_return false;
+        }
         ++number;
         if (mode == endpoint_mode::cut && sent == cut_after) {
             (void)co_await with.send(frame(event(number).substr(0, 6)));
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -36,6 +36,7 @@
     cut_head,  ///< breaks off in the middle of the head of the answer
     trickling, ///< after `cut_after` events sends a comment now and then, without end
     flooding,  ///< sends a body without end
+    pausing,   ///< after `cut_after` events is silent for `pause`, and goes on
 };
 
 /// A result of stage work.
@@ -89,6 +90,7 @@
     int events{0};                 ///< of a stream; 0: a plain answer
     milliseconds gap{5};           ///< between events
     int cut_after{2};              ///< events, in mode `cut`
+    milliseconds pause{0};         ///< in mode `pausing`
     bool announces_leaving{false}; ///< in all responses
     int born{1};                   ///< start time that it registers, in milliseconds
     bool unframed{false};          ///< streams have neither a length nor chunks
