http: a request that has arrived is served before its connection is closed as idle

Callers saw a connection that they had kept end without an answer, mostly by a reset, on a request that they had sent in time. The idle limit was Beast's time-out, which closes the socket when it expires, whatever had arrived in the kernel's buffer by then; only the stop looked once more. Beside that, every close with unread bytes turned into a reset, which destroyed a response that was still in transit.

Now the connection keeps the time itself. When the limit ends, the read is cancelled, not the socket; bytes that have arrived by then are served, and otherwise the sending side is shut down first. A request that crosses this close is neither read nor passed on: after half a second the kernel tells its sender so by a reset. After a response, input is read and ignored until the peer closes, for half a second or 4 MiB. The timer stays armed over requests, so that a connection arms it about once in an idle limit.

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -18,6 +18,12 @@
 // In addition to the head: the parser does not limit chunk headers and trailers.
 constexpr std::size_t framing_limit = 64U << 10U;
 
+// Closing a connection with unread bytes resets it, which may destroy a response in transit.
+constexpr milliseconds linger_timeout{500};
+constexpr std::size_t linger_bytes = 4U << 20U;
+// A read that completes as it is cancelled is continued by another one, which is cancelled next.
+constexpr milliseconds cancel_retry_interval{10};
+
 // Counts a request from its first byte to the end of its response.
 class open_request {
 public:
@@ -41,6 +47,7 @@
     while (reusable) {
         reusable = co_await serve_request();
     }
+    co_await linger();
     close();
 }
 
@@ -57,7 +64,7 @@
 }
 
 awaitable<result<void>> server_connection::send(response answer) {
-    response_started_ = true;
+    response_started_ = has_sent_ = true;
     const bool keep = keep_alive_ && state_->allows_keep_alive();
     auto message = to_beast(std::move(answer), keep);
     boost::system::error_code failure;
@@ -72,7 +79,7 @@
 }
 
 awaitable<result<void>> server_connection::begin(response head) {
-    response_started_ = true;
+    response_started_ = has_sent_ = true;
     beast::http::response<beast::http::empty_body> message;
     message.result(head.status);
     message.version(11);
@@ -152,26 +159,100 @@
     if (buffer_.size() > 0) {
         co_return true;
     }
+    has_sent_ = false;
     boost::system::error_code failure;
     std::size_t size = 0;
+    stream_.expires_never();
     if (!state_->stopping) {
-        stream_.expires_after(state_->limits().idle_timeout);
+        begin_wait(steady_clock::now() + state_->limits().idle_timeout);
         size =
             co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+        end_wait();
     }
-    if (size == 0 && state_->stopping) {
-        // Serve a request that the peer sent before it could detect the stop.
-        boost::system::error_code ignored;
-        if (stream_.socket().available(ignored) > 0) {
-            stream_.expires_after(state_->limits().header_timeout);
-            size = co_await stream_.async_read_some(buffer_.prepare(read_size),
-                                                    awaitable_into(failure));
-        }
+    if (size == 0 && has_input()) {
+        // Serve a request that the peer sent before it could detect the close.
+        size =
+            co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
     }
     buffer_.commit(size);
     co_return size > 0;
 }
 
+awaitable<void> server_connection::linger() {
+    boost::system::error_code failure;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
+    if (failure) {
+        co_return; // the connection is already closed
+    }
+    stream_.expires_never();
+    begin_wait(steady_clock::now() + linger_timeout);
+    if (has_sent_) {
+        co_await discard_input();
+    } else {
+        // A request that arrives now can't be answered. It is left unread, so that the connection
+        // ends with a reset, by which the peer can tell that nobody read its request.
+        co_await stream_.socket().async_wait(tcp::socket::wait_read, awaitable_into(failure));
+        if (!failure && has_input()) {
+            timer_.expires_at(wait_deadline_.value_or(steady_clock::now()));
+            timer_armed_.reset();
+            co_await timer_.async_wait(awaitable_into(failure));
+        }
+    }
+    end_wait();
+}
+
+awaitable<void> server_connection::discard_input() {
+    boost::system::error_code failure;
+    std::size_t discarded = buffer_.size();
+    buffer_.clear();
+    while (!failure && discarded < linger_bytes) {
+        discarded +=
+            co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+    }
+}
+
+void server_connection::begin_wait(time_point deadline) {
+    wait_deadline_ = deadline;
+    arm_timer(deadline);
+}
+
+void server_connection::end_wait() {
+    wait_deadline_.reset();
+}
+
+void server_connection::arm_timer(time_point at) {
+    if (timer_armed_ && *timer_armed_ <= at) {
+        return;
+    }
+    timer_armed_ = at;
+    timer_.expires_at(at);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& failure) {
+        const auto self = weak.lock();
+        if (self && !failure) {
+            self->timer_armed_.reset();
+            self->check_deadline();
+        }
+    });
+}
+
+void server_connection::check_deadline() {
+    if (!wait_deadline_) {
+        return;
+    }
+    const auto now = steady_clock::now();
+    if (now < *wait_deadline_) {
+        arm_timer(*wait_deadline_);
+        return;
+    }
+    stream_.cancel();
+    arm_timer(now + cancel_retry_interval);
+}
+
+bool server_connection::has_input() {
+    boost::system::error_code failure;
+    return stream_.socket().available(failure) > 0 && !failure;
+}
+
 awaitable<bool> server_connection::respond(parser_type& parser) {
     auto message = parser.release();
     keep_alive_ = message.keep_alive();
--- a/libs/http/src/server_connection.hpp
+++ b/libs/http/src/server_connection.hpp
@@ -6,6 +6,7 @@
 #include "http/server.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -14,6 +15,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 
 namespace boragefront::http {
 
@@ -39,7 +41,7 @@
 class server_connection : public std::enable_shared_from_this<server_connection>, public responder {
 public:
     server_connection(std::shared_ptr<server_state> state, tcp::socket socket)
-        : state_{std::move(state)}, stream_{std::move(socket)} {}
+        : state_{std::move(state)}, stream_{std::move(socket)}, timer_{stream_.get_executor()} {}
 
     /// Serves until the peer closes, a response ends the connection, or the server stops.
     awaitable<void> run();
@@ -69,6 +71,23 @@
     // Waits for the first bytes of a request. Returns whether any arrived.
     awaitable<bool> wait_for_request();
 
+    // Lets the peer read what was sent, and detect the close, before `close` may reset the
+    // connection.
+    awaitable<void> linger();
+
+    // Reads and ignores what the peer sends, until it closes.
+    awaitable<void> discard_input();
+
+    // Bounds a read from the peer until `end_wait`: the read is cancelled, and the connection stays
+    // open.
+    void begin_wait(time_point deadline);
+    void end_wait();
+    void arm_timer(time_point at);
+    void check_deadline();
+
+    // Whether bytes from the peer can be read at once.
+    bool has_input();
+
     awaitable<bool> respond(parser_type& parser);
 
     awaitable<void> call_handler(const request& incoming);
@@ -93,9 +112,13 @@
     std::shared_ptr<server_state> state_;
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    asio::steady_timer timer_;
+    std::optional<time_point> timer_armed_;   // it stays armed over waits that end early
+    std::optional<time_point> wait_deadline_; // of the read in progress
     std::function<void()> on_peer_closed_;
     bool serving_{false};
     bool keep_alive_{false};
+    bool has_sent_{false}; // since the connection last waited for a request
     bool response_started_{false};
     bool response_complete_{false};
     bool peer_closed_{false};
--- /dev/null
+++ b/libs/http/tests/idle_close_test.cpp
@@ -0,0 +1,258 @@
+// Closing of connections: idle ones, ones whose request does not arrive in time, and after a
+// response.
+#include "base/random.hpp"
+#include "http/server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace boragefront;
+using namespace boragefront::http;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// What keeps a server's only thread busy, from when it is reached until its release.
+struct blockade {
+    std::promise<void> release;
+    std::future<void> reached;
+};
+
+// A server on a background thread.
+class fixture {
+public:
+    explicit fixture(handler handle, server_limits limits = {}) {
+        auto made = server::listen({io_.get_executor()}, "127.0.0.1:0", limits, std::move(handle));
+        REQUIRE(made);
+        server_ = std::move(made.value());
+        thread_ = std::thread{[this] { io_.run(); }};
+    }
+    ~fixture() {
+        io_.stop();
+        thread_.join();
+    }
+    fixture(const fixture&) = delete;
+    fixture& operator=(const fixture&) = delete;
+
+    server& http_server() { return *server_; }
+
+    blockade block() {
+        auto reached = std::make_shared<std::promise<void>>();
+        blockade made;
+        made.reached = reached->get_future();
+        asio::post(io_, [reached, released = made.release.get_future().share()] {
+            reached->set_value();
+            released.wait();
+        });
+        return made;
+    }
+
+    tcp::endpoint endpoint() const {
+        return {asio::ip::make_address("127.0.0.1"), server_->port()};
+    }
+
+private:
+    asio::io_context io_{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard_{io_.get_executor()};
+    std::unique_ptr<server> server_;
+    std::thread thread_;
+};
+
+// A caller with one connection.
+class caller {
+public:
+    explicit caller(const fixture& peer) { socket_.connect(peer.endpoint()); }
+
+    void send(const std::string& bytes) {
+        boost::system::error_code ignored; // `read_response` reports a connection that was closed
+        asio::write(socket_, asio::buffer(bytes), ignored);
+    }
+
+    // Returns the response up to its last byte, or what arrived before the connection ended.
+    std::string read_response() {
+        std::string text;
+        const auto head = asio::read_until(socket_, asio::dynamic_buffer(text), "\r\n\r\n", end_);
+        const std::string name = "Content-Length: ";
+        const auto at = text.find(name);
+        if (end_ || at == std::string::npos) {
+            return text;
+        }
+        const auto whole = head + std::stoul(text.substr(at + name.size()));
+        if (text.size() < whole) {
+            asio::read(socket_, asio::dynamic_buffer(text),
+                       asio::transfer_exactly(whole - text.size()), end_);
+        }
+        return text;
+    }
+
+    std::string read_to_end() {
+        std::string text;
+        asio::read(socket_, asio::dynamic_buffer(text), end_);
+        return text;
+    }
+
+    std::string exchange(const std::string& bytes) {
+        send(bytes);
+        return read_response();
+    }
+
+    // How the last read ended.
+    boost::system::error_code end() const { return end_; }
+
+private:
+    asio::io_context io_;
+    tcp::socket socket_{io_};
+    boost::system::error_code end_;
+};
+
+std::string get(const std::string& target, const std::string& headers = {}) {
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n" + headers + "\r\n";
+}
+
+bool is_success(const std::string& text) {
+    return text.starts_with("HTTP/1.1 200");
+}
+
+awaitable<void> echo_target(const request& incoming, responder& out) {
+    (void)co_await out.send(make_json_response(200, incoming.target));
+}
+
+} // namespace
+
+// Guards against requests that are lost as their connection is closed as idle, although they had
+// arrived while the server was busy.
+TEST_CASE("a request that arrives before its connection is closed as idle is answered") {
+    constexpr milliseconds idle_timeout{40};
+    for (int round = 0; round < 10; ++round) {
+        fixture peer{echo_target, {.idle_timeout = idle_timeout}};
+        std::vector<std::unique_ptr<caller>> callers;
+        for (int i = 0; i < 16; ++i) {
+            callers.push_back(std::make_unique<caller>(peer));
+            REQUIRE(is_success(callers.back()->exchange(get("/first"))));
+        }
+        const auto half = callers.begin() + static_cast<std::ptrdiff_t>(callers.size() / 2);
+        auto first = peer.block();
+        first.reached.wait();
+        auto second = peer.block(); // runs after the server has looked for events once more
+        std::this_thread::sleep_for(idle_timeout + milliseconds{10});
+        std::for_each(callers.begin(), half, [](auto& early) { early->send(get("/early")); });
+        first.release.set_value();
+        // Now the limits of all others have ended, too, but the server has not acted on that yet.
+        second.reached.wait();
+        std::for_each(half, callers.end(), [](auto& late) { late->send(get("/late")); });
+        second.release.set_value();
+        for (auto& waiting : callers) {
+            CHECK(is_success(waiting->read_response()));
+        }
+    }
+}
+
+// Guards against an idle time limit that no longer closes anything.
+TEST_CASE("an idle connection is closed without a reset at its limit") {
+    constexpr milliseconds idle_timeout{100};
+    fixture peer{echo_target, {.idle_timeout = idle_timeout}};
+    caller idle{peer};
+    REQUIRE(is_success(idle.exchange(get("/first"))));
+    const auto began = steady_clock::now();
+    CHECK(idle.read_to_end().empty());
+    CHECK(idle.end() == asio::error::eof);
+    CHECK(steady_clock::now() - began >= idle_timeout - milliseconds{10});
+    CHECK(steady_clock::now() - began < seconds{5});
+}
+
+// Guards against a response that is destroyed by the reset that follows when a connection with
+// unread bytes is closed.
+TEST_CASE("a response arrives whole although bytes behind its request remain unread") {
+    const std::string body(3U << 20U, 'x');
+    fixture peer{[&](const request& incoming, responder& out) -> awaitable<void> {
+        auto answer = make_json_response(200, incoming.target == "/first" ? body : std::string{});
+        (void)co_await out.send(std::move(answer));
+    }};
+    for (int round = 0; round < 10; ++round) {
+        caller pipelining{peer};
+        pipelining.send(get("/first", "Connection: close\r\n"));
+        pipelining.send(get("/second") + std::string(100'000, 'x'));
+        std::this_thread::sleep_for(milliseconds{20});
+        const auto text = pipelining.read_to_end();
+        const bool whole = text.ends_with("\r\n\r\n" + body);
+        CHECK(whole);
+        CHECK(pipelining.end() == asio::error::eof);
+    }
+}
+
+// Guards against requests that were passed on to a handler and get no response, on connections that
+// are reused about when their idle limit ends.
+TEST_CASE("a request on a reused connection is answered or was never passed on") {
+    const auto seed = GENERATE(1U, 2U, 3U);
+    INFO("seed " << seed);
+    constexpr unsigned idle_ms = 20;
+    constexpr unsigned longest_rest_us = 40'000;
+    constexpr int caller_count = 8;
+    constexpr int requests_per_caller = 60;
+    std::mutex mutex;
+    std::set<std::string> handled;
+    random_source server_random{seed};
+    fixture peer{[&](const request& incoming, responder& out) -> awaitable<void> {
+                     {
+                         const std::scoped_lock lock{mutex};
+                         handled.insert(incoming.target);
+                     }
+                     if (server_random() % 8 == 0) { // the server's only thread is busy
+                         std::this_thread::sleep_for(milliseconds{server_random() % idle_ms});
+                     }
+                     (void)co_await out.send(make_json_response(200, incoming.target));
+                 },
+                 {.idle_timeout = milliseconds{idle_ms}}};
+    std::atomic<int> answered{0};
+    std::set<std::string> unanswered;
+    std::vector<std::string> faults;
+    const auto run_caller = [&](int index) {
+        random_source random{(seed * 100U) + static_cast<unsigned>(index)};
+        auto connection = std::make_unique<caller>(peer);
+        for (int i = 0; i < requests_per_caller; ++i) {
+            std::this_thread::sleep_for(microseconds{random() % longest_rest_us});
+            const auto target = '/' + std::to_string(index) + '-' + std::to_string(i);
+            const auto text = connection->exchange(get(target));
+            if (is_success(text) && text.ends_with(target)) {
+                ++answered;
+                continue;
+            }
+            const std::scoped_lock lock{mutex};
+            unanswered.insert(target);
+            if (!text.empty()) {
+                faults.push_back(text);
+            } else if (connection->end() != asio::error::eof) {
+                faults.push_back(connection->end().message());
+            }
+            connection = std::make_unique<caller>(peer);
+        }
+    };
+    std::vector<std::thread> callers;
+    callers.reserve(caller_count);
+    for (int i = 0; i < caller_count; ++i) {
+        callers.emplace_back(run_caller, i);
+    }
+    for (auto& running : callers) {
+        running.join();
+    }
+    const std::scoped_lock lock{mutex};
+    CHECK(faults == std::vector<std::string>{});
+    for (const auto& target : unanswered) {
+        CAPTURE(target);
+        CHECK(!handled.contains(target));
+    }
+    CHECK(answered > caller_count);
+}
