http, gateway: a changed idle limit applies when callers go by it

Beside a change of the configuration, callers saw connections close that they had kept for less than four fifths of the limit in force: a raised limit reached only waits that began later, and the gateway's server got it only when its traffic thread had a turn. A lowered one closed connections that began to rest before callers could know of it.

Now a connection asks for its limit when its timer fires, and gets the longest one that its caller may have known since it began to rest: changing_limit, with the time as an argument.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -155,6 +155,8 @@
     control_callbacks make_callbacks() {
         control_callbacks callbacks;
         callbacks.publish = [this](std::shared_ptr<const indexed_snapshot> next) {
+            // At once: a backlogged traffic thread must not close connections by outdated limits.
+            set_limits(next->published.config->limits);
             latest_snapshot_ = std::move(next);
             asio::post(traffic_loop_.io, [this] { apply_latest_snapshot(); });
         };
@@ -173,6 +175,15 @@
         return callbacks;
     }
 
+    void set_limits(const catalog::caller_limits& limits) {
+        http::server_limits applied;
+        applied.header_bytes = limits.header_bytes;
+        applied.body_bytes = limits.body_bytes;
+        applied.header_timeout = limits.header_timeout;
+        applied.idle_timeout = limits.idle_timeout;
+        server_->set_limits(applied);
+    }
+
     // Traffic thread. Also called for each request, so that a backlogged thread does not decide by
     // an outdated snapshot.
     void apply_latest_snapshot() {
@@ -183,13 +194,6 @@
         const bool first = state_.current() == nullptr;
         const auto now = steady_clock::now();
         state_.publish(next, now);
-        const auto& limits = next->published.config->limits;
-        http::server_limits applied;
-        applied.header_bytes = limits.header_bytes;
-        applied.body_bytes = limits.body_bytes;
-        applied.header_timeout = limits.header_timeout;
-        applied.idle_timeout = limits.idle_timeout;
-        server_->set_limits(applied);
         if (first) {
             log_change("gateway", "ready",
                        {{"revision", std::to_string(next->published.config_revision)},
--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -80,7 +80,10 @@
     /// Number of requests from their first byte to the end of their response.
     virtual std::size_t open_requests() const = 0;
 
-    /// Replaces the limits; they apply to requests whose header is read later.
+    /// Replaces the limits; they apply to requests whose header is read later. A raised idle time
+    /// limit also applies to connections that already wait for a request. A lowered one applies to
+    /// waits that begin some seconds later: callers learn of it later than this process.
+    /// Thread-safe.
     virtual void set_limits(server_limits limits) = 0;
 
     /// From now on each response announces `Connection: close` and closes its connection. Idle
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -64,8 +64,7 @@
     std::size_t open_requests() const override { return state_->open_requests; }
 
     void set_limits(server_limits limits) override {
-        const std::scoped_lock lock{state_->mutex};
-        state_->current_limits = limits;
+        state_->set_limits(limits, steady_clock::now());
     }
 
     void announce_close() override { state_->announcing_close = true; }
@@ -171,9 +170,7 @@
                                                handler handle) {
     BOOST_OUTCOME_TRY(const auto local_endpoint, parse_address(address));
     BOOST_OUTCOME_TRY(auto acceptor, bind_exclusively(executors.front(), local_endpoint));
-    auto state = std::make_shared<server_state>();
-    state->current_limits = limits;
-    state->handle = std::move(handle);
+    auto state = std::make_shared<server_state>(limits, std::move(handle));
     auto created =
         std::make_unique<beast_server>(std::move(executors), std::move(acceptor), std::move(state));
     created->start();
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -164,7 +164,7 @@
     std::size_t size = 0;
     stream_.expires_never();
     if (!state_->stopping) {
-        begin_wait(steady_clock::now() + state_->limits().idle_timeout);
+        begin_wait(wait_kind::request);
         size =
             co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
         end_wait();
@@ -185,7 +185,7 @@
         co_return; // the connection is already closed
     }
     stream_.expires_never();
-    begin_wait(steady_clock::now() + linger_timeout);
+    begin_wait(wait_kind::close);
     if (has_sent_) {
         co_await discard_input();
     } else {
@@ -193,7 +193,7 @@
         // ends with a reset, by which the peer can tell that nobody read its request.
         co_await stream_.socket().async_wait(tcp::socket::wait_read, awaitable_into(failure));
         if (!failure && has_input()) {
-            timer_.expires_at(wait_deadline_.value_or(steady_clock::now()));
+            timer_.expires_at(wait_deadline());
             timer_armed_.reset();
             co_await timer_.async_wait(awaitable_into(failure));
         }
@@ -211,13 +211,19 @@
     }
 }
 
-void server_connection::begin_wait(time_point deadline) {
-    wait_deadline_ = deadline;
-    arm_timer(deadline);
+void server_connection::begin_wait(wait_kind kind) {
+    waiting_ = kind;
+    wait_began_ = steady_clock::now();
+    arm_timer(wait_deadline());
 }
 
 void server_connection::end_wait() {
-    wait_deadline_.reset();
+    waiting_ = wait_kind::none;
+}
+
+time_point server_connection::wait_deadline() const {
+    return waiting_ == wait_kind::request ? state_->idle_deadline(wait_began_)
+                                          : wait_began_ + linger_timeout;
 }
 
 void server_connection::arm_timer(time_point at) {
@@ -236,12 +242,13 @@
 }
 
 void server_connection::check_deadline() {
-    if (!wait_deadline_) {
+    if (waiting_ == wait_kind::none) {
         return;
     }
     const auto now = steady_clock::now();
-    if (now < *wait_deadline_) {
-        arm_timer(*wait_deadline_);
+    const auto deadline = wait_deadline(); // a changed limit may have moved it
+    if (now < deadline) {
+        arm_timer(deadline);
         return;
     }
     stream_.cancel();
--- a/libs/http/src/server_connection.hpp
+++ b/libs/http/src/server_connection.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "beast_messages.hpp"
+#include "changing_limit.hpp"
 #include "http/server.hpp"
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -22,13 +23,29 @@
 /// State shared by a server and its connections; it outlives the server while responses are in
 /// progress.
 struct server_state {
+    server_state(server_limits limits, handler handle_request)
+        : current_limits{limits}, idle_timeout{limits.idle_timeout}, handle{std::move(
+                                                                         handle_request)} {}
+
     server_limits limits() const {
         const std::scoped_lock lock{mutex};
         return current_limits;
     }
 
+    void set_limits(server_limits limits, time_point now) {
+        const std::scoped_lock lock{mutex};
+        current_limits = limits;
+        idle_timeout.replace(limits.idle_timeout, now);
+    }
+
+    time_point idle_deadline(time_point began) const {
+        const std::scoped_lock lock{mutex};
+        return began + idle_timeout.longest_since(began);
+    }
+
     mutable std::mutex mutex;
     server_limits current_limits;
+    changing_limit idle_timeout;
     handler handle;
     std::atomic<std::size_t> open_requests{0};
     std::atomic<bool> announcing_close{false};
@@ -63,6 +80,8 @@
     void on_peer_closed(std::function<void()> action) override;
 
 private:
+    enum class wait_kind : std::uint8_t { none, request, close };
+
     using parser_type = beast::http::request_parser<beast::http::string_body>;
 
     // Returns whether the connection may serve another request.
@@ -80,7 +99,8 @@
 
     // Bounds a read from the peer until `end_wait`: the read is cancelled, and the connection stays
     // open.
-    void begin_wait(time_point deadline);
+    void begin_wait(wait_kind kind);
+    time_point wait_deadline() const;
     void end_wait();
     void arm_timer(time_point at);
     void check_deadline();
@@ -113,8 +133,9 @@
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     asio::steady_timer timer_;
-    std::optional<time_point> timer_armed_;   // it stays armed over waits that end early
-    std::optional<time_point> wait_deadline_; // of the read in progress
+    std::optional<time_point> timer_armed_; // it stays armed over waits that end early
+    wait_kind waiting_{wait_kind::none};
+    time_point wait_began_;
     std::function<void()> on_peer_closed_;
     bool serving_{false};
     bool keep_alive_{false};
--- a/libs/http/tests/idle_close_test.cpp
+++ b/libs/http/tests/idle_close_test.cpp
@@ -160,6 +160,33 @@
     }
 }
 
+// Guards against requests that are lost because a raised idle limit does not reach connections that
+// already rest, while callers reuse them by the new limit.
+TEST_CASE("a raised idle limit applies to connections that already rest") {
+    fixture peer{echo_target, {.idle_timeout = milliseconds{100}}};
+    caller unused{peer};
+    caller kept{peer};
+    REQUIRE(is_success(kept.exchange(get("/first"))));
+    peer.http_server().set_limits({.idle_timeout = milliseconds{1'000}});
+    std::this_thread::sleep_for(milliseconds{400});
+    CHECK(is_success(kept.exchange(get("/second"))));
+    CHECK(is_success(unused.exchange(get("/second"))));
+}
+
+// Guards against requests that are lost because a lowered idle limit closes connections that
+// callers may still reuse by the limit they know.
+TEST_CASE("a lowered idle limit does not close a connection early") {
+    fixture peer{echo_target, {.idle_timeout = milliseconds{1'000}}};
+    caller resting{peer};
+    REQUIRE(is_success(resting.exchange(get("/first"))));
+    peer.http_server().set_limits({.idle_timeout = milliseconds{50}});
+    caller uninformed{peer};
+    REQUIRE(is_success(uninformed.exchange(get("/first"))));
+    std::this_thread::sleep_for(milliseconds{300});
+    CHECK(is_success(resting.exchange(get("/second"))));
+    CHECK(is_success(uninformed.exchange(get("/second"))));
+}
+
 // Guards against an idle time limit that no longer closes anything.
 TEST_CASE("an idle connection is closed without a reset at its limit") {
     constexpr milliseconds idle_timeout{100};
