http: a request that does not arrive in time is refused with 408

A caller whose header or body came too slowly got neither a response nor a refusal: the time-out of the stream closed the socket, and the 408 that followed was written to it in vain. A raised header limit did not reach a header that was half read.

The time of a header and of a body is now kept like that of an idle connection: the read is cancelled, the socket stays open for the refusal. What has arrived when the time ends may still complete the request. A header goes by the limit in force, as an idle connection does.

Tests, on the code before this commit: - "a request that does not arrive in time is refused with 408": 3 of 3 parts of requests got no byte. - "a header that arrives byte by byte is refused with 408": no byte. - "a raised header time limit applies to a header that is half read", 100 ms raised to 2,000 ms and completed after 320 ms: no response.

--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -60,7 +60,8 @@
 };
 
 /// Listens on one address until it is stopped. Requests over a limit are rejected with `too_large`
-/// or `header_too_large`, malformed ones with `bad_request`, without calling the handler.
+/// or `header_too_large`, malformed ones with `bad_request`, and ones that don't arrive in time
+/// with `request_timeout`, without calling the handler.
 class server {
 public:
     /// Binds exclusively and starts to accept connections.
@@ -80,8 +81,8 @@
     /// Number of requests from their first byte to the end of their response.
     virtual std::size_t open_requests() const = 0;
 
-    /// Replaces the limits; they apply to requests whose header is read later. A raised idle time
-    /// limit also applies to connections that already wait for a request. A lowered one applies to
+    /// Replaces the limits; they apply to requests whose header is read later. A raised limit on
+    /// idle time or on a header's time also applies to waits in progress. A lowered one applies to
     /// waits that begin some seconds later: callers learn of it later than this process.
     /// Thread-safe.
     virtual void set_limits(server_limits limits) = 0;
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -140,12 +140,13 @@
     parser.body_limit(limits.body_bytes);
     buffer_.max_size(limits.header_bytes + framing_limit);
     boost::system::error_code failure;
-    stream_.expires_after(limits.header_timeout);
+    begin_wait(wait_kind::header);
     co_await beast::http::async_read_header(stream_, buffer_, parser, awaitable_into(failure));
-    if (!failure) {
-        stream_.expires_after(limits.request_timeout);
+    if (!failure && !parser.is_done()) {
+        begin_wait(wait_kind::body);
         co_await beast::http::async_read(stream_, buffer_, parser, awaitable_into(failure));
     }
+    end_wait();
     if (failure) {
         co_await reject(failure);
         serving_ = false;
@@ -156,13 +157,13 @@
 
 // Waits for the first bytes of a request. Returns whether any arrived.
 awaitable<bool> server_connection::wait_for_request() {
+    stream_.expires_never(); // a time-out of the stream would close the connection
     if (buffer_.size() > 0) {
         co_return true;
     }
     has_sent_ = false;
     boost::system::error_code failure;
     std::size_t size = 0;
-    stream_.expires_never();
     if (!state_->stopping) {
         begin_wait(wait_kind::request);
         size =
@@ -213,6 +214,7 @@
 
 void server_connection::begin_wait(wait_kind kind) {
     waiting_ = kind;
+    wait_timed_out_ = false;
     wait_began_ = steady_clock::now();
     arm_timer(wait_deadline());
 }
@@ -222,8 +224,16 @@
 }
 
 time_point server_connection::wait_deadline() const {
-    return waiting_ == wait_kind::request ? state_->idle_deadline(wait_began_)
-                                          : wait_began_ + linger_timeout;
+    switch (waiting_) {
+    case wait_kind::request:
+        return state_->idle_deadline(wait_began_);
+    case wait_kind::header:
+        return state_->header_deadline(wait_began_);
+    case wait_kind::body:
+        return wait_began_ + state_->limits().request_timeout;
+    default:
+        return wait_began_ + linger_timeout;
+    }
 }
 
 void server_connection::arm_timer(time_point at) {
@@ -251,8 +261,11 @@
         arm_timer(deadline);
         return;
     }
-    stream_.cancel();
     arm_timer(now + cancel_retry_interval);
+    if (!std::exchange(wait_timed_out_, true) && has_input()) {
+        return; // what has arrived by now may complete the request
+    }
+    stream_.cancel();
 }
 
 bool server_connection::has_input() {
@@ -295,7 +308,7 @@
     } else if (failure == beast::http::error::header_limit ||
                failure == beast::http::error::buffer_overflow) {
         co_await send_problem(make_error(error_kind::header_too_large, failure.message()));
-    } else if (failure == beast::error::timeout) {
+    } else if (failure == asio::error::operation_aborted && wait_timed_out_) {
         co_await send_problem(
             make_error(error_kind::request_timeout, "the request did not arrive in time"));
     } else if (failure.category() == make_error_code(beast::http::error::bad_method).category() &&
--- a/libs/http/src/server_connection.hpp
+++ b/libs/http/src/server_connection.hpp
@@ -24,8 +24,8 @@
 /// progress.
 struct server_state {
     server_state(server_limits limits, handler handle_request)
-        : current_limits{limits}, idle_timeout{limits.idle_timeout}, handle{std::move(
-                                                                         handle_request)} {}
+        : current_limits{limits}, idle_timeout{limits.idle_timeout},
+          header_timeout{limits.header_timeout}, handle{std::move(handle_request)} {}
 
     server_limits limits() const {
         const std::scoped_lock lock{mutex};
@@ -36,6 +36,7 @@
         const std::scoped_lock lock{mutex};
         current_limits = limits;
         idle_timeout.replace(limits.idle_timeout, now);
+        header_timeout.replace(limits.header_timeout, now);
     }
 
     time_point idle_deadline(time_point began) const {
@@ -43,9 +44,15 @@
         return began + idle_timeout.longest_since(began);
     }
 
+    time_point header_deadline(time_point began) const {
+        const std::scoped_lock lock{mutex};
+        return began + header_timeout.longest_since(began);
+    }
+
     mutable std::mutex mutex;
     server_limits current_limits;
     changing_limit idle_timeout;
+    changing_limit header_timeout;
     handler handle;
     std::atomic<std::size_t> open_requests{0};
     std::atomic<bool> announcing_close{false};
@@ -80,7 +87,7 @@
     void on_peer_closed(std::function<void()> action) override;
 
 private:
-    enum class wait_kind : std::uint8_t { none, request, close };
+    enum class wait_kind : std::uint8_t { none, request, header, body, close };
 
     using parser_type = beast::http::request_parser<beast::http::string_body>;
 
@@ -136,6 +143,7 @@
     std::optional<time_point> timer_armed_; // it stays armed over waits that end early
     wait_kind waiting_{wait_kind::none};
     time_point wait_began_;
+    bool wait_timed_out_{false};
     std::function<void()> on_peer_closed_;
     bool serving_{false};
     bool keep_alive_{false};
--- a/libs/http/tests/idle_close_test.cpp
+++ b/libs/http/tests/idle_close_test.cpp
@@ -200,6 +200,61 @@
     CHECK(steady_clock::now() - began < seconds{5});
 }
 
+// Guards against a request that is cut in its header because a raised header limit does not reach
+// headers that are already being read.
+TEST_CASE("a raised header time limit applies to a header that is half read") {
+    fixture peer{echo_target, {.header_timeout = milliseconds{100}}};
+    caller slow{peer};
+    slow.send("GET / HTTP/1.1\r\nHos");
+    std::this_thread::sleep_for(milliseconds{20});
+    peer.http_server().set_limits({.header_timeout = milliseconds{2'000}});
+    std::this_thread::sleep_for(milliseconds{300});
+    slow.send("t: a\r\n\r\n");
+    CHECK(is_success(slow.read_response()));
+}
+
+// Guards against a request that gets neither a response nor a refusal because it did not arrive in
+// time: the time-out used to close the connection under the refusal.
+TEST_CASE("a request that does not arrive in time is refused with 408") {
+    const auto* const part = GENERATE("GET / HTTP/1.1\r\nHos",
+                                      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbody",
+                                      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked"
+                                      "\r\n\r\n4\r\nbo");
+    INFO(part);
+    std::atomic<int> handled{0};
+    fixture peer{[&](const request& /*incoming*/, responder& out) -> awaitable<void> {
+                     ++handled;
+                     (void)co_await out.send(make_json_response(200, ""));
+                 },
+                 {.header_timeout = milliseconds{50}, .request_timeout = milliseconds{50}}};
+    caller slow{peer};
+    slow.send(part);
+    const auto text = slow.read_to_end();
+    CHECK(text.starts_with("HTTP/1.1 408"));
+    CHECK(text.find("request_timeout") != std::string::npos);
+    CHECK(slow.end() == asio::error::eof);
+    CHECK(handled == 0);
+}
+
+// Guards against a sender that keeps its connection open without end by sending a byte now and
+// then.
+TEST_CASE("a header that arrives byte by byte is refused with 408") {
+    fixture peer{echo_target, {.header_bytes = 64U << 20U, .header_timeout = milliseconds{50}}};
+    caller slow{peer};
+    std::atomic<bool> refused{false};
+    std::thread sender{[&] {
+        slow.send("GET / HTTP/1.1\r\nLong: ");
+        while (!refused) {
+            slow.send("x");
+        }
+    }};
+    const auto text = slow.read_response();
+    refused = true;
+    sender.join();
+    INFO(text);
+    CHECK(text.starts_with("HTTP/1.1 408"));
+}
+
 // Guards against a response that is destroyed by the reset that follows when a connection with
 // unread bytes is closed.
 TEST_CASE("a response arrives whole although bytes behind its request remain unread") {
