http: a handler that sends nothing gives status 500; incomplete responses are counted and logged

A caller whose handler returned without a response saw its connection close in silence, and nothing in the logs or metrics said so. It now gets a 500 with an unknown outcome.

A request that ends without a whole response although its caller had not closed has a line "http response_incomplete": the reason, whether the response had begun, how many requests its connection had served before and how long it had rested. Counters say how often connections are closed as idle, how often a request is found in the last look before that, and why responses stay incomplete.

Tests of the entry imitate a lost connection by a handler that sends nothing. They now say so by responder::abandon, so that they check the same as before.

The counters are checked in the tests of idle connections and of late requests.

--- a/libs/entry/tests/attempts_fixture.hpp
+++ b/libs/entry/tests/attempts_fixture.hpp
@@ -34,6 +34,8 @@
     return [outcome](const http::request& message, http::responder& out) -> http::awaitable<void> {
         if (message.target != "/v1/work") {
             co_await outcome(message, out);
+        } else {
+            out.abandon();
         }
     };
 }
--- a/libs/entry/tests/attempts_test.cpp
+++ b/libs/entry/tests/attempts_test.cpp
@@ -109,9 +109,11 @@
 TEST_CASE("unanswered outcome queries leave the outcome of lost work unknown") {
     harness fixture;
     // Neither the work nor any outcome query is answered.
-    auto& first =
-        fixture.add_sidecar("worker-1", "workers",
-                            dropping_work([](auto&, auto&) { return sleep_for(milliseconds{1}); }));
+    const auto drop = [](const http::request&, http::responder& out) -> http::awaitable<void> {
+        co_await sleep_for(milliseconds{1});
+        out.abandon();
+    };
+    auto& first = fixture.add_sidecar("worker-1", "workers", dropping_work(drop));
     const auto problem =
         harness::problem_of(fixture.post("orders", "{}", with_deadline(milliseconds{400})));
     REQUIRE(problem.kind == error_kind::outcome_unknown);
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -227,12 +227,28 @@
         metrics_.get_gauge("boragefront_log_lines_left_out")
             .set(static_cast<double>(dropped_log_lines()));
         metrics_.get_gauge("boragefront_open_requests").set(static_cast<double>(open_requests()));
+        export_statistics(server_->statistics());
         http::response response;
         response.headers.set("Content-Type", "text/plain; version=0.0.4");
         response.body = metrics_.exposition();
         (void)co_await responder.send(std::move(response));
     }
 
+    void export_statistics(const http::server_statistics& from) {
+        const auto set = [this](std::string_view name, std::string_view labels,
+                                std::uint64_t value) {
+            metrics_.get_gauge(name, labels).set(static_cast<double>(value));
+        };
+        constexpr std::string_view incomplete = "boragefront_incomplete_responses";
+        set("boragefront_connections_closed_idle", {}, from.closed_idle);
+        set("boragefront_requests_served_at_idle_limit", {}, from.served_at_limit);
+        set("boragefront_requests_refused_late", {}, from.refused_late);
+        set(incomplete, R"(reason="peer_closed")", from.peer_closed);
+        set(incomplete, R"(reason="write_failed")", from.write_failed);
+        set(incomplete, R"(reason="handler_unfinished")", from.handler_unfinished);
+        set(incomplete, R"(reason="handler_threw")", from.handler_threw);
+    }
+
     // Traffic thread. Handles stage work of other entries.
     wire::answer handle_stage_request(const wire::request& message) {
         if (const auto* const make = std::get_if<wire::make_pieces_request>(&message)) {
--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -42,13 +42,18 @@
     /// Ends a chunked response.
     virtual awaitable<result<void>> finish() = 0;
 
+    /// Closes the connection at once, as if it had been lost.
+    virtual void abandon() = 0;
+
     /// Calls `action` once, on the connection's executor, when the peer closes the connection
-    /// before the response is complete. Replaces an earlier action.
+    /// before the response is complete. Replaces an earlier action. A peer that shuts down only its
+    /// sending side counts as gone, too: the two cannot be told apart before something is written.
     virtual void on_peer_closed(std::function<void()> action) = 0;
 };
 
-/// Handles one request on the connection's executor. The connection is closed if the handler
-/// returns without a complete response.
+/// Handles one request on the connection's executor. A handler that returns or throws without
+/// having sent anything gives status 500 with an unknown outcome; the connection of a response that
+/// it began and did not complete is closed.
 using handler = std::function<awaitable<void>(const request&, responder&)>;
 
 struct server_limits {
@@ -59,6 +64,17 @@
     milliseconds request_timeout{30'000}; ///< to receive a body, and for each write
 };
 
+/// What became of connections and requests since the start of a server.
+struct server_statistics {
+    std::uint64_t closed_idle{0};        ///< connections closed at the idle time limit
+    std::uint64_t served_at_limit{0};    ///< requests found as their connection was to be closed
+    std::uint64_t refused_late{0};       ///< requests that did not arrive in time
+    std::uint64_t peer_closed{0};        ///< responses not completed as the peer closed first
+    std::uint64_t write_failed{0};       ///< responses not completed as a write failed
+    std::uint64_t handler_unfinished{0}; ///< handlers that sent nothing, or only part of a response
+    std::uint64_t handler_threw{0};      ///< handlers that threw before their response was complete
+};
+
 /// Listens on one address until it is stopped. Requests over a limit are rejected with `too_large`
 /// or `header_too_large`, malformed ones with `bad_request`, and ones that don't arrive in time
 /// with `request_timeout`, without calling the handler.
@@ -81,6 +97,8 @@
     /// Number of requests from their first byte to the end of their response.
     virtual std::size_t open_requests() const = 0;
 
+    virtual server_statistics statistics() const = 0;
+
     /// Replaces the limits; they apply to requests whose header is read later. A raised limit on
     /// idle time or on a header's time also applies to waits in progress. A lowered one applies to
     /// waits that begin some seconds later: callers learn of it later than this process.
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -63,6 +63,8 @@
     std::uint16_t port() const override { return port_; }
     std::size_t open_requests() const override { return state_->open_requests; }
 
+    server_statistics statistics() const override { return state_->statistics(); }
+
     void set_limits(server_limits limits) override {
         state_->set_limits(limits, steady_clock::now());
     }
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "server_connection.hpp"
 
+#include "base/logging.hpp"
+
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -36,10 +38,6 @@
     std::atomic<std::size_t>& count_;
 };
 
-error write_failure(const boost::system::error_code& failure) {
-    return make_error(error_kind::connection_lost, failure.message());
-}
-
 } // namespace
 
 awaitable<void> server_connection::run() {
@@ -119,6 +117,11 @@
     co_return success();
 }
 
+void server_connection::abandon() {
+    response_started_ = true;
+    close();
+}
+
 void server_connection::on_peer_closed(std::function<void()> action) {
     if (peer_closed_ && action) {
         action();
@@ -168,13 +171,18 @@
         begin_wait(wait_kind::request);
         size =
             co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
+        rested_ = steady_clock::now() - wait_began_;
         end_wait();
     }
     if (size == 0 && has_input()) {
         // Serve a request that the peer sent before it could detect the close.
+        state_->count(&server_statistics::served_at_limit);
         size =
             co_await stream_.async_read_some(buffer_.prepare(read_size), awaitable_into(failure));
     }
+    if (size == 0 && failure == asio::error::operation_aborted && !state_->stopping) {
+        state_->count(&server_statistics::closed_idle);
+    }
     buffer_.commit(size);
     co_return size > 0;
 }
@@ -276,7 +284,7 @@
 awaitable<bool> server_connection::respond(parser_type& parser) {
     auto message = parser.release();
     keep_alive_ = message.keep_alive();
-    response_started_ = response_complete_ = false;
+    response_started_ = response_complete_ = write_failed_ = false;
     const request incoming{std::string{message.method_string()}, std::string{message.target()},
                            read_headers(message), std::move(message.body())};
     stream_.expires_never();
@@ -290,15 +298,47 @@
 
 awaitable<void> server_connection::call_handler(const request& incoming) {
     // An exception that a library throws in a handler must not end the process.
-    std::string failure;
+    std::optional<std::string> thrown;
     try {
         co_await state_->handle(incoming, *this);
-    } catch (const std::exception& thrown) {
-        failure = thrown.what();
+    } catch (const std::exception& exception) {
+        thrown = exception.what();
+    }
+    ++served_;
+    if (response_complete_) {
+        co_return;
     }
-    if (!response_started_ && !failure.empty()) {
-        co_await send_problem(make_error(error_kind::internal, failure));
+    report_incomplete_response(incoming, thrown);
+    if (!response_started_ && !peer_closed_) {
+        co_await send_problem(
+            make_error(error_kind::internal, thrown.value_or("the request was not answered")));
+    }
+}
+
+void server_connection::report_incomplete_response(const request& incoming,
+                                                   const std::optional<std::string>& thrown) {
+    if (peer_closed_) {
+        state_->count(&server_statistics::peer_closed);
+        return;
     }
+    std::string_view reason = "handler_unfinished";
+    if (thrown) {
+        reason = "handler_threw";
+        state_->count(&server_statistics::handler_threw);
+    } else if (write_failed_) {
+        reason = "write_failed";
+        state_->count(&server_statistics::write_failed);
+    } else {
+        state_->count(&server_statistics::handler_unfinished);
+    }
+    log_decision(
+        "http", "response_incomplete",
+        {{"reason", std::string{reason}},
+         {"detail", thrown.value_or("")},
+         {"target", std::string{target_path(incoming.target)}},
+         {"began", response_started_ ? "true" : "false"},
+         {"served_before", std::to_string(served_ - 1)},
+         {"rested_ms", std::to_string(std::chrono::floor<milliseconds>(rested_).count())}});
 }
 
 awaitable<void> server_connection::reject(const boost::system::error_code& failure) {
@@ -309,6 +349,7 @@
                failure == beast::http::error::buffer_overflow) {
         co_await send_problem(make_error(error_kind::header_too_large, failure.message()));
     } else if (failure == asio::error::operation_aborted && wait_timed_out_) {
+        state_->count(&server_statistics::refused_late);
         co_await send_problem(
             make_error(error_kind::request_timeout, "the request did not arrive in time"));
     } else if (failure.category() == make_error_code(beast::http::error::bad_method).category() &&
@@ -359,6 +400,11 @@
     }
 }
 
+error server_connection::write_failure(const boost::system::error_code& failure) {
+    write_failed_ = true;
+    return make_error(error_kind::connection_lost, failure.message());
+}
+
 void server_connection::close() {
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/libs/http/src/server_connection.hpp
+++ b/libs/http/src/server_connection.hpp
@@ -49,7 +49,19 @@
         return began + header_timeout.longest_since(began);
     }
 
+    server_statistics statistics() const {
+        const std::scoped_lock lock{mutex};
+        return counted;
+    }
+
+    // `which` is the counter to increase.
+    void count(std::uint64_t server_statistics::*which) {
+        const std::scoped_lock lock{mutex};
+        ++(counted.*which);
+    }
+
     mutable std::mutex mutex;
+    server_statistics counted;
     server_limits current_limits;
     changing_limit idle_timeout;
     changing_limit header_timeout;
@@ -84,6 +96,8 @@
 
     awaitable<result<void>> finish() override;
 
+    void abandon() override;
+
     void on_peer_closed(std::function<void()> action) override;
 
 private:
@@ -119,6 +133,10 @@
 
     awaitable<void> call_handler(const request& incoming);
 
+    // `thrown` is the text of the handler's exception.
+    void report_incomplete_response(const request& incoming,
+                                    const std::optional<std::string>& thrown);
+
     awaitable<void> reject(const boost::system::error_code& failure);
 
     awaitable<void> send_problem(const error& problem);
@@ -134,6 +152,8 @@
 
     void notice_peer_closed();
 
+    error write_failure(const boost::system::error_code& failure);
+
     void close();
 
     std::shared_ptr<server_state> state_;
@@ -150,6 +170,9 @@
     bool has_sent_{false}; // since the connection last waited for a request
     bool response_started_{false};
     bool response_complete_{false};
+    bool write_failed_{false};
+    std::uint64_t served_{0}; // requests before the current one
+    duration rested_{0};      // before the current request
     bool peer_closed_{false};
 };
 
--- a/libs/http/tests/idle_close_test.cpp
+++ b/libs/http/tests/idle_close_test.cpp
@@ -198,6 +198,7 @@
     CHECK(idle.end() == asio::error::eof);
     CHECK(steady_clock::now() - began >= idle_timeout - milliseconds{10});
     CHECK(steady_clock::now() - began < seconds{5});
+    CHECK(peer.http_server().statistics().closed_idle == 1);
 }
 
 // Guards against a request that is cut in its header because a raised header limit does not reach
@@ -234,6 +235,7 @@
     CHECK(text.find("request_timeout") != std::string::npos);
     CHECK(slow.end() == asio::error::eof);
     CHECK(handled == 0);
+    CHECK(peer.http_server().statistics().refused_late == 1);
 }
 
 // Guards against a sender that keeps its connection open without end by sending a byte now and
@@ -275,6 +277,17 @@
     }
 }
 
+// Guards against a request that gets no response because its handler returned without one.
+TEST_CASE("a handler that sends nothing gives status 500") {
+    fixture peer{
+        [](const request& /*incoming*/, responder& /*out*/) -> awaitable<void> { co_return; }};
+    caller asking{peer};
+    const auto text = asking.exchange(get("/"));
+    CHECK(text.starts_with("HTTP/1.1 500"));
+    CHECK(text.find("\"internal\"") != std::string::npos);
+    CHECK(peer.http_server().statistics().handler_unfinished == 1);
+}
+
 // Guards against requests that were passed on to a handler and get no response, on connections that
 // are reused about when their idle limit ends.
 TEST_CASE("a request on a reused connection is answered or was never passed on") {
