gateway: a request goes on while its own service is not in the configuration

What callers saw: a request whose stages were under way when a configuration without its service came into force was refused once its stages had run, although the endpoints that could serve it were still registered.

Cause: the endpoint pool of a service was dropped with the service. Pools number their open requests from 1. One that was made anew when the service came back gave out the numbers of requests that were still open, so the end of an older one ended the record of another, and its first byte counted as the other's latency.

A pool now stays, with the service as last configured, and goes on taking the registered endpoints; its numbers never repeat. New requests do not reach it: they are refused at admission, by the configuration in force.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -127,6 +127,9 @@
 
     std::size_t size() const { return endpoints_.size(); }
 
+    /// The service as last set.
+    const catalog::service& service() const { return service_; }
+
     /// All endpoints, for dumps.
     std::vector<endpoint_description> describe(time_point now) const;
 
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -28,7 +28,13 @@
     for (const auto& [name, service] : services) {
         pools_[name].set_endpoints(endpoints_, published.evacuated, service, now);
     }
-    std::erase_if(pools_, [&](const auto& pool) { return !services.contains(pool.first); });
+    // Requests under way go on with a service that has left the configuration.
+    for (auto& [name, pool] : pools_) {
+        if (!services.contains(name)) {
+            const auto last = pool.service();
+            pool.set_endpoints(endpoints_, published.evacuated, last, now);
+        }
+    }
     if (on_endpoints_changed_) {
         on_endpoints_changed_(now);
     }
@@ -115,9 +121,9 @@
 }
 
 balancing::cold_limit traffic_state::cold_limit_of(std::string_view service) const {
-    const auto& services = current_->published.config->services;
-    const auto found = services.find(service);
-    const double per_second = found == services.end() ? 0 : found->second.cold_requests_per_second;
+    const auto found = pools_.find(service);
+    const double per_second =
+        found == pools_.end() ? 0 : found->second.service().cold_requests_per_second;
     return {per_second, role_.cold_tolerance, role_.cold_slack};
 }
 
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -92,7 +92,8 @@
         on_suspects_changed_ = std::move(callback);
     }
 
-    /// The endpoint pool of a service, null if there is no such service.
+    /// The endpoint pool of a service, null if no configuration had such a service. One that has
+    /// left the configuration keeps its pool, and with it the tickets of its open requests.
     balancing::endpoint_pool* pool(std::string_view service);
     balancing::retry_budget& retry_budget(const std::string& service) { return budgets_[service]; }
     balancing::prompt_locations& prompt_locations() { return prompt_locations_; }
--- a/libs/gateway/tests/traffic_state_test.cpp
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -22,14 +22,18 @@
 struct state_fixture {
     state_fixture() : state{{}, "self", "a", metrics} {}
 
-    void publish() {
+    void publish(bool with_model = true) {
         auto config = std::make_shared<catalog::configuration>();
         catalog::service stage;
         stage.name = "stage";
         stage.stages = catalog::stage_capacity{};
         catalog::service model;
         model.name = "model";
-        config->services = {{"stage", stage}, {"model", model}};
+        config->services = {{"stage", stage}};
+        if (with_model) {
+            model.cold_requests_per_second = 7;
+            config->services.emplace("model", model);
+        }
         catalog::snapshot published;
         published.config = config;
         published.endpoints = {make_endpoint("s1", "stage", "10.0.0.1:1", "a"),
@@ -104,3 +108,23 @@
     CHECK_FALSE(state.pool("model")->find_healthy("m1", start));
     CHECK(state.pool("stage")->find_healthy("s1", start));
 }
+
+// Guards against the end of a request that ends the record of another: the pool of a service that
+// left and came back gave out the same tickets again.
+TEST_CASE_METHOD(state_fixture, "open requests stay known while their service is not configured") {
+    publish();
+    const auto send = [&] {
+        return state.pool("model")->on_request_sent("m1", state.cold_limit_of("model"),
+                                                    state.entry_group(), start);
+    };
+    const auto before = send();
+    publish(false);
+    REQUIRE(state.pool("model") != nullptr);
+    CHECK(state.pool("model")->describe(start).size() == 1);
+    CHECK(state.cold_limit_of("model").per_second == 7);
+    publish();
+    const auto after = send();
+    CHECK(before != after);
+    state.pool("model")->on_request_ended("m1", before, balancing::send_outcome::answered, start);
+    CHECK(state.pool("model")->describe(start).front().open_requests == 1);
+}
--- a/tests/gateway/configuration_changes_test.cpp
+++ b/tests/gateway/configuration_changes_test.cpp
@@ -173,6 +173,28 @@
     CHECK((has_model ? is_whole(of_unstaged.value()) : is_refusal(of_unstaged.value())));
 }
 
+// Guards against a request under way that is refused because a configuration dropped its service,
+// although the endpoints that can serve it are still there.
+TEST_CASE_METHOD(changing_pipeline,
+                 "changes: a request goes on whose own service has left the configuration",
+                 "[invariant]") {
+    const auto* const where = GENERATE("in a stage", "at the endpoint", "in the stream");
+    INFO(where);
+    const std::string place{where};
+    on_loop([&] {
+        first.work = place == "in a stage" ? long_work : milliseconds{0};
+        model.work = place == "at the endpoint" ? long_work : milliseconds{0};
+        model.gap = milliseconds{place == "in the stream" ? 200 : 5};
+    });
+    auto& gateway = start_ready_gateway();
+    auto answer = start(gateway, staged_request("r1"));
+    REQUIRE(reached(place == "in a stage" ? first : model));
+    put_in_force(gateway, without_service(changed, "model"), other);
+    const auto got = answer.get();
+    REQUIRE(got);
+    CHECK(is_whole(got.value()));
+}
+
 TEST_CASE_METHOD(changing_pipeline, "changes: groups that wait for a service that leaves are run",
                  "[invariant]") {
     on_loop([&] { first.work = long_work; });
