gateway: a request in its stages ends by its deadline

It relied on the queue to drop the group, which it does only while pieces wait: one whose pieces are all in a call ends with that call's time-out, and work that another entry accepted ends at six times the announced time plus 2 s. A caller whose deadline came first had no response.

The wait now ends at the deadline of the request, or of a stream's first event. The stages are cancelled and the request is refused as not run, which holds: it was sent to no endpoint. A group that was cancelled while one dispatcher did not respond no longer asks the next.

Evidence: "a request in a stage ends by its deadline", a request with 800 ms whose call takes 6 s, alone and with a second entry.

--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -62,6 +62,7 @@
     stage_cancellations_.insert(&runs.cancellation);
     std::optional<error> failure;
     std::optional<milliseconds> retry_after;
+    const auto deadline = stream_started_ ? deadline_ : first_event_deadline_;
     for (;;) {
         auto next_start = time_point::max();
         if (failure || caller_disconnected_ || runs.cancellation.cancelled()) {
@@ -77,7 +78,9 @@
                          [](const auto& outcome) { return outcome.second.has_value(); });
         if (none_finished) {
             boost::system::error_code interrupted;
-            runs.stage_ended.expires_at(next_start);
+            // After a failure only until the cancelled stages have ended.
+            runs.stage_ended.expires_at(failure ? time_point::max()
+                                                : std::min(next_start, deadline));
             co_await runs.stage_ended.async_wait(
                 asio::redirect_error(asio::use_awaitable, interrupted));
         }
@@ -114,6 +117,10 @@
         if (input_losses_ > max_input_losses) {
             failure = make_error(error_kind::no_capacity, "stage results were lost too often");
         }
+        if (!failure && !plan_->complete() && steady_clock::now() >= deadline) {
+            failure = make_error(error_kind::no_capacity, "the stages were not complete in time");
+            retry_after = default_retry_after;
+        }
         if (failure) {
             runs.cancellation.cancel();
         }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -144,6 +144,9 @@
                                                                stages::piece_group group,
                                                                cancellation_source& cancellation) {
     for (const auto& dispatcher : dispatchers(service.name)) {
+        if (cancellation.cancelled()) {
+            co_return group_cancelled{};
+        }
         auto outcome = co_await dispatch_remotely(dispatcher, service.name, group, cancellation);
         if (outcome) {
             co_return std::move(*outcome);
--- a/tests/gateway/configuration_changes_test.cpp
+++ b/tests/gateway/configuration_changes_test.cpp
@@ -268,3 +268,23 @@
     }
     CHECK(answered > 0);
 }
+
+// Guards against a wait for stage work that only the work's own time-out ends.
+TEST_CASE_METHOD(changing_pipeline, "changes: a request in a stage ends by its deadline",
+                 "[invariant]") {
+    on_loop([&] { first.work = seconds{6}; });
+    const auto entries = GENERATE(1, 2);
+    auto& gateway = start_ready_gateway();
+    if (entries == 2) {
+        start_ready_gateway();
+    }
+    auto message = staged_request("r1");
+    message.headers.set("Boragefront-Deadline-Ms", "800");
+    const auto sent_at = steady_clock::now();
+    const auto got = call_lines(gateway, std::move(message));
+    const auto took = std::chrono::floor<milliseconds>(steady_clock::now() - sent_at);
+    REQUIRE(got);
+    INFO("took " << took.count() << " ms");
+    CHECK(is_refusal(got.value()));
+    CHECK(took < milliseconds{1'300});
+}
