gateway: a dispatcher that refuses stage work is not late

Beside a change of the configuration, an entry that does not know a service, not yet or no longer, refuses its stage work at once. The asking entry counted that as a missing response: for 0.4 to 3.2 s it asked that dispatcher for no service at all and queued the work of the others itself, beside the dispatcher's queue, at the same endpoints.

A refusal is now a response: the next dispatcher is asked, or the group is queued here, and nothing is skipped later. It has a log line with its reason.

The decision is a new function, so its test cannot run on the code before; the effect on callers was not measured.

--- a/libs/gateway/src/dispatch_timeout.hpp
+++ b/libs/gateway/src/dispatch_timeout.hpp
@@ -1,7 +1,8 @@
 /// \file
-/// How long an entry waits for stage work that a dispatcher has accepted.
+/// How long an entry waits for a dispatcher.
 #pragma once
 
+#include "base/error.hpp"
 #include "base/time.hpp"
 
 namespace boragefront::gateway {
@@ -16,4 +17,10 @@
     return expected * factor + margin;
 }
 
+/// Whether a dispatcher that took no stage work counts as late. One that refuses has responded: it
+/// does not know the service, or it is draining. \param failure of the request to the dispatcher
+constexpr bool counts_as_late(error_kind failure) {
+    return failure != error_kind::unavailable;
+}
+
 } // namespace boragefront::gateway
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -182,6 +182,12 @@
         co_await peers_.call(dispatcher.work_address, std::move(request), dispatch_request_timeout);
     const auto* const reply =
         response ? std::get_if<wire::make_pieces_answer>(&response.value()) : nullptr;
+    if (!response && !counts_as_late(response.error().kind)) {
+        pending_groups_.erase(ticket);
+        log_decision("stages", "dispatcher_refused",
+                     {{"dispatcher", dispatcher.id}, {"reason", response.error().detail}});
+        co_return std::nullopt;
+    }
     if (reply == nullptr) {
         pending_groups_.erase(ticket);
         record_late_dispatcher(dispatcher.id, steady_clock::now());
--- a/libs/gateway/tests/dispatch_timeout_test.cpp
+++ b/libs/gateway/tests/dispatch_timeout_test.cpp
@@ -14,3 +14,10 @@
     CHECK(dispatch_timeout(expected) > expected * observed_slowdown + busy);
     CHECK(dispatch_timeout(expected) <= expected * 10 + seconds{3});
 }
+
+// Guards against an entry that is skipped for all services because it does not know one of them.
+TEST_CASE("a dispatcher that refuses stage work is not late") {
+    CHECK_FALSE(counts_as_late(error_kind::unavailable));
+    CHECK(counts_as_late(error_kind::deadline_exceeded));
+    CHECK(counts_as_late(error_kind::connection_lost));
+}
