catalog, gateway, platform, wire: a store that returns from an older copy begins a new era

The platform's store may come back from a copy some seconds old. Its revisions go back and are given out again; the header Store-Era rises by one.

Cause: everything ordered the key space by the bare revision (replicas, decoders, gossip, the start of the watch), so all of the new numbering below the old one was ignored. And a watch from the old revision succeeds once the new numbering has passed it, and lacks what lies between.

Positions are now an era and a revision. Within one era nothing reverts, as before; a later era replaces; an answer of an earlier one changes nothing. A watch response of another era than it was called from is not applied; watches of earlier eras are ended as soon as a later one is heard of, with one listing for each part and era. What the new era does not list yet stays for 2.5 s. An older report of one incarnation revives no endpoint, and a configuration with a version below the one in force is not taken. Gossip carries eras in optional fields, compatible both ways.

The store's stand-in sends Store-Era (1) in all answers and answers 410 to a revision that it does not have.

--- a/libs/catalog/include/catalog/types.hpp
+++ b/libs/catalog/include/catalog/types.hpp
@@ -5,6 +5,7 @@
 
 #include "base/ids.hpp"
 #include "base/time.hpp"
+#include "catalog/store_position.hpp"
 
 #include <cstdint>
 #include <map>
@@ -113,6 +114,7 @@
 struct endpoint {
     std::string id;
     std::uint64_t incarnation{0}; ///< differs between starts with the same id; 0: unknown
+    std::uint64_t sequence{0};    ///< number of its reports; rises within one incarnation
     std::string service;
     std::string address; ///< "ip:port"
     std::string data_centre;
@@ -128,8 +130,8 @@
     std::shared_ptr<const configuration> config; ///< null: unknown. Shared between snapshots
     std::vector<endpoint> endpoints;
     std::set<std::string, std::less<>> evacuated; ///< data centres that take no new work
-    revision config_revision{0};                  ///< of the configuration in force; 0: unknown
-    revision endpoints_revision{0}; ///< through which the endpoints are known; 0: unknown
+    store_position config_position;               ///< of the configuration in force
+    store_position endpoints_position;            ///< through which the endpoints are known
 };
 
 } // namespace boragefront::catalog
--- a/libs/catalog/src/replica.cpp
+++ b/libs/catalog/src/replica.cpp
@@ -7,30 +7,47 @@
 
 bool replica::merge(const published_item& item, time_point now) {
     auto& stored = items_[item.key];
-    if (item.mod_revision <= stored.mod_revision) {
+    if (item.position <= stored.position) {
         return false;
     }
-    stored = stored_item{item.mod_revision, item.value, now};
+    // A new era lists old writes again. Their values are relative to when they were learned.
+    const bool same_write =
+        item.value && item.value == stored.value && item.position.at == stored.position.at;
+    stored = stored_item{item.position, item.value, same_write ? stored.changed_at : now};
     return true;
 }
 
-bool replica::apply_changes(const std::vector<published_item>& items, revision through,
+void replica::advance(store_position through, time_point now) {
+    if (through.era > through_.era) {
+        era_began_ = now;
+        purged_through_ = std::max(purged_through_, through);
+    }
+    through_ = std::max(through_, through);
+}
+
+bool replica::apply_changes(const std::vector<published_item>& items, store_position through,
                             time_point now) {
+    if (through.era < through_.era) {
+        return false;
+    }
     bool changed = false;
     for (const auto& item : items) {
         changed = merge(item, now) || changed;
     }
-    through_ = std::max(through_, through);
+    advance(through, now);
     return changed;
 }
 
-bool replica::apply_watch_response(const std::vector<published_item>& items, revision through,
+bool replica::apply_watch_response(const std::vector<published_item>& items, store_position through,
                                    time_point now) {
-    return !items.empty() && apply_changes(items, through, now);
+    return !items.empty() && through.era == through_.era && apply_changes(items, through, now);
 }
 
-bool replica::apply_listing(const std::vector<published_item>& items, revision as_of,
+bool replica::apply_listing(const std::vector<published_item>& items, store_position as_of,
                             time_point now) {
+    if (as_of.era < through_.era) {
+        return false;
+    }
     if (as_of > through_) {
         // A key that was written and removed after `through_` is neither stored nor listed.
         purged_through_ = std::max(purged_through_, as_of);
@@ -41,7 +58,8 @@
     }
     bool changed = false;
     for (auto& [key, stored] : items_) {
-        if (stored.value && stored.mod_revision <= as_of && !listed.contains(key)) {
+        if (stored.value && stored.position <= as_of && stored.position.era == as_of.era &&
+            !listed.contains(key)) {
             stored = stored_item{as_of, std::nullopt, now};
             changed = true;
         }
@@ -57,26 +75,56 @@
                          : apply_changes(delta.items, delta.through, now);
 }
 
-replica_delta replica::changes_since(revision since) const {
+template <class IsNewer>
+replica_delta replica::make_delta(bool is_full, IsNewer is_newer) const {
     replica_delta delta;
-    delta.is_full = since < purged_through_ || since == 0;
+    delta.is_full = is_full;
     delta.through = through_;
     for (const auto& [key, stored] : items_) {
-        if (stored.mod_revision > since && (stored.value || !delta.is_full)) {
-            delta.items.push_back({key, stored.mod_revision, stored.value});
-        } else if (stored.value && delta.is_full) {
-            delta.items.push_back({key, stored.mod_revision, std::nullopt});
+        if (is_newer(stored) && (stored.value || !is_full)) {
+            delta.items.push_back({key, stored.position, stored.value});
+        } else if (stored.value && is_full) {
+            delta.items.push_back({key, stored.position, std::nullopt});
         }
     }
     return delta;
 }
 
+replica_delta replica::changes_since(store_position since) const {
+    return make_delta(since < purged_through_ || since == store_position{},
+                      [&](const stored_item& stored) { return stored.position > since; });
+}
+
+replica_delta replica::changes_since_revision(revision since) const {
+    return make_delta(since < purged_through_.at || since == 0,
+                      [&](const stored_item& stored) { return stored.position.at > since; });
+}
+
+std::size_t replica::unconfirmed() const {
+    return static_cast<std::size_t>(std::count_if(
+        items_.begin(), items_.end(), [&](const auto& one) { return is_unconfirmed(one.second); }));
+}
+
+std::vector<std::string> replica::expire_unconfirmed(time_point now, milliseconds grace) {
+    std::vector<std::string> expired;
+    if (now - era_began_ < grace) {
+        return expired;
+    }
+    for (auto& [key, stored] : items_) {
+        if (is_unconfirmed(stored)) {
+            stored = stored_item{through_, std::nullopt, now};
+            expired.push_back(key);
+        }
+    }
+    return expired;
+}
+
 void replica::purge_tombstones(time_point horizon) {
     std::erase_if(items_, [&](const auto& one) {
         const auto& stored = one.second;
         const bool purge = !stored.value && stored.changed_at < horizon;
         if (purge) {
-            purged_through_ = std::max(purged_through_, stored.mod_revision);
+            purged_through_ = std::max(purged_through_, stored.position);
         }
         return purge;
     });
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace boragefront::gateway {
 namespace {
@@ -40,7 +41,11 @@
 // An entry whose own watch of the endpoints succeeded within this time requests no endpoint changes
 // from peers: there are many per second, and each peer would send them again.
 constexpr milliseconds store_freshness_window{1'000};
-constexpr auto no_changes_wanted = std::numeric_limits<revision>::max();
+constexpr catalog::store_position no_changes_wanted{std::numeric_limits<std::uint64_t>::max(),
+                                                    std::numeric_limits<revision>::max()};
+// The first watch after a failed call. The store may have returned in a new era and would hold a
+// longer watch from a revision that it does not have yet.
+constexpr milliseconds probe_wait{100};
 // How long an entry counts in the division of limits after its last contact. Longer than the
 // limits' windows, which are ten seconds.
 constexpr milliseconds limit_divisor_retention{12'000};
@@ -49,6 +54,26 @@
 // good.
 constexpr milliseconds silent_retention{20'000};
 
+catalog::replica_delta wanted_changes(const catalog::replica& replica,
+                                      catalog::store_position since, bool knows_eras) {
+    if (knows_eras) {
+        return since < replica.through() ? replica.changes_since(since) : catalog::replica_delta{};
+    }
+    return since.at < replica.through().at ? replica.changes_since_revision(since.at)
+                                           : catalog::replica_delta{};
+}
+
+void log_ignored(std::string_view part, catalog::store_position answered,
+                 catalog::store_position known, std::string_view from) {
+    log_warning("store", "older_era_ignored",
+                {{"part", std::string{part}},
+                 {"era", std::to_string(answered.era)},
+                 {"through", std::to_string(answered.at)},
+                 {"era_known", std::to_string(known.era)},
+                 {"through_known", std::to_string(known.at)},
+                 {"from", std::string{from}}});
+}
+
 } // namespace
 
 control_loop::control_loop(const settings::daemon_settings& settings, std::string work_address,
@@ -147,7 +172,8 @@
         part.reachable = reachable;
         log_change("store", reachable ? "regained" : "lost",
                    {{"part", std::string{part.name}},
-                    {"through", std::to_string(part.replica.through())},
+                    {"through", std::to_string(part.replica.through().at)},
+                    {"era", std::to_string(part.replica.through().era)},
                     {"reason", failure == nullptr ? "answered" : to_string(*failure)}});
     }
 }
@@ -164,34 +190,100 @@
     if (!listed) {
         co_return false;
     }
+    const auto before = part.replica.through();
+    if (listed.value().through.era < before.era) {
+        log_ignored(part.name, listed.value().through, before, "store");
+        co_return false;
+    }
     part.replica.apply_listing(listed.value().items, listed.value().through, steady_clock::now());
+    log_era_change(part.name, part.replica, before, "store");
+    note_era(part.replica.through().era);
     publish();
     co_return true;
 }
 
+http::awaitable<bool> control_loop::watch(watched_part& part, bool& listed) {
+    const auto after = part.replica.through();
+    const auto wait = part.short_watch ? probe_wait : long_poll_wait;
+    http::cancel_source cancel;
+    pending_watches_[part.name] = {after.era, &cancel};
+    const auto update =
+        co_await store_.watch(part.prefix, after, wait, wait + long_poll_margin, &cancel);
+    pending_watches_.erase(part.name);
+    if (!update && cancel.cancelled()) {
+        co_return true;
+    }
+    record_store_result(part, update ? nullptr : &update.error());
+    part.short_watch = !update && update.error().kind != error_kind::expired;
+    if (!update) {
+        listed = part.short_watch;
+        co_return !listed;
+    }
+    const auto& changes = update.value();
+    const auto known = part.replica.through();
+    if (changes.through.era > after.era) {
+        // It lacks what the new era has up to `after`.
+        note_era(changes.through.era);
+        listed = changes.through.era <= known.era; // peers may have told of it meanwhile
+        co_return listed || must_list_for_era(part);
+    }
+    if (changes.through.era < known.era) {
+        log_ignored(part.name, changes.through, known, "store");
+        co_return false;
+    }
+    if (part.replica.apply_watch_response(changes.items, changes.through, steady_clock::now())) {
+        publish();
+    }
+    co_await pause(part.batch_delay);
+    co_return true;
+}
+
+bool control_loop::must_list_for_era(watched_part& part) const {
+    if (newest_era_ <= part.replica.through().era || newest_era_ <= part.listed_for_era) {
+        return false;
+    }
+    part.listed_for_era = newest_era_;
+    return true;
+}
+
+void control_loop::note_era(std::uint64_t era) {
+    if (era <= newest_era_ || era == no_changes_wanted.era) {
+        return;
+    }
+    newest_era_ = era;
+    for (const auto& [part, watch] : pending_watches_) {
+        if (watch.era < era) {
+            watch.cancel->cancel();
+        }
+    }
+}
+
+void control_loop::log_era_change(std::string_view part, const catalog::replica& replica,
+                                  catalog::store_position before, std::string_view from) const {
+    const auto now = replica.through();
+    if (now.era == before.era || before.at == 0) {
+        return;
+    }
+    log_warning("store", "era_changed",
+                {{"part", std::string{part}},
+                 {"era_before", std::to_string(before.era)},
+                 {"era", std::to_string(now.era)},
+                 {"through_before", std::to_string(before.at)},
+                 {"through", std::to_string(now.at)},
+                 {"unconfirmed", std::to_string(replica.unconfirmed())},
+                 {"from", std::string{from}}});
+}
+
 http::awaitable<void> control_loop::follow_part(watched_part part) {
     bool listed = false;
     auto retry_delay = min_retry_delay;
     for (;;) {
         bool succeeded = false;
+        listed = listed && !must_list_for_era(part);
         if (!listed) {
             listed = succeeded = co_await list(part);
         } else {
-            const auto update =
-                co_await store_.watch(part.prefix, part.replica.through(), long_poll_wait,
-                                      long_poll_wait + long_poll_margin);
-            record_store_result(part, update ? nullptr : &update.error());
-            succeeded = static_cast<bool>(update);
-            if (update) {
-                if (part.replica.apply_watch_response(update.value().items, update.value().through,
-                                                      steady_clock::now())) {
-                    publish();
-                }
-                co_await pause(part.batch_delay);
-            } else if (update.error().kind == error_kind::expired) {
-                listed = false;
-                continue;
-            }
+            succeeded = co_await watch(part, listed);
         }
         if (succeeded) {
             retry_delay = min_retry_delay;
@@ -214,6 +306,9 @@
         co_await pause(peering::peer_table::gossip_interval(rounds_without_peers));
         published_.purge_old_removals(steady_clock::now());
         publish_fleet();
+        if (published_.expire_unconfirmed(steady_clock::now())) {
+            publish();
+        }
         // Missing endpoints leave the snapshot after a time without any further change.
         if (published_.complete() && steady_clock::now() - published_at_ > publish_interval) {
             publish();
@@ -252,18 +347,39 @@
     peers_.record_contact(gossip.self, now);
     peers_.merge_gossip(gossip.others, now);
     merge_suspects(gossip.suspected_parts, now);
-    bool changed = published_.operator_keys().apply_delta(gossip.configuration, now);
-    changed = published_.endpoint_keys().apply_delta(gossip.endpoints, now) || changed;
+    bool changed = apply_delta(operators_part, published_.operator_keys(), gossip.configuration,
+                               gossip.self.id);
+    changed =
+        apply_delta(endpoints_part, published_.endpoint_keys(), gossip.endpoints, gossip.self.id) ||
+        changed;
     if (changed) {
         log_change("peers", "learned_published_state",
                    {{"from", gossip.self.id},
-                    {"operators_through", std::to_string(published_.operator_keys().through())},
-                    {"endpoints_through", std::to_string(published_.endpoint_keys().through())}});
+                    {"operators_through", std::to_string(published_.operator_keys().through().at)},
+                    {"endpoints_through", std::to_string(published_.endpoint_keys().through().at)},
+                    {"era", std::to_string(published_.highest_position().era)}});
         publish();
     }
     publish_fleet();
 }
 
+bool control_loop::apply_delta(std::string_view part, catalog::replica& replica,
+                               const catalog::replica_delta& delta, const std::string& from) {
+    const auto before = replica.through();
+    if (delta.through.era < before.era) {
+        // A peer of the former program sends one in each round.
+        const bool is_empty = delta.through.at == 0;
+        if (!is_empty && std::exchange(ignored_peer_eras_[from], before.era) != before.era) {
+            log_ignored(part, delta.through, before, from);
+        }
+        return false;
+    }
+    const bool changed = replica.apply_delta(delta, steady_clock::now());
+    log_era_change(part, replica, before, from);
+    note_era(replica.through().era);
+    return changed;
+}
+
 void control_loop::merge_suspects(const std::vector<wire::suspected_part>& parts, time_point now) {
     if (!parts.empty()) {
         callbacks_.merge_suspects(from_message(parts, now));
@@ -294,11 +410,11 @@
     response.others = peers_.gossip_sample(now, random_);
     const auto& operators = published_.operator_keys();
     const auto& endpoints = published_.endpoint_keys();
-    if (message.configuration_through < operators.through()) {
-        response.configuration = operators.changes_since(message.configuration_through);
-    }
-    if (message.endpoints_through < endpoints.through()) {
-        response.endpoints = endpoints.changes_since(message.endpoints_through);
+    response.configuration =
+        wanted_changes(operators, message.configuration_through, message.knows_eras);
+    response.endpoints = wanted_changes(endpoints, message.endpoints_through, message.knows_eras);
+    for (const auto& through : {message.configuration_through, message.endpoints_through}) {
+        note_era(through.era);
     }
     publish_fleet();
     return response;
@@ -329,7 +445,7 @@
                    : published_.complete() ? wire::service_phase::serving
                                            : wire::service_phase::starting;
     status.ready = published_.complete() && !draining_;
-    status.highest = published_.highest_revision();
+    status.highest = published_.highest_position().at;
     const auto now = steady_clock::now();
     status.knowledge_age = milliseconds{0};
     for (const auto& [part, contact] : last_contact_) {
@@ -347,8 +463,14 @@
     state["role"] = "gateway";
     state["life"] = std::to_string(incarnation_);
     state["draining"] = draining_;
-    state["operators_through"] = published_.operator_keys().through();
-    state["endpoints_through"] = published_.endpoint_keys().through();
+    const auto operators = published_.operator_keys().through();
+    const auto endpoints = published_.endpoint_keys().through();
+    state["operators_through"] = operators.at;
+    state["operators_era"] = operators.era;
+    state["endpoints_through"] = endpoints.at;
+    state["endpoints_era"] = endpoints.era;
+    state["unconfirmed"] =
+        published_.operator_keys().unconfirmed() + published_.endpoint_keys().unconfirmed();
     boost::json::array peers;
     for (const auto& peer : peers_.known_peers(now)) {
         peers.push_back(boost::json::object{{"id", peer.id},
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -79,10 +79,21 @@
         milliseconds
             batch_delay; // before the next watch call, so that one response covers several changes
         bool reachable{true};
+        bool short_watch{false};         ///< after a failed call: the next response must come soon
+        std::uint64_t listed_for_era{0}; ///< latest era, learned elsewhere, that it was listed for
     };
 
     http::awaitable<void> follow_part(watched_part part);
     http::awaitable<bool> list(watched_part& part);
+    http::awaitable<bool> watch(watched_part& part, bool& listed);
+    bool must_list_for_era(watched_part& part) const;
+
+    /// Ends the watches of earlier eras, which may hang or miss changes.
+    void note_era(std::uint64_t era);
+    void log_era_change(std::string_view part, const catalog::replica& replica,
+                        catalog::store_position before, std::string_view from) const;
+    bool apply_delta(std::string_view part, catalog::replica& replica,
+                     const catalog::replica_delta& delta, const std::string& from);
     http::awaitable<void> pause(milliseconds time);
     void record_store_result(watched_part& part, const error* failure);
     bool has_fresh_store_data(std::string_view part) const;
@@ -115,6 +126,13 @@
     std::unique_ptr<wire::server> server_;
     peering::peer_table peers_;
     published_state published_;
+    std::uint64_t newest_era_{0}; ///< that the store or a peer has told of
+    struct pending_watch {
+        std::uint64_t era{0};
+        http::cancel_source* cancel{nullptr};
+    };
+    std::map<std::string_view, pending_watch> pending_watches_; ///< by part
+    std::map<std::string, std::uint64_t> ignored_peer_eras_;    ///< by id of the peer
     std::size_t alive_peers_{0};
     unsigned full_syncs_{0}; ///< gossip exchanges in progress that request the full published state
     time_point published_at_{};
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -196,7 +196,7 @@
         state_.publish(next, now);
         if (first) {
             log_change("gateway", "ready",
-                       {{"revision", std::to_string(next->published.config_revision)},
+                       {{"revision", std::to_string(next->published.config_position.at)},
                         {"endpoints", std::to_string(next->published.endpoints.size())}});
         }
     }
--- a/libs/gateway/src/published_state.cpp
+++ b/libs/gateway/src/published_state.cpp
@@ -10,28 +10,57 @@
 constexpr milliseconds missing_retention{3'000};
 // Peers gossip several times a second. One that was cut off for longer reads the full state.
 constexpr seconds removal_retention{120};
+// Endpoints and operators have written again about two seconds after the store's return.
+constexpr milliseconds unconfirmed_grace{2'500};
+
+// Whether a registration that a restored store lists is no newer than what was known. Within one
+// incarnation the number of reports only rises.
+bool is_rolled_back(const catalog::endpoint& listed, const catalog::endpoint& known) {
+    return listed.incarnation != 0 && listed.incarnation == known.incarnation &&
+           listed.sequence <= known.sequence;
+}
+
+bool log_expired(std::string_view part, const catalog::store_position& through,
+                 const std::vector<std::string>& keys) {
+    for (const auto& key : keys) {
+        log_change("published", "unconfirmed_expired",
+                   {{"part", std::string{part}},
+                    {"key", key},
+                    {"era", std::to_string(through.era)},
+                    {"through", std::to_string(through.at)}});
+    }
+    return !keys.empty();
+}
 
 } // namespace
 
 void published_state::decode_configuration(const std::string& key,
                                            const catalog::replica::stored_item& held) {
-    if (held.mod_revision <= last_config_seen_ || !held.value) {
+    if (held.position <= last_config_seen_ || !held.value) {
         return;
     }
-    last_config_seen_ = held.mod_revision;
+    last_config_seen_ = held.position;
     auto decoded = platform::read_configuration(*held.value);
     if (!decoded) {
         log_warning("published", "configuration_refused",
                     {{"key", key},
-                     {"revision", std::to_string(held.mod_revision)},
-                     {"in_force", std::to_string(config_revision_)},
+                     {"revision", std::to_string(held.position.at)},
+                     {"in_force", std::to_string(config_position_.at)},
                      {"reason", to_string(decoded.error())}});
         return;
     }
+    if (config_ != nullptr && decoded.value().version < config_->version) {
+        log_warning("published", "configuration_older",
+                    {{"era", std::to_string(held.position.era)},
+                     {"revision", std::to_string(held.position.at)},
+                     {"version", std::to_string(decoded.value().version)},
+                     {"version_in_force", std::to_string(config_->version)}});
+        return;
+    }
     config_ = std::make_shared<const catalog::configuration>(std::move(decoded.value()));
-    config_revision_ = held.mod_revision;
+    config_position_ = held.position;
     log_change("published", "configuration_in_force",
-               {{"revision", std::to_string(held.mod_revision)},
+               {{"revision", std::to_string(held.position.at)},
                 {"version", std::to_string(config_->version)},
                 {"routes", std::to_string(config_->routes.size())}});
 }
@@ -39,16 +68,17 @@
 void published_state::decode_endpoint(const std::string& key,
                                       const catalog::replica::stored_item& held) {
     auto& known = decoded_[key];
-    if (held.mod_revision <= known.at) {
+    if (held.position <= known.at) {
         return;
     }
-    known.at = held.mod_revision;
+    const bool restored = known.at.era < held.position.era;
+    known.at = held.position;
     if (!held.value) {
         if (known.readable && !known.endpoint.removed_at) {
             known.endpoint.removed_at = held.changed_at;
             log_change(
                 "published", "endpoint_removed",
-                {{"endpoint", known.endpoint.id}, {"revision", std::to_string(held.mod_revision)}});
+                {{"endpoint", known.endpoint.id}, {"revision", std::to_string(held.position.at)}});
         }
         return;
     }
@@ -57,10 +87,18 @@
         known.readable = false;
         log_warning("published", "endpoint_refused",
                     {{"key", key},
-                     {"revision", std::to_string(held.mod_revision)},
+                     {"revision", std::to_string(held.position.at)},
                      {"reason", to_string(decoded.error())}});
         return;
     }
+    if (restored && known.readable && is_rolled_back(decoded.value(), known.endpoint)) {
+        return;
+    }
+    if (decoded.value().incarnation != 0 &&
+        decoded.value().incarnation == known.endpoint.incarnation &&
+        known.endpoint.state == catalog::endpoint_state::draining) {
+        decoded.value().state = catalog::endpoint_state::draining;
+    }
     const bool changed = !known.readable || known.endpoint.removed_at.has_value() ||
                          known.endpoint.state != decoded.value().state ||
                          known.endpoint.incarnation != decoded.value().incarnation;
@@ -76,7 +114,7 @@
                     {"state",
                      known.endpoint.state == catalog::endpoint_state::ready ? "ready" : "draining"},
                     {"cold_ms", std::to_string(known.endpoint.cold_remaining.count())},
-                    {"revision", std::to_string(held.mod_revision)}});
+                    {"revision", std::to_string(held.position.at)}});
     }
 }
 
@@ -103,8 +141,8 @@
         }
     }
     snapshot.config = config_;
-    snapshot.config_revision = config_revision_;
-    snapshot.endpoints_revision = endpoints_.through();
+    snapshot.config_position = config_position_;
+    snapshot.endpoints_position = endpoints_.through();
     return snapshot;
 }
 
@@ -113,4 +151,12 @@
     endpoints_.purge_tombstones(now - removal_retention);
 }
 
+bool published_state::expire_unconfirmed(time_point now) {
+    const auto operators = operators_.expire_unconfirmed(now, unconfirmed_grace);
+    const auto endpoints = endpoints_.expire_unconfirmed(now, unconfirmed_grace);
+    const bool any_operators = log_expired("operators", operators_.through(), operators);
+    const bool any_endpoints = log_expired("endpoints", endpoints_.through(), endpoints);
+    return any_operators || any_endpoints;
+}
+
 } // namespace boragefront::gateway
--- a/libs/gateway/src/published_state.hpp
+++ b/libs/gateway/src/published_state.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace boragefront::gateway {
 
@@ -19,23 +20,29 @@
     catalog::replica& endpoint_keys() { return endpoints_; }
 
     /// Builds the current snapshot. Values that cannot be decoded are logged and skipped: the last
-    /// valid configuration stays in force, and an unreadable endpoint is not used.
+    /// valid configuration stays in force, and an unreadable endpoint is not used. Neither is a
+    /// configuration with a version below the one in force, which endpoints have acted on.
     catalog::snapshot build(time_point now);
 
-    /// The highest revision that either replica has reached.
-    revision highest_revision() const {
+    /// The highest position that either replica has reached.
+    catalog::store_position highest_position() const {
         return std::max(operators_.through(), endpoints_.through());
     }
 
     /// Whether there is a configuration and a list of endpoints, so that the entry can serve.
-    bool complete() const { return config_ != nullptr && endpoints_.through() > 0; }
+    bool complete() const { return config_ != nullptr && endpoints_.through().at > 0; }
 
     /// Purges removals that every peer has received by now.
     void purge_old_removals(time_point now);
 
+    /// Removes the keys that a restored store does not list although their owners have had the time
+    /// to write them again.
+    /// \returns whether any was removed.
+    bool expire_unconfirmed(time_point now);
+
 private:
     struct decoded_endpoint {
-        revision at{0};
+        catalog::store_position at;
         catalog::endpoint endpoint;
         bool readable{false};
     };
@@ -45,8 +52,8 @@
     catalog::replica operators_;
     catalog::replica endpoints_;
     std::shared_ptr<const catalog::configuration> config_; // shared with published snapshots
-    revision last_config_seen_{0};
-    revision config_revision_{0};
+    catalog::store_position last_config_seen_;
+    catalog::store_position config_position_;
     std::map<std::string, decoded_endpoint, std::less<>> decoded_;
 };
 
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -239,7 +239,7 @@
          {"goal_ms", std::to_string(route_ == nullptr ? 0 : route_->latency_goal.count())},
          {"left_ms", std::to_string(to_milliseconds(deadline_ - now))},
          {"revision",
-          std::to_string(snapshot_ == nullptr ? 0 : snapshot_->published.config_revision)}});
+          std::to_string(snapshot_ == nullptr ? 0 : snapshot_->published.config_position.at)}});
 }
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/traffic_dump.cpp
+++ b/libs/gateway/src/traffic_dump.cpp
@@ -31,7 +31,8 @@
     json::array endpoints;
     if (state.current() != nullptr) {
         const auto& published = state.current()->published;
-        traffic["config_revision"] = published.config_revision;
+        traffic["config_revision"] = published.config_position.at;
+        traffic["config_era"] = published.config_position.era;
         traffic["config_version"] = published.config->version;
         for (const auto& [name, service] : published.config->services) {
             for (const auto& endpoint : state.pool(name)->describe(now)) {
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -140,9 +140,10 @@
 struct gossip_request {
     entry_info self;
     std::vector<entry_info> others;
-    revision configuration_through{0};
-    revision endpoints_through{0};
+    catalog::store_position configuration_through;
+    catalog::store_position endpoints_through;
     std::vector<suspected_part> suspected_parts{};
+    bool knows_eras{true}; ///< false: the sender compares bare revisions
 };
 struct gossip_answer {
     entry_info self;
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -40,21 +40,26 @@
 
 void write_delta(const catalog::replica_delta& delta, pb::replica_delta& out) {
     out.set_whole(delta.is_full);
-    out.set_through(delta.through);
+    out.set_through(delta.through.at);
+    out.set_era(delta.through.era);
     for (const auto& item : delta.items) {
         auto& one = *out.add_items();
         one.set_key(item.key);
-        one.set_revision(item.mod_revision);
+        one.set_revision(item.position.at);
+        if (item.position.era != delta.through.era) {
+            one.set_era(item.position.era);
+        }
         one.set_removed(!item.value);
         one.set_value(item.value.value_or(std::string{}));
     }
 }
 
 catalog::replica_delta read_delta(const pb::replica_delta& in) {
-    catalog::replica_delta delta{in.whole(), in.through(), {}};
+    catalog::replica_delta delta{in.whole(), {in.era(), in.through()}, {}};
     for (const auto& one : in.items()) {
-        delta.items.push_back(
-            {one.key(), one.revision(), one.removed() ? std::nullopt : std::optional{one.value()}});
+        delta.items.push_back({one.key(),
+                               {one.has_era() ? one.era() : in.era(), one.revision()},
+                               one.removed() ? std::nullopt : std::optional{one.value()}});
     }
     return delta;
 }
@@ -120,8 +125,12 @@
     for (const auto& one : message.others) {
         write_entry(one, *out.add_others());
     }
-    out.set_configuration_through(message.configuration_through);
-    out.set_endpoints_through(message.endpoints_through);
+    out.set_configuration_through(message.configuration_through.at);
+    out.set_endpoints_through(message.endpoints_through.at);
+    if (message.knows_eras) {
+        out.set_configuration_era(message.configuration_through.era);
+        out.set_endpoints_era(message.endpoints_through.era);
+    }
     write_parts(message.suspected_parts, out);
 }
 
@@ -136,8 +145,12 @@
 }
 
 gossip_request read(const pb::gossip_request& in) {
-    return {read_entry(in.self()), read_entries_of(in.others()), in.configuration_through(),
-            in.endpoints_through(), read_parts_of(in.suspected_parts())};
+    return {read_entry(in.self()),
+            read_entries_of(in.others()),
+            {in.configuration_era(), in.configuration_through()},
+            {in.endpoints_era(), in.endpoints_through()},
+            read_parts_of(in.suspected_parts()),
+            in.has_configuration_era() && in.has_endpoints_era()};
 }
 
 gossip_answer read(const pb::gossip_answer& in) {
--- a/libs/wire/tests/entry_codec_test.cpp
+++ b/libs/wire/tests/entry_codec_test.cpp
@@ -57,8 +57,9 @@
     gossip_answer sent;
     sent.self.id = "entry-1";
     sent.self.processors = 0.19;
-    sent.endpoints.through = 12;
-    sent.endpoints.items = {{"k1", 11, std::string{"\x00\xff{}", 4}}, {"k2", 12, std::nullopt}};
+    sent.endpoints.through = {0, 12};
+    sent.endpoints.items = {{"k1", {0, 11}, std::string{"\x00\xff{}", 4}},
+                            {"k2", {0, 12}, std::nullopt}};
     const auto read = decode_answer(encode(answer{sent}));
     REQUIRE(read);
     const auto& got = std::get<gossip_answer>(read.value());
@@ -68,6 +69,62 @@
     CHECK_FALSE(got.endpoints.items[1].value.has_value());
 }
 
+TEST_CASE("positions keep their eras") {
+    gossip_request asked;
+    asked.configuration_through = {2, 50};
+    asked.endpoints_through = {3, 40};
+    const auto request_read = decode_request(encode(request{asked}));
+    REQUIRE(request_read);
+    const auto& got_request = std::get<gossip_request>(request_read.value());
+    CHECK(got_request.knows_eras);
+    CHECK(got_request.configuration_through == asked.configuration_through);
+    CHECK(got_request.endpoints_through == asked.endpoints_through);
+
+    gossip_answer sent;
+    sent.endpoints.through = {3, 12};
+    sent.endpoints.items = {{"k1", {3, 11}, "x"}, {"k2", {2, 90}, "y"}, {"k3", {0, 95}, "z"}};
+    const auto read = decode_answer(encode(answer{sent}));
+    REQUIRE(read);
+    const auto& got = std::get<gossip_answer>(read.value()).endpoints;
+    CHECK(got.through == sent.endpoints.through);
+    REQUIRE(got.items.size() == 3);
+    CHECK(got.items[0].position == catalog::store_position{3, 11});
+    CHECK(got.items[1].position == catalog::store_position{2, 90});
+    CHECK(got.items[2].position == catalog::store_position{0, 95});
+}
+
+// Guards against a rolling release in which entries of both programs misread each other's
+// positions. The bytes are those of a program without eras.
+TEST_CASE("messages of a program without eras are read as of era 0") {
+    // gossip: self{}, configuration_through 50, endpoints_through 40
+    const auto asked = decode_request(std::string{"\x42\x06\x0a\x00\x18\x32\x20\x28", 8});
+    REQUIRE(asked);
+    const auto& got = std::get<gossip_request>(asked.value());
+    CHECK_FALSE(got.knows_eras);
+    CHECK(got.configuration_through == catalog::store_position{0, 50});
+    CHECK(got.endpoints_through == catalog::store_position{0, 40});
+    // gossip: self{}, configuration{whole, through 12, item{"k", revision 11, value "x"}}
+    const auto answered = decode_answer(std::string{
+        "\x4a\x12\x0a\x00\x1a\x0e\x08\x01\x10\x0c\x1a\x08\x0a\x01k\x10\x0b\x22\x01x", 20});
+    REQUIRE(answered);
+    const auto& delta = std::get<gossip_answer>(answered.value()).configuration;
+    CHECK(delta.is_full);
+    CHECK(delta.through == catalog::store_position{0, 12});
+    REQUIRE(delta.items.size() == 1);
+    CHECK(delta.items[0].position == catalog::store_position{0, 11});
+    CHECK(delta.items[0].value == "x");
+
+    // What such a program reads of a request is unchanged.
+    gossip_request former;
+    former.knows_eras = false;
+    former.configuration_through = {0, 50};
+    former.endpoints_through = {0, 40};
+    gossip_request present = former;
+    present.knows_eras = true;
+    const auto bytes = encode(request{former});
+    CHECK(encode(request{present}).find(bytes.substr(2)) == 2);
+}
+
 TEST_CASE("a request for no pieces is refused") {
     auto empty = sample_request();
     empty.group.pieces.clear();
--- a/tests/gateway/published_test.cpp
+++ b/tests/gateway/published_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 using namespace boragefront;
 using namespace boragefront::gateway_tests;
 
@@ -160,3 +162,180 @@
     CHECK(answer.value().lines.size() == 120);
     stopped.get();
 }
+
+namespace {
+
+constexpr seconds in_force_bound{2};
+constexpr milliseconds observed_for{1'500};
+
+bool within(duration bound, const std::function<bool()>& condition) {
+    const auto until = steady_clock::now() + bound;
+    while (!condition()) {
+        if (steady_clock::now() > until) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool holds_for(duration time, const std::function<bool()>& condition) {
+    return !within(time, [&] { return !condition(); });
+}
+
+// Raises the store's revision by twice this number.
+void write_unrelated(deployment& system, int writes) {
+    system.on_loop([&] {
+        for (int i = 0; i < writes; ++i) {
+            system.store().put("op/evacuate/elsewhere", "{}");
+            system.store().put("op/evacuate/elsewhere", std::nullopt);
+        }
+    });
+}
+
+// The store is away for a moment and returns from its copy.
+void return_from_copy(deployment& system) {
+    system.on_loop([&] { system.store().set_mode(store_mode::refusing); });
+    std::this_thread::sleep_for(milliseconds{300});
+    system.on_loop([&] {
+        system.store().restore();
+        system.store().set_mode(store_mode::sound);
+    });
+}
+
+void report_again(deployment& system, endpoint_stand_in& one, const std::string& service) {
+    system.on_loop([&] { ++one.sequence; });
+    system.register_again(one, service, "ready");
+}
+
+bool answers(deployment& system, const running_gateway& gateway) {
+    const auto answer = system.call(gateway, deployment::make_request("plain.example", "probe"));
+    return answer && answer.value().status == 200;
+}
+
+} // namespace
+
+// Guards against configurations that are ignored for seconds after the store returned from an older
+// copy, because its revisions are below those from before.
+TEST_CASE("a configuration written after the store was restored comes into force", "[invariant]") {
+    deployment system;
+    system.publish_configuration("plain", 5);
+    auto& one = system.add_endpoint("i-1", "plain");
+    auto& two = system.add_endpoint("i-2", "other");
+    auto& gateway = system.start_ready_gateway();
+    auto& cut_off = system.start_ready_gateway("127.0.0.1:1");
+    system.on_loop([&] { system.store().keep_copy(); });
+    write_unrelated(system, 20);
+    system.publish_configuration("other", 6);
+    CHECK(soon([&] { return runs_at(system, gateway, two) && runs_at(system, cut_off, two); }));
+    const auto before = system.on_loop([&] { return system.store().newest(); });
+
+    return_from_copy(system);
+    // The copy holds version 5, which endpoints have left behind.
+    CHECK(holds_for(observed_for, [&] {
+        return runs_at(system, gateway, two) && runs_at(system, cut_off, two);
+    }));
+    system.publish_configuration("plain", 8);
+    CHECK(system.on_loop([&] { return system.store().newest(); }) < before);
+    CHECK(within(in_force_bound, [&] { return runs_at(system, gateway, one); }));
+    CHECK(within(in_force_bound, [&] { return runs_at(system, cut_off, one); }));
+    CHECK(holds_for(observed_for, [&] {
+        return runs_at(system, gateway, one) && runs_at(system, cut_off, one);
+    }));
+}
+
+// Guards against a watch that hangs at a restored store, or succeeds there once the new numbering
+// has passed the old one, and lacks what lies between.
+TEST_CASE("a watch held while the store was restored loses no change", "[invariant]") {
+    deployment system;
+    system.publish_configuration("plain", 5);
+    system.add_endpoint("i-1", "plain");
+    auto& two = system.add_endpoint("i-2", "other");
+    auto& gateway = system.start_ready_gateway();
+    system.on_loop([&] { system.store().keep_copy(); });
+    write_unrelated(system, 5);
+    std::this_thread::sleep_for(milliseconds{600}); // the watches have read it and wait
+    system.on_loop([&] { system.store().restore(); });
+    system.publish_configuration("other", 8);
+    write_unrelated(system, 10);
+    CHECK(within(in_force_bound, [&] { return runs_at(system, gateway, two); }));
+}
+
+// Guards against pools that are empty after the store returned from a copy that lacks endpoints,
+// and against endpoints that never leave because they are not written again.
+TEST_CASE("endpoints that a restored store lacks serve until they have had time to return",
+          "[invariant]") {
+    deployment system;
+    system.publish_configuration("plain", 5);
+    auto& gateway = system.start_gateway();
+    auto& cut_off = system.start_gateway("127.0.0.1:1");
+    system.on_loop([&] { system.store().keep_copy(); });
+    write_unrelated(system, 5);
+    auto& returns = system.add_endpoint("i-1", "plain");
+    auto& gone = system.add_endpoint("i-2", "plain");
+    CHECK(soon([&] { return runs_at(system, gateway, returns); }));
+    CHECK(soon([&] { return runs_at(system, cut_off, gone); }));
+
+    return_from_copy(system);
+    const auto both_answer = [&] { return answers(system, gateway) && answers(system, cut_off); };
+    CHECK(holds_for(milliseconds{1'200}, both_answer));
+    report_again(system, returns, "plain");
+    CHECK(holds_for(milliseconds{3'000}, both_answer));
+    CHECK(holds_for(observed_for, [&] {
+        return runs_at(system, gateway, returns) && runs_at(system, cut_off, returns);
+    }));
+}
+
+// Guards against endpoints that have left and get work again because an older copy of the store
+// lists them.
+TEST_CASE("an endpoint that has left does not return with a restored store", "[invariant]") {
+    deployment system;
+    system.publish_configuration("plain", 5);
+    auto& leaves = system.add_endpoint("i-1", "plain");
+    auto& stays = system.add_endpoint("i-2", "plain");
+    auto& gateway = system.start_ready_gateway();
+    CHECK(soon([&] { return runs_at(system, gateway, leaves); }));
+    system.on_loop([&] { system.store().keep_copy(); });
+    const bool removed = GENERATE(true, false);
+    INFO("removed " << removed);
+    if (removed) {
+        system.remove(leaves);
+    } else {
+        system.on_loop([&] { ++leaves.sequence; });
+        system.register_again(leaves, "plain", "draining");
+    }
+    write_unrelated(system, 5);
+    CHECK(soon([&] {
+        return holds_for(milliseconds{300}, [&] { return runs_at(system, gateway, stays); });
+    }));
+    return_from_copy(system);
+    auto& later = system.add_endpoint("i-3", "plain"); // once it is known, the copy is, too
+    CHECK(within(in_force_bound, [&] { return runs_at(system, gateway, later); }));
+    CHECK(holds_for(observed_for, [&] { return !runs_at(system, gateway, leaves); }));
+    if (removed) { // it was cut off and is alive
+        system.on_loop([&] { ++leaves.sequence; });
+        report_again(system, leaves, "plain");
+        CHECK(within(in_force_bound, [&] { return runs_at(system, gateway, leaves); }));
+    }
+}
+
+// Guards against an evacuation that ends because an older copy of the store lacks it, and one that
+// never ends because its removal has a revision below that of the request.
+TEST_CASE("an evacuation outlasts the store's return from a copy and ends when it is removed") {
+    deployment system;
+    system.publish_configuration("plain", 5);
+    auto& away = system.add_endpoint("i-1", "plain", "b");
+    auto& stays = system.add_endpoint("i-2", "plain", "a");
+    auto& gateway = system.start_ready_gateway();
+    system.on_loop([&] { system.store().keep_copy(); });
+    write_unrelated(system, 20);
+    system.on_loop([&] { system.store().put("op/evacuate/b", "{}"); });
+    const auto is_quiet = [&] { return !runs_at(system, gateway, away); };
+    CHECK(soon([&] { return holds_for(milliseconds{300}, is_quiet); }));
+    return_from_copy(system);
+    CHECK(holds_for(milliseconds{1'200}, is_quiet));
+    system.on_loop([&] { system.store().put("op/evacuate/b", "{}"); });
+    CHECK(holds_for(milliseconds{3'000}, is_quiet));
+    system.on_loop([&] { system.store().put("op/evacuate/b", std::nullopt); });
+    system.remove(stays);
+    CHECK(within(in_force_bound, [&] { return runs_at(system, gateway, away); }));
+}
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -39,8 +39,8 @@
     on_loop([&] { store_->put("servers/" + one.id(), std::nullopt); });
 }
 
-void deployment::publish_configuration(const std::string& plain_service) {
-    publish_text(configuration_text(plain_service));
+void deployment::publish_configuration(const std::string& plain_service, unsigned version) {
+    publish_text(configuration_text(plain_service, version));
 }
 
 void deployment::publish_text(const std::string& text) {
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -44,7 +44,7 @@
     /// runs once), "staged.example" (with two stages, one after the other) and "parallel.example"
     /// (with two stages at once).
     /// \param plain_service that "plain.example" goes to.
-    void publish_configuration(const std::string& plain_service = "plain");
+    void publish_configuration(const std::string& plain_service = "plain", unsigned version = 7);
 
     /// Publishes a configuration as text.
     void publish_text(const std::string& text);
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -145,7 +145,7 @@
                                         {"state", state},
                                         {"cold_remaining_ms", 0},
                                         {"born", born},
-                                        {"sequence", 1}});
+                                        {"sequence", sequence}});
 }
 
 void endpoint_stand_in::set_mode(endpoint_mode mode, int times) {
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -93,6 +93,7 @@
     milliseconds pause{0};         ///< in mode `pausing`
     bool announces_leaving{false}; ///< in all responses
     int born{1};                   ///< start time that it registers, in milliseconds
+    int sequence{1};               ///< number of its reports, as it registers
     bool unframed{false};          ///< streams have neither a length nor chunks
     std::string retry_after{};     ///< in mode `refusing`; empty: none
     std::string crashes_on{};      ///< a part of a prompt; crashes after the head of the response
--- a/tests/gateway/src/store_stand_in.cpp
+++ b/tests/gateway/src/store_stand_in.cpp
@@ -90,6 +90,22 @@
     wake_watches();
 }
 
+void store_stand_in::keep_copy() {
+    copy_ = contents{history_, current_, newest_};
+}
+
+void store_stand_in::restore() {
+    history_ = copy_->history;
+    current_ = copy_->current;
+    newest_ = copy_->newest;
+    ++era_;
+}
+
+http::awaitable<void> store_stand_in::send(http::responder& out, http::response answer) const {
+    answer.headers.add("Store-Era", std::to_string(era_));
+    (void)co_await out.send(std::move(answer));
+}
+
 void store_stand_in::wake_watches() {
     for (auto* const one : watches_) {
         one->cancel();
@@ -103,10 +119,10 @@
     case store_mode::deaf:
         break;
     case store_mode::refusing:
-        (void)co_await out.send(status_answer(status_unavailable));
+        co_await send(out, status_answer(status_unavailable));
         co_return;
     case store_mode::limiting:
-        (void)co_await out.send(status_answer(status_limited));
+        co_await send(out, status_answer(status_limited));
         co_return;
     case store_mode::silent:
         co_await pause(executor_, far_away);
@@ -138,7 +154,7 @@
     body["items"] = std::move(items);
     body["truncated"] = more;
     body["store_revision"] = newest_;
-    (void)co_await out.send(http::make_json_response(status_ok, json::serialize(body)));
+    co_await send(out, http::make_json_response(status_ok, json::serialize(body)));
 }
 
 http::awaitable<void> store_stand_in::watch(const http::request& message, http::responder& out) {
@@ -146,11 +162,12 @@
     const auto after = parse_number(http::query_value(message.target, "after")).value_or(0);
     const auto wait = parse_number(http::query_value(message.target, "wait_ms")).value_or(0);
     const auto until = steady_clock::now() + milliseconds{wait};
+    const bool unknown = after > newest_;
     for (;;) {
         const bool answers = mode_ == store_mode::sound || mode_ == store_mode::deaf;
-        if (!answers || after < forgotten_) {
+        if (!answers || unknown || after < forgotten_) {
             const bool forgotten = answers;
-            (void)co_await out.send(status_answer(forgotten ? status_gone : status_unavailable));
+            co_await send(out, status_answer(forgotten ? status_gone : status_unavailable));
             co_return;
         }
         json::array events;
@@ -164,7 +181,7 @@
             json::object body;
             body["events"] = std::move(events);
             body["store_revision"] = newest_;
-            (void)co_await out.send(http::make_json_response(status_ok, json::serialize(body)));
+            co_await send(out, http::make_json_response(status_ok, json::serialize(body)));
             co_return;
         }
         asio::steady_timer timer{executor_, until};
--- a/tests/gateway/src/store_stand_in.hpp
+++ b/tests/gateway/src/store_stand_in.hpp
@@ -42,6 +42,16 @@
     /// Forgets the history up to now and cuts the watches that wait.
     void compact();
 
+    /// Keeps a copy of the store as it is now.
+    void keep_copy();
+
+    /// Goes back to the copy and begins the next era. Revisions after it are given out again.
+    /// Watches that wait stay open, with the revision from which they were called.
+    void restore();
+
+    /// The newest revision.
+    revision newest() const { return newest_; }
+
     std::size_t calls() const { return calls_; }
 
 private:
@@ -54,10 +64,18 @@
     http::awaitable<void> list(const http::request& message, http::responder& out);
     http::awaitable<void> watch(const http::request& message, http::responder& out);
     void wake_watches();
+    http::awaitable<void> send(http::responder& out, http::response answer) const;
 
     boost::asio::any_io_executor executor_;
     std::vector<item> history_;
     std::map<std::string, item> current_;
+    struct contents {
+        std::vector<item> history;
+        std::map<std::string, item> current;
+        revision newest;
+    };
+    std::optional<contents> copy_;
+    std::uint64_t era_{1};
     revision newest_{10};
     revision forgotten_{0};
     store_mode mode_{store_mode::sound};
