base, gateway, http, wire: an exception is logged, and ends neither a loop nor the process

The loops that follow the store and exchange with peers, and all other coroutines that nobody waits for, were started with asio::detached, which drops the exception that ends them: the entry went on serving what it knew, without a line. An exception in a posted handler, a timer's or the answer to a peer left io_context::run() and ended the process.

A peer whose message could not be handled gets a refusal, a query of the traffic thread that throws has no answer, a stage that throws fails, and a request's handler that throws is logged as well. A connection that ends so is closed and leaves the server's set.

The roles entry and sidecar still use asio::detached.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -1,11 +1,11 @@
 #include "control_loop.hpp"
 
+#include "base/exceptions.hpp"
 #include "base/logging.hpp"
 #include "platform/published.hpp"
 #include "suspected_parts.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -20,6 +20,7 @@
 
 namespace asio = boost::asio;
 
+constexpr std::string_view component = "control";
 constexpr std::string_view operators_part = "operators";
 constexpr std::string_view endpoints_part = "endpoints";
 constexpr milliseconds list_timeout{2'500};
@@ -111,17 +112,29 @@
 }
 
 void control_loop::run() {
-    auto& published = published_;
-    asio::co_spawn(io_,
-                   follow_part({operators_part, platform::operators_prefix(),
-                                published.operator_keys(), milliseconds{0}}),
-                   asio::detached);
-    asio::co_spawn(io_,
-                   follow_part({endpoints_part, platform::endpoints_prefix(),
-                                published.endpoint_keys(), endpoint_batch_delay}),
-                   asio::detached);
-    asio::co_spawn(io_, gossip_loop(), asio::detached);
-    io_.run();
+    const watched_part operators{operators_part, platform::operators_prefix(),
+                                 published_.operator_keys(), milliseconds{0}};
+    const watched_part endpoints{endpoints_part, platform::endpoints_prefix(),
+                                 published_.endpoint_keys(), endpoint_batch_delay};
+    spawn_loop("follow_operators", [this, operators] { return follow_part(operators); });
+    spawn_loop("follow_endpoints", [this, endpoints] { return follow_part(endpoints); });
+    spawn_loop("gossip_loop", [this] { return gossip_loop(); });
+    run_event_loop(io_, component);
+}
+
+void control_loop::spawn_loop(std::string_view name, loop_function loop) {
+    asio::co_spawn(io_, keep_running(name, std::move(loop)), exception_logger{component, name});
+}
+
+http::awaitable<void> control_loop::keep_running(std::string_view name, loop_function loop) {
+    for (;;) {
+        try {
+            co_await loop();
+        } catch (...) {
+            log_exception(component, name, std::current_exception());
+        }
+        co_await pause(max_retry_delay);
+    }
 }
 
 void control_loop::stop() {
@@ -300,7 +313,8 @@
         const auto now = steady_clock::now();
         last_round_ = now.time_since_epoch().count();
         for (auto& address : peers_.gossip_targets(now, random_)) {
-            asio::co_spawn(io_, gossip_with(std::move(address)), asio::detached);
+            asio::co_spawn(io_, gossip_with(std::move(address)),
+                           exception_logger{component, "gossip_with"});
         }
         rounds_without_peers = peers_.alive_peers(now).empty() ? rounds_without_peers + 1 : 0;
         co_await pause(peering::peer_table::gossip_interval(rounds_without_peers));
@@ -388,7 +402,8 @@
 
 void control_loop::notify_peers() {
     for (const auto& peer : peers_.alive_peers(steady_clock::now())) {
-        asio::co_spawn(io_, gossip_with(peer.control_address), asio::detached);
+        asio::co_spawn(io_, gossip_with(peer.control_address),
+                       exception_logger{component, "gossip_with"});
     }
 }
 
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -83,6 +83,13 @@
         std::uint64_t listed_for_era{0}; ///< latest era, learned elsewhere, that it was listed for
     };
 
+    using loop_function = std::function<http::awaitable<void>()>;
+
+    /// Starts a loop that begins anew, after a pause, if an exception ends it.
+    /// \param name of the loop in logs; static.
+    void spawn_loop(std::string_view name, loop_function loop);
+    http::awaitable<void> keep_running(std::string_view name, loop_function loop);
+
     http::awaitable<void> follow_part(watched_part part);
     http::awaitable<bool> list(watched_part& part);
     http::awaitable<bool> watch(watched_part& part, bool& listed);
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_node.hpp"
 
+#include "base/exceptions.hpp"
 #include "base/logging.hpp"
 #include "control_loop.hpp"
 #include "http/server.hpp"
@@ -81,7 +82,7 @@
         state_.on_suspects_changed([this](std::vector<quarantine::part_report> reports) {
             control_->set_suspects(std::move(reports));
         });
-        traffic_loop_.thread = std::thread{[this] { traffic_loop_.io.run(); }};
+        traffic_loop_.thread = std::thread{[this] { run_event_loop(traffic_loop_.io, "traffic"); }};
         control_thread_ = std::thread{[this] { control_->run(); }};
         log_change("gateway", "started",
                    {{"data_address", data_address()}, {"control_address", control_address()}});
@@ -276,13 +277,21 @@
                query_traffic_thread<bool>([this] { return stages_->is_idle(); }).value_or(false);
     }
 
-    // Runs a query on the traffic thread. Returns nothing if that takes longer than
+    // Runs a query on the traffic thread. Returns nothing if that fails or takes longer than
     // `query_timeout`.
     template <class T, class Query>
     std::optional<T> query_traffic_thread(Query query) {
-        auto promise = std::make_shared<std::promise<T>>();
+        auto promise = std::make_shared<std::promise<std::optional<T>>>();
         auto future = promise->get_future();
-        asio::post(traffic_loop_.io, [promise, query] { promise->set_value(query()); });
+        asio::post(traffic_loop_.io, [promise, query] {
+            std::optional<T> answer;
+            try {
+                answer = query();
+            } catch (...) {
+                log_exception("traffic", "query", std::current_exception());
+            }
+            promise->set_value(std::move(answer));
+        });
         if (future.wait_for(query_timeout) != std::future_status::ready) {
             return std::nullopt;
         }
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -1,11 +1,11 @@
 // Runs the stages of a request, each as soon as its inputs are available.
+#include "base/exceptions.hpp"
 #include "base/logging.hpp"
 #include "platform/stage_calls.hpp"
 #include "request_handler.hpp"
 #include "request_limits.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -35,7 +35,14 @@
         }
         next = runs.deferred.erase(next);
         runs.outcomes[stage] = std::nullopt;
-        asio::co_spawn(context_.executor, run_stage(stage, runs), asio::detached);
+        asio::co_spawn(context_.executor, run_stage(stage, runs),
+                       [stage, &runs](const std::exception_ptr& thrown) {
+                           if (thrown != nullptr) {
+                               log_exception("request", "run_stage", thrown);
+                               runs.outcomes[stage] = group_refused{}; // the request waits for it
+                               runs.stage_ended.cancel();
+                           }
+                       });
     }
     return next_start;
 }
--- a/libs/gateway/src/result_freer.cpp
+++ b/libs/gateway/src/result_freer.cpp
@@ -1,10 +1,10 @@
 #include "result_freer.hpp"
 
+#include "base/exceptions.hpp"
 #include "platform/requests.hpp"
 #include "platform/stage_calls.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -31,7 +31,7 @@
     }
     if (!pending_.empty() && !flushing_) {
         flushing_ = true;
-        asio::co_spawn(executor_, flush_after_delay(), asio::detached);
+        asio::co_spawn(executor_, flush_after_delay(), exception_logger{"stages", "free_results"});
     }
 }
 
@@ -41,7 +41,8 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, cancelled));
     flushing_ = false;
     for (auto& [address, handles] : std::exchange(pending_, {})) {
-        asio::co_spawn(executor_, free_at(address, std::move(handles)), asio::detached);
+        asio::co_spawn(executor_, free_at(address, std::move(handles)),
+                       exception_logger{"stages", "free_results"});
     }
 }
 
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -1,4 +1,5 @@
 // Dispatch for stage services: their queues, and the calls to their endpoints.
+#include "base/exceptions.hpp"
 #include "base/hash.hpp"
 #include "base/logging.hpp"
 #include "platform/requests.hpp"
@@ -7,7 +8,6 @@
 #include "stages/contended_endpoints.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include <algorithm>
 
@@ -170,7 +170,8 @@
     }
     queue.queue.set_avoided_data_centres(state_.reachability().avoided_data_centres(now));
     for (auto& call : queue.queue.next_calls(now)) {
-        asio::co_spawn(executor_, run_call(service, std::move(call)), asio::detached);
+        asio::co_spawn(executor_, run_call(service, std::move(call)),
+                       exception_logger{"stages", "run_call"});
     }
     for (auto& ended : queue.queue.take_finished(now)) {
         deliver(queue, std::move(ended));
@@ -213,7 +214,7 @@
         wire::pieces_done_request done{state_.self_id(), remote->ticket, ended.expired,
                                        std::move(ended.results), ended.retry_after};
         asio::co_spawn(executor_, notify_peer(remote->work_address, std::move(done)),
-                       asio::detached);
+                       exception_logger{"stages", "notify_peer"});
     }
 }
 
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -1,11 +1,11 @@
 #include "stage_scheduler.hpp"
 
+#include "base/exceptions.hpp"
 #include "base/logging.hpp"
 #include "dispatch_timeout.hpp"
 #include "request_limits.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -195,7 +195,7 @@
         asio::co_spawn(executor_,
                        notify_peer(dispatcher.work_address,
                                    wire::cancel_pieces_request{state_.self_id(), ticket, service}),
-                       asio::detached);
+                       exception_logger{"stages", "notify_peer"});
         co_return std::nullopt;
     }
     late_dispatchers_.erase(dispatcher.id);
@@ -223,7 +223,7 @@
     asio::co_spawn(executor_,
                    notify_peer(dispatcher.work_address,
                                wire::cancel_pieces_request{state_.self_id(), ticket, service}),
-                   asio::detached);
+                   exception_logger{"stages", "notify_peer"});
     if (cancellation.cancelled()) {
         co_return group_outcome{group_cancelled{}};
     }
@@ -296,7 +296,7 @@
                    std::make_move_iterator(handles.end()));
     if (!release_scheduled_ && !waiting.empty()) {
         release_scheduled_ = true;
-        asio::co_spawn(executor_, send_releases(), asio::detached);
+        asio::co_spawn(executor_, send_releases(), exception_logger{"stages", "send_releases"});
     }
 }
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -1,10 +1,10 @@
 #include "http/server.hpp"
 
+#include "base/exceptions.hpp"
 #include "beast_messages.hpp"
 #include "server_connection.hpp"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -41,8 +41,17 @@
 awaitable<void> run_connection(std::shared_ptr<server_connection> connection,
                                std::shared_ptr<connection_set> connections) {
     connections->add(connection);
-    co_await connection->run();
+    std::exception_ptr thrown;
+    try {
+        co_await connection->run();
+    } catch (...) {
+        thrown = std::current_exception();
+        connection->close_now();
+    }
     connections->remove(connection);
+    if (thrown != nullptr) {
+        std::rethrow_exception(thrown); // to be logged
+    }
 }
 
 class beast_server : public server {
@@ -57,7 +66,7 @@
 
     void start() {
         asio::co_spawn(executors_.front(), accept_loop(executors_, acceptor_, state_, connections_),
-                       asio::detached);
+                       exception_logger{"http", "accept_loop"});
     }
 
     std::uint16_t port() const override { return port_; }
@@ -112,7 +121,8 @@
                       const std::shared_ptr<connection_set>& connections) {
         detect_dead_peer(socket);
         auto accepted = std::make_shared<server_connection>(state, std::move(socket));
-        asio::co_spawn(executor, run_connection(std::move(accepted), connections), asio::detached);
+        asio::co_spawn(executor, run_connection(std::move(accepted), connections),
+                       exception_logger{"http", "run_connection"});
     }
 
     static awaitable<void> accept_loop(std::vector<asio::any_io_executor> executors,
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -1,10 +1,10 @@
 #include "server_connection.hpp"
 
+#include "base/exceptions.hpp"
 #include "base/logging.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -302,6 +302,7 @@
     try {
         co_await state_->handle(incoming, *this);
     } catch (const std::exception& exception) {
+        log_exception("http", "handler", std::current_exception());
         thrown = exception.what();
     }
     ++served_;
@@ -369,8 +370,9 @@
 // The signal is shared with `watch`, which clears its slot only after it has received the signal.
 std::shared_ptr<asio::cancellation_signal> server_connection::watch_for_close() {
     auto stop = std::make_shared<asio::cancellation_signal>();
-    asio::co_spawn(stream_.get_executor(), watch(shared_from_this(), stop),
-                   asio::bind_cancellation_slot(stop->slot(), asio::detached));
+    asio::co_spawn(
+        stream_.get_executor(), watch(shared_from_this(), stop),
+        asio::bind_cancellation_slot(stop->slot(), exception_logger{"http", "watch_for_close"}));
     return stop;
 }
 
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -1,5 +1,6 @@
 #include "wire/server.hpp"
 
+#include "base/exceptions.hpp"
 #include "nng_handles.hpp"
 
 #include <boost/asio/post.hpp>
@@ -27,7 +28,12 @@
         if (!read) {
             return encode(answer{refusal{to_string(read.error())}});
         }
-        return encode(handle(read.value()));
+        try {
+            return encode(handle(read.value()));
+        } catch (const std::exception& thrown) {
+            log_exception("wire", "handler", std::current_exception());
+            return encode(answer{refusal{thrown.what()}});
+        }
     }
 };
 
