base: control characters of a value are escaped in log lines

A line of key=value quoted a value with a line feed, but not one with a carriage return, an escape or another control character, so that text from outside could end its line or overwrite it on a terminal.

--- a/libs/base/src/logging.cpp
+++ b/libs/base/src/logging.cpp
@@ -12,6 +12,7 @@
 #include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -118,6 +119,12 @@
     return boost::json::serialize(line);
 }
 
+// Control characters could end a line, or move a terminal's cursor.
+bool is_control(char character) {
+    constexpr char delete_character = 0x7f;
+    return (character >= 0 && character < ' ') || character == delete_character;
+}
+
 std::string as_key_value(std::string_view level, std::string_view component, std::string_view event,
                          std::initializer_list<log_field> fields) {
     auto line = "time_ms=" + std::to_string(unix_milliseconds());
@@ -125,7 +132,8 @@
         line += ' ';
         line += name;
         line += '=';
-        const bool quoted = value.empty() || value.find_first_of(" \"=\n") != value.npos;
+        const bool quoted = value.empty() || value.find_first_of(" \"=") != value.npos ||
+                            std::any_of(value.begin(), value.end(), is_control);
         line += quoted ? boost::json::serialize(boost::json::string{value}) : std::string{value};
     };
     append("level", level);
