--- a/libs/gateway/tests/control_loop_test.cpp
+++ b/libs/gateway/tests/control_loop_test.cpp
@@ -194,7 +194,7 @@
     // The watches are refused: only a loop that goes on counts such answers.
     for (const auto* const part : {"operators", "endpoints"}) {
         INFO(part);
-        const auto labels = "part=\"" + std::string{part} + "\",outcome=\"unavailable\"";
+        const auto labels = "part=\"" + std::string{part} + R"(",outcome="unavailable")";
         CHECK(soon([&] {
             return metrics.get_counter("boragefront_store_calls_total", labels).value() > 2;
         }));
--- a/tests/gateway/published_test.cpp
+++ b/tests/gateway/published_test.cpp
@@ -3,7 +3,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
 #include <thread>
+#include <vector>
 
 using namespace boragefront;
 using namespace boragefront::gateway_tests;
@@ -27,8 +30,104 @@
     return true;
 }
 
+// Values that another writer may leave among the endpoints' registrations. The address is one at
+// which nobody listens; what names it must get nothing.
+std::vector<std::string> odd_registrations() {
+    const auto with = [](const std::string& field, const std::string& value) {
+        const std::map<std::string, std::string> sound{
+            {"service", R"("plain")"}, {"address", R"("127.0.0.1:9")"},
+            {"zone", R"("a")"},        {"slots", "8"},
+            {"state", R"("ready")"},   {"cold_remaining_ms", "0"}};
+        std::string text;
+        for (const auto& [name, usual] : sound) {
+            text += (text.empty() ? "{\"" : ",\"") + name + "\":" + (name == field ? value : usual);
+        }
+        return text + '}';
+    };
+    return {"",
+            "\xff\xfe",
+            "[]",
+            "{}",
+            std::string(2'000'000, '['),
+            R"({"a":)" + std::string(100'000, '[') + std::string(100'000, ']') + '}',
+            with("slots", std::string(100'000, '[')),
+            with("slots", std::string(100'000, '[') + std::string(100'000, ']')),
+            with("slots", "4294967296"),
+            with("slots", "1e400"),
+            with("slots", "99999999999999999999"),
+            with("slots", "-1"),
+            with("cold_remaining_ms", "1e15"),
+            with("cold_remaining_ms", "18446744073709551615"),
+            with("address", R"("127.0.0.1:0")"),
+            with("address", R"("127.0.0.1:65536")"),
+            with("address", R"("127.0.0.1:99999999999999999999")"),
+            with("address", R"("127.0.0.1:-1")"),
+            with("address", R"("127.0.0.1\u0000:9")"),
+            with("address", '"' + std::string(100'000, '1') + R"(:9")"),
+            with("state", R"("unheard-of")"),
+            with("state", "7"),
+            with("service", "null"),
+            with("service", R"(["plain"])"),
+            with("zone", "7")};
+}
+
 } // namespace
 
+// Guards against an odd entry among the registrations that ends the process, or the following of
+// what is published.
+TEST_CASE("trouble: odd entries among the registrations end neither a gateway nor what it follows",
+          "[invariant]") {
+    deployment system;
+    const auto odd = odd_registrations();
+    const bool before_start = GENERATE(true, false);
+    INFO("before the start: " << before_start);
+    const auto put_odd = [&] {
+        system.on_loop([&] {
+            for (std::size_t i = 0; i < odd.size(); ++i) {
+                system.store().put("servers/odd-" + std::to_string(i), odd[i]);
+            }
+            system.store().put("servers/odd\r\nname: x",
+                               R"({"service":"plain","address":"127.0.0.1:9","state":"ready"})");
+            system.store().put(R"(servers/odd" =name)", "{}");
+            system.store().put("servers/", "{}");
+        });
+    };
+    if (before_start) {
+        put_odd();
+    }
+    system.publish_configuration("plain");
+    auto& first = system.add_endpoint("i-1", "plain");
+    auto& gateway = system.start_ready_gateway();
+    auto& cut_off = system.start_ready_gateway("127.0.0.1:1"); // learns from the other
+    if (!before_start) {
+        put_odd();
+    }
+    auto& later = system.add_endpoint("i-2", "plain");
+    auto& other = system.add_endpoint("i-3", "other");
+    for (auto* const entry : {&gateway, &cut_off}) {
+        INFO((entry == &gateway ? "follows the store" : "learns from its peer"));
+        CHECK(soon([&] { return runs_at(system, *entry, later); }));
+        CHECK(soon([&] { return runs_at(system, *entry, first); }));
+    }
+    system.remove(first);
+    for (auto* const entry : {&gateway, &cut_off}) {
+        CHECK(soon([&] {
+            return !runs_at(system, *entry, first) && !runs_at(system, *entry, first) &&
+                   !runs_at(system, *entry, first);
+        }));
+        for (int call = 0; call < 20; ++call) { // none goes to an odd entry
+            const auto answer = system.call(*entry, deployment::make_request("plain.example", "r"));
+            REQUIRE(answer);
+            CHECK(answer.value().status == 200);
+        }
+    }
+    system.publish_configuration("other");
+    for (auto* const entry : {&gateway, &cut_off}) {
+        CHECK(soon([&] { return runs_at(system, *entry, other); }));
+        CHECK(system.is_ready(*entry));
+    }
+}
+
 TEST_CASE("a new configuration is taken into force") {
     deployment system;
     system.publish_configuration("plain");
@@ -52,6 +151,29 @@
     CHECK(soon([&] { return runs_at(system, gateway, later); }));
 }
 
+// Guards against a configuration whose reader throws: nothing that operators publish later would be
+// followed.
+TEST_CASE("trouble: a later configuration is followed after one with an odd number",
+          "[invariant]") {
+    deployment system;
+    system.publish_configuration("plain");
+    auto& before = system.add_endpoint("i-1", "plain");
+    auto& after = system.add_endpoint("i-2", "other");
+    auto& gateway = system.start_ready_gateway();
+    CHECK(soon([&] { return runs_at(system, gateway, before); }));
+    for (const auto* const odd : {"0.5", "1e30", "-1", "18446744073709551615", "[[0]]"}) {
+        system.on_loop([&] {
+            system.store().put("op/config",
+                               R"({"routes":[{"name":"r","stages":[{"service":"s","after":[)" +
+                                   std::string{odd} + "]}]}]}");
+        });
+    }
+    auto& later = system.add_endpoint("i-3", "plain"); // known once the faulty values are, too
+    CHECK(soon([&] { return runs_at(system, gateway, later); }));
+    system.publish_configuration("other");
+    CHECK(soon([&] { return runs_at(system, gateway, after); }));
+}
+
 TEST_CASE("changes that the store has forgotten are read as a list") {
     deployment system;
     system.publish_configuration("plain");
