http: a stopped server counts its connections until all that arrived is answered

A planned stop waited, 20 ms after the kernel's accept queue was empty, until no request was open. A request counts as open from the first byte that the server reads. If the traffic thread was busy for these 20 ms, requests that had arrived on kept or just accepted connections were not yet read, none was open, and the entry exited: no answer.

A connection now counts from its acceptance, on the thread that accepts, to its close; after `stop_accepting` the number falls to 0 only when all that had arrived is answered.

--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -97,6 +97,10 @@
     /// Number of requests from their first byte to the end of their response.
     virtual std::size_t open_requests() const = 0;
 
+    /// Number of accepted connections that are not closed. After `stop_accepting` it falls to 0
+    /// once every request that has arrived is answered.
+    virtual std::size_t open_connections() const = 0;
+
     virtual server_statistics statistics() const = 0;
 
     /// Replaces the limits; they apply to requests whose header is read later. A raised limit on
@@ -111,7 +115,8 @@
 
     /// Closes the listening socket and idle connections. Responses in progress are completed before
     /// their connections close. Requests that have already arrived are still served, also on
-    /// connections in the kernel's accept queue.
+    /// connections in the kernel's accept queue. These are accepted by the first executor soon
+    /// after the call.
     virtual void stop_accepting() = 0;
 
     /// Closes the listening socket and all connections immediately.
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -28,6 +28,10 @@
         const std::scoped_lock lock{mutex_};
         open_.erase(removed);
     }
+    std::size_t size() const {
+        const std::scoped_lock lock{mutex_};
+        return open_.size();
+    }
     std::set<std::shared_ptr<server_connection>> all() const {
         const std::scoped_lock lock{mutex_};
         return open_;
@@ -40,7 +44,6 @@
 
 awaitable<void> run_connection(std::shared_ptr<server_connection> connection,
                                std::shared_ptr<connection_set> connections) {
-    connections->add(connection);
     std::exception_ptr thrown;
     try {
         co_await connection->run();
@@ -71,6 +74,7 @@
 
     std::uint16_t port() const override { return port_; }
     std::size_t open_requests() const override { return state_->open_requests; }
+    std::size_t open_connections() const override { return connections_->size(); }
 
     server_statistics statistics() const override { return state_->statistics(); }
 
@@ -121,6 +125,7 @@
                       const std::shared_ptr<connection_set>& connections) {
         detect_dead_peer(socket);
         auto accepted = std::make_shared<server_connection>(state, std::move(socket));
+        connections->add(accepted);
         asio::co_spawn(executor, run_connection(std::move(accepted), connections),
                        exception_logger{"http", "run_connection"});
     }
--- a/libs/http/tests/stop_test.cpp
+++ b/libs/http/tests/stop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -35,6 +36,7 @@
     fixture& operator=(const fixture&) = delete;
 
     server& http_server() { return *server_; }
+    asio::io_context& loop() { return io_; }
     tcp::endpoint endpoint() const {
         return {asio::ip::make_address("127.0.0.1"), server_->port()};
     }
@@ -95,6 +97,44 @@
     }
 }
 
+// Guards against an exit between the read of a request and its response: no request counted as
+// open, because the one that had arrived was not yet read.
+TEST_CASE("when a stopped server has no connection left, what had arrived is answered") {
+    for (int round = 0; round < 20; ++round) {
+        fixture peers{echo};
+        std::promise<void> release;
+        std::promise<void> blocked;
+        asio::io_context io;
+        tcp::socket idle{io};
+        idle.connect(peers.endpoint());
+        std::this_thread::sleep_for(milliseconds{2});
+        asio::post(peers.loop(), [&] {
+            blocked.set_value();
+            release.get_future().wait();
+        });
+        blocked.get_future().wait();
+        tcp::socket unaccepted{io};
+        unaccepted.connect(peers.endpoint());
+        for (auto* const socket : {&idle, &unaccepted}) {
+            asio::write(*socket, asio::buffer(std::string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n"}));
+        }
+        peers.http_server().stop_accepting();
+        std::promise<void> backlog_accepted;
+        asio::post(peers.loop(), [&] {
+            backlog_accepted.set_value();
+            std::this_thread::sleep_for(milliseconds{5}); // the server's thread stays busy
+        });
+        release.set_value();
+        backlog_accepted.get_future().wait();
+        while (peers.http_server().open_connections() > 0) {
+            std::this_thread::yield();
+        }
+        for (auto* const socket : {&idle, &unaccepted}) {
+            CHECK(socket->available() > 0);
+        }
+    }
+}
+
 TEST_CASE("a request of unlimited size is rejected") {
     fixture peers{echo, {.body_bytes = 100'000, .header_bytes = 4'096}};
     const auto* const first = GENERATE(
