gateway: a planned stop ends every request with an answer, and refuses orders that it would cut

Report of another operator: in a planned stop of one machine requests that came late in the grace were taken and passed on; at its end they were cut with no answer, among them requests that may not be repeated.

What callers saw here: late ones were safe, as after 2.9 s only what ends by its own time limit is accepted. But - until then everything was accepted: an order with a long limit too, though another entry served; - at the exit, 0.9 s before the end of the grace, all that was in progress was cut in silence. For a request that still waited for a stage or an endpoint that is not excused by anything: no endpoint was at work on it, and "not run" was true.

Now - `drain_plan::accepts`: what ends by its limit is accepted to the last, as before. In the first 2.9 s so is the rest, but what may not be repeated, while another entry serves, only if twice the longest recent answer of its route fits before the exit. Its limit alone would refuse nearly all streams that run once, whose limits are several times their duration; each refusal costs a retry. While no other entry serves nothing changes: the successor is too far off. - `drain_plan::may_send`: a request that waited is not sent if it cannot be answered before the exit; it is refused. - At the exit each request in progress is ended as if its caller had left, but with an answer: 503 "not run" if it was not sent, 502 "outcome unknown" if it was. A stream that has begun is broken off visibly. Up to 0.3 s remain for writing; the entry exits as soon as all connections are closed.

Evidence, gateway_shutdown_test on the code before (grace 3 s): "a request that an endpoint works on at the end of a shutdown gets an answer" failed for all three kinds, "a request that waits for a stage ... is refused as not run" failed, both at `REQUIRE( received )`; "no request that may not be repeated is lost ..." failed with CHECK( (visits == 0 || request.status == 200 || request.status == 504) ) caller0-1 status 0 visits 1, caller1-1 status 0 visits 1, caller5-0 status 0 visits 1 and the log had `drained cut_requests=3`.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -122,17 +122,22 @@
         while (!is_drained() && steady_clock::now() < plan.exit_at()) {
             std::this_thread::sleep_for(drain_poll_interval);
         }
-        // Requests that have arrived by now still get a refusal; after that only responses in
+        // Requests that have arrived by now still get a response; after that only responses in
         // progress remain.
         server_->stop_accepting();
-        (void)query_traffic_thread<bool>(
-            [] { return true; }); // runs after connections in the backlog have been accepted
-        do {
-            std::this_thread::sleep_for(drain_poll_interval);
-        } while (open_requests() > 0 && steady_clock::now() < plan.exit_at());
+        const auto backlog_accepted = [this] {
+            return query_traffic_thread<bool>([] { return true; }).value_or(false);
+        };
+        while (!backlog_accepted() && steady_clock::now() < plan.answered_by()) {
+        }
+        await_connections_closed(plan.exit_at());
+        const auto ended_early = open_requests();
+        asio::post(traffic_loop_.io, [this] { state_.open_requests().end_all(); });
+        await_connections_closed(plan.answered_by());
         log_change(
             "gateway", "drained",
-            {{"cut_requests", std::to_string(open_requests())},
+            {{"ended_early", std::to_string(ended_early)},
+             {"cut_requests", std::to_string(open_requests())},
              {"took_ms",
               std::to_string(
                   std::chrono::floor<milliseconds>(steady_clock::now() - started_at).count())}});
@@ -272,6 +277,12 @@
 
     std::size_t open_requests() const { return server_->open_requests(); }
 
+    void await_connections_closed(time_point until) const {
+        while (server_->open_connections() > 0 && steady_clock::now() < until) {
+            std::this_thread::sleep_for(drain_poll_interval);
+        }
+    }
+
     bool is_drained() {
         return open_requests() == 0 &&
                query_traffic_thread<bool>([this] { return stages_->is_idle(); }).value_or(false);
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -113,7 +113,7 @@
         const auto now = steady_clock::now();
         auto chosen = find_endpoint(now);
         const auto* const pool = context_.state.pool(service_);
-        if (chosen || pool == nullptr || now >= give_up_at || caller_disconnected_ ||
+        if (chosen || pool == nullptr || now >= give_up_at || is_ended_early() ||
             pool->backed_off_until(give_up_at, now) ||
             pool->unavailability_reason() == balancing::unavailability::none_in_service) {
             co_return chosen;
@@ -128,7 +128,7 @@
 }
 
 bool request_handler::has_time_left() const {
-    return steady_clock::now() + endpoint_poll_interval < deadline_;
+    return !entry_exits_ && steady_clock::now() + endpoint_poll_interval < deadline_;
 }
 
 // Takes one retry from the budget. Returns whether the route's limit and the budget allow it.
@@ -146,7 +146,11 @@
 }
 
 http::cancel_source& request_handler::add_cancel_source() {
-    return *cancel_sources_.emplace_back(std::make_unique<http::cancel_source>());
+    auto& added = *cancel_sources_.emplace_back(std::make_unique<http::cancel_source>());
+    if (is_ended_early()) {
+        added.cancel();
+    }
+    return added;
 }
 
 void request_handler::record_outcome(const send_attempt& attempt, send_outcome outcome) {
@@ -209,6 +213,14 @@
         co_return next_step::done;
     }
     auto* const pool = context_.state.pool(service_);
+    if (const auto& draining = context_.state.draining; draining && pool != nullptr) {
+        const auto now = steady_clock::now();
+        const auto limit = std::chrono::ceil<milliseconds>(deadline_ - now);
+        if (entry_exits_ || !draining->may_send(limit, pool->typical_latency(), now)) {
+            co_await refuse(shutdown_error(), shutdown_retry_after());
+            co_return next_step::done;
+        }
+    }
     if (!chosen || pool == nullptr) {
         const auto now = steady_clock::now();
         const auto retry_after = pool == nullptr ? default_retry_after : pool->retry_after(now);
@@ -382,6 +394,10 @@
                           {"reason", to_string(failure)}});
             co_return next_step::retry;
         }
+        if (entry_exits_) {
+            co_await refuse(shutdown_error(), shutdown_retry_after());
+            co_return next_step::done;
+        }
         co_await refuse(make_error(error_kind::no_endpoint, failure.detail), default_retry_after);
         co_return next_step::done;
     } else if (may_retry() && context_.state.prompt_quarantine().may_repeat(shared_parts_) &&
@@ -399,6 +415,12 @@
         }
         co_return next_step::retry;
     }
+    if (entry_exits_) {
+        const auto unknown = make_error(error_kind::outcome_unknown,
+                                        "this entry shut down before the endpoint responded");
+        co_await fail(unknown);
+        co_return next_step::done;
+    }
     co_await fail(failure);
     co_return next_step::done;
 }
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -25,20 +25,18 @@
 http::awaitable<void> request_handler::run() {
     responder_.on_peer_closed([this] {
         caller_disconnected_ = true;
-        for (const auto& source : cancel_sources_) {
-            source->cancel();
-        }
-        for (auto* const source : stage_cancellations_) {
-            source->cancel();
-        }
+        end_waits();
     });
+    const open_request_list::entry listed{context_.state.open_requests(), [this] {
+                                              entry_exits_ = true;
+                                              end_waits();
+                                          }};
     if (auto refusal = admit()) {
         std::optional<milliseconds> retry_after;
         if (refusal->kind == error_kind::not_ready || refusal->kind == error_kind::no_endpoint) {
             retry_after = default_retry_after;
         } else if (refusal->kind == error_kind::shutting_down) {
-            const bool other_entry_serves = !context_.state.fleet().serving.empty();
-            retry_after = context_.state.draining->retry_after(other_entry_serves, received_at_);
+            retry_after = shutdown_retry_after();
         } else if (refusal->kind == error_kind::quarantined) {
             retry_after =
                 context_.state.prompt_quarantine().refused_for(shared_parts_, received_at_);
@@ -61,6 +59,15 @@
     log_summary();
 }
 
+void request_handler::end_waits() {
+    for (const auto& source : cancel_sources_) {
+        source->cancel();
+    }
+    for (auto* const source : stage_cancellations_) {
+        source->cancel();
+    }
+}
+
 std::optional<error> request_handler::admit() {
     auto decoded = platform::read_request(request_);
     if (!decoded) {
@@ -117,8 +124,12 @@
         return missing;
     }
     if (const auto& draining = context_.state.draining) {
-        if (!draining->accepts(time_left, received_at_)) {
-            return make_error(error_kind::shutting_down, "this entry is shutting down");
+        const request_durations durations{
+            time_left, context_.state.longest_duration(route_->name).value(received_at_)};
+        const bool may_repeat = route_->idempotency == catalog::idempotency_class::idempotent;
+        const bool other_entry_serves = !context_.state.fleet().serving.empty();
+        if (!draining->accepts(durations, may_repeat, other_entry_serves, received_at_)) {
+            return shutdown_error();
         }
     }
     for (std::size_t i = 0; i + 1 < caller_.prompt.size(); ++i) {
@@ -158,6 +169,17 @@
     return snapshot_->published.config->services.find(route_->stages[stage].service)->second;
 }
 
+error request_handler::shutdown_error() {
+    return make_error(error_kind::shutting_down, "this entry is shutting down");
+}
+
+milliseconds request_handler::shutdown_retry_after() const {
+    const auto& draining = context_.state.draining;
+    return draining
+               ? draining->retry_after(!context_.state.fleet().serving.empty(), steady_clock::now())
+               : default_retry_after;
+}
+
 // Tells the caller that the request was not run, or fails the request if it may have been run.
 http::awaitable<void> request_handler::refuse(error failure,
                                               std::optional<milliseconds> retry_after) {
@@ -214,6 +236,10 @@
     if (summary_.outcome == "answered") {
         metrics.get_latency("boragefront_first_byte_seconds", "route=\"" + route + '"')
             .record(first_event_at_.value_or(now) - received_at_);
+        if (summary_.complete) {
+            context_.state.longest_duration(route).record(
+                std::chrono::ceil<milliseconds>(now - received_at_), now);
+        }
     }
     log_decision(
         "request", "ended",
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -131,6 +131,7 @@
     bool may_retry() const;
     bool acquire_retry();
     bool has_time_left() const;
+    bool is_ended_early() const { return caller_disconnected_ || entry_exits_; }
     bool has_first_event() const { return first_event_at_.has_value(); }
     bool may_try_another_endpoint() const;
     time_point silent_at(time_point progress_at) const;
@@ -142,6 +143,9 @@
     void record_lost_connection(const send_attempt& attempt, const error& failure);
     void record_content(const send_attempt& attempt, time_point now);
 
+    void end_waits();
+    static error shutdown_error();
+    milliseconds shutdown_retry_after() const;
     http::awaitable<void> refuse(error failure, std::optional<milliseconds> retry_after);
     http::awaitable<void> fail(const error& failure);
     http::awaitable<void> send_response(http::response response);
@@ -173,6 +177,7 @@
     std::vector<std::unique_ptr<http::cancel_source>> cancel_sources_; // one per attempt
     std::set<cancellation_source*> stage_cancellations_;
     bool caller_disconnected_{false};
+    bool entry_exits_{false};
 
     std::set<std::string> tried_endpoints_;
     unsigned attempts_{0};             // that may have been run
--- a/libs/gateway/src/request_replacement.cpp
+++ b/libs/gateway/src/request_replacement.cpp
@@ -6,8 +6,6 @@
 #include "request_limits.hpp"
 #include "send_outcomes.hpp"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -109,7 +107,7 @@
     const auto now = steady_clock::now();
     const auto chosen = find_endpoint(now);
     auto* const pool = context_.state.pool(service_);
-    if (!chosen || pool == nullptr || caller_disconnected_ ||
+    if (!chosen || pool == nullptr || is_ended_early() ||
         context_.state.prompt_quarantine().begin(shared_parts_, now)) {
         co_return false;
     }
@@ -185,7 +183,6 @@
         co_await wait_for_progress(context_.executor, silent, consume, deadline_);
         progressed = true;
         runs.cancellation.cancel();
-        runs.stage_ended.cancel();
         co_await wait_until_cancelled(context_.executor);
     };
     using asio::experimental::awaitable_operators::operator||;
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -67,12 +67,13 @@
 request_handler::produce_results(stage_runs& runs) {
     auto& outcomes = runs.outcomes;
     stage_cancellations_.insert(&runs.cancellation);
+    runs.cancellation.add(runs.stage_ended);
     std::optional<error> failure;
     std::optional<milliseconds> retry_after;
     const auto deadline = stream_started_ ? deadline_ : first_event_deadline_;
     for (;;) {
         auto next_start = time_point::max();
-        if (failure || caller_disconnected_ || runs.cancellation.cancelled()) {
+        if (failure || is_ended_early() || runs.cancellation.cancelled()) {
             runs.deferred.clear();
         } else {
             next_start = start_stages(runs);
@@ -114,7 +115,7 @@
                 failure =
                     make_error(error_kind::no_capacity, "the stages would not complete in time");
                 retry_after = refused->retry_after;
-            } else if (!failure) {
+            } else if (!failure && !entry_exits_) {
                 // A stage cancelled because another one failed keeps that failure.
                 failure = make_error(error_kind::cancelled, "the results are not needed any more");
             }
@@ -133,6 +134,10 @@
         }
     }
     stage_cancellations_.erase(&runs.cancellation);
+    if (entry_exits_ && !failure && !plan_->complete()) {
+        failure = shutdown_error();
+        retry_after = shutdown_retry_after();
+    }
     if (!failure && runs.cancellation.cancelled()) {
         failure = make_error(error_kind::cancelled, "the results are not needed any more");
     }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -151,6 +151,9 @@
         if (outcome) {
             co_return std::move(*outcome);
         }
+        if (cancellation.cancelled()) {
+            co_return group_cancelled{};
+        }
         log_decision("stages", "dispatcher_passed_over",
                      {{"service", service.name},
                       {"dispatcher", dispatcher.id},
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -46,7 +46,7 @@
 struct group_refused {
     milliseconds retry_after{0};
 };
-/// The caller disconnected.
+/// The request was cancelled.
 struct group_cancelled {};
 
 using group_outcome = std::variant<group_completed, group_refused, group_cancelled>;
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -13,6 +13,8 @@
 #include "catalog/route_table.hpp"
 #include "catalog/types.hpp"
 #include "gateway/drain_plan.hpp"
+#include "longest_recent.hpp"
+#include "open_request_list.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 #include "settings/settings.hpp"
 #include "wire/messages.hpp"
@@ -124,6 +126,11 @@
     metrics_registry& metrics() { return metrics_; }
     random_source& random() { return random_; }
 
+    /// How long complete answers to a route's requests took, from arrival to end.
+    longest_recent& longest_duration(const std::string& route) { return longest_durations_[route]; }
+
+    open_request_list& open_requests() { return open_requests_; }
+
     std::optional<drain_plan> draining; ///< set once a shutdown was requested
 
 private:
@@ -143,6 +150,8 @@
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
     std::map<std::string, balancing::retry_budget> budgets_;
+    std::map<std::string, longest_recent> longest_durations_; // by route
+    open_request_list open_requests_;
     balancing::prompt_locations prompt_locations_;
     balancing::reachability reachability_;
     quarantine::prompt_quarantine quarantine_;
