gateway, stages: what broke off while a silent endpoint was replaced leaves nothing behind

A stage whose second run was cancelled or refused stayed scheduled, so a later replacement sent the request without its inputs and the begun stream was cut in the end. A replacement that accepted in the turn in which the silent endpoint went on was taken, and the sound one closed. A refused one kept the results made for it and had them made again every 0.3 s. A failed connection used up the retry. A stream without end of its events was read without a limit meanwhile.

Change: a run that ends without results unschedules its stage; results are released when a replacement is not accepted; attempts are a second apart; a cancelled replacement is never accepted; the size limits hold while one is tried.

Tests: stage_plan_test, "a stage whose run ended without results is ready again"; gateway_silence_test, "a stream whose endpoint pauses and then fails goes on at another endpoint".

--- a/libs/gateway/src/request_replacement.cpp
+++ b/libs/gateway/src/request_replacement.cpp
@@ -18,7 +18,7 @@
 
 namespace asio = boost::asio;
 
-constexpr milliseconds replacement_interval{300}; // between attempts to replace an endpoint
+constexpr milliseconds replacement_interval{1'000}; // between attempts to replace an endpoint
 
 http::awaitable<void> wait_until_cancelled(const asio::any_io_executor& executor) {
     asio::steady_timer timer{executor, time_point::max()};
@@ -109,6 +109,9 @@
     auto* const pool = context_.state.pool(service_);
     if (!chosen || pool == nullptr || is_ended_early() ||
         context_.state.prompt_quarantine().begin(shared_parts_, now)) {
+        if (stream_started_) {
+            release_all_results();
+        }
         co_return false;
     }
     retry_reserved_ = false;
@@ -127,7 +130,15 @@
     };
     using asio::experimental::awaitable_operators::operator||;
     co_await (open_replacement(prepared, accepted) || watch());
+    if (accepted != nullptr && cancel.cancelled()) {
+        // Both arrived in the same turn; the endpoint that was silent goes on.
+        accepted.reset();
+        record_outcome(prepared.attempt, balancing::send_outcome::cancelled);
+    }
     if (accepted == nullptr) {
+        if (stream_started_) {
+            release_all_results();
+        }
         co_return false;
     }
     last_endpoint_ = chosen->id;
@@ -143,7 +154,10 @@
     auto opened =
         co_await context_.endpoints.open(prepared.address, prepared.message, prepared.options);
     if (!opened) {
-        attempts_ -= opened.error().ran == work_ran::no ? 1 : 0;
+        if (opened.error().ran == work_ran::no) {
+            --attempts_;
+            retry_reserved_ = true; // nothing has arrived at an endpoint
+        }
         record_failed_open(prepared, opened.error(), began_at);
         co_return;
     }
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -78,7 +78,7 @@
         response.body += bytes;
         const auto before = progress.last_progress_at();
         progress.record(bytes.size(), steady_clock::now());
-        return progress.last_progress_at() != before;
+        return progress.last_progress_at() != before || response.body.size() > max_response_bytes;
     };
     for (;;) {
         if (co_await wait_or_replace(stream, progress, consume)) {
@@ -137,7 +137,7 @@
         batch.bytes += completed.bytes;
         batch.count += completed.count;
         batch.last_id = completed.last_id ? completed.last_id : batch.last_id;
-        return completed.count > 0;
+        return completed.count > 0 || events.pending_bytes() > max_event_bytes;
     };
     for (;;) {
         batch = {};
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -74,7 +74,9 @@
     for (;;) {
         auto next_start = time_point::max();
         if (failure || is_ended_early() || runs.cancellation.cancelled()) {
-            runs.deferred.clear();
+            for (const auto stage : std::exchange(runs.deferred, {})) {
+                plan_->set_results(stage, {});
+            }
         } else {
             next_start = start_stages(runs);
         }
@@ -97,8 +99,11 @@
                 ++outcome;
                 continue;
             }
-            if (const auto* const completed = std::get_if<group_completed>(&*outcome->second)) {
-                plan_->set_results(outcome->first, completed->results);
+            const auto* const completed = std::get_if<group_completed>(&*outcome->second);
+            plan_->set_results(outcome->first, completed == nullptr
+                                                   ? std::vector<stages::piece_result>{}
+                                                   : completed->results);
+            if (completed != nullptr) {
                 for (const auto& result : completed->results) {
                     if (result.outcome == stages::piece_outcome::input_gone) {
                         ++input_losses_;
@@ -138,7 +143,7 @@
         failure = shutdown_error();
         retry_after = shutdown_retry_after();
     }
-    if (!failure && runs.cancellation.cancelled()) {
+    if (!failure && (runs.cancellation.cancelled() || !plan_->complete())) {
         failure = make_error(error_kind::cancelled, "the results are not needed any more");
     }
     if (!failure) {
--- a/libs/stages/src/stage_plan.cpp
+++ b/libs/stages/src/stage_plan.cpp
@@ -93,6 +93,7 @@
             handle = results[next++].handle;
         }
     }
+    stages_[stage].released = stages_[stage].released && results.empty();
     stages_[stage].scheduled = all_pieces_made(stage);
 }
 
--- a/libs/stages/tests/stage_plan_test.cpp
+++ b/libs/stages/tests/stage_plan_test.cpp
@@ -138,3 +138,21 @@
     stages.set_results(2, made_results({"y/1", "y/2"}));
     CHECK(stages.start_delay(0, time_of) == milliseconds{0});
 }
+
+// Guards against a stage that is never run again because an earlier run of it was broken off.
+TEST_CASE("a stage whose run ended without results is ready again") {
+    const auto route = chain();
+    auto plan = stage_plan::make(route, "r", "key", {1, 1, 1, 1});
+    REQUIRE(plan);
+    CHECK(plan.value().take_ready() == indices{0, 1});
+    plan.value().set_results(0, made_results({"x/1"}));
+    (void)plan.value().take_all();
+    plan.value().invalidate_results([](const std::string&) { return true; });
+    CHECK(plan.value().take_ready() == indices{0});
+    plan.value().set_results(0, {});
+    plan.value().set_results(1, {});
+    CHECK_FALSE(plan.value().complete());
+    CHECK(plan.value().take_ready() == indices{0, 1});
+    plan.value().set_results(0, made_results({"x/2"}));
+    REQUIRE(plan.value().take_all().size() == 1);
+}
--- a/tests/gateway/silence_test.cpp
+++ b/tests/gateway/silence_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <future>
+#include <thread>
 
 using namespace boragefront;
 using namespace boragefront::gateway_tests;
@@ -94,6 +95,33 @@
     check_whole(stream.get());
 }
 
+// Guards against a pipeline that cannot be run again once a run of it was broken off because the
+// silent endpoint went on.
+TEST_CASE("a stream whose endpoint pauses and then fails goes on at another endpoint") {
+    deployment system;
+    system.publish_configuration();
+    auto& pausing = system.add_endpoint("i-1", "model");
+    pause_streams(system, pausing, milliseconds{1'500});
+    system.on_loop([&] { pausing.gap = milliseconds{200}; });
+    auto& first = system.add_endpoint("i-3", "first");
+    system.add_endpoint("i-4", "second");
+    auto& gateway = system.start_ready_gateway();
+    auto stream = begin_stream(system, gateway, make_staged_request("r1"));
+    REQUIRE(system.becomes_true([&] { return !pausing.visits().empty(); }));
+    auto& other = system.add_endpoint("i-2", "model");
+    system.on_loop([&] {
+        other.events = events;
+        first.work = seconds{1};
+    });
+    REQUIRE(system.becomes_true([&] { return first.visits().size() == 2; })); // the silence began
+    std::this_thread::sleep_for(milliseconds{900});                           // and has ended
+    system.on_loop([&] {
+        pausing.stop();
+        first.work = milliseconds{0};
+    });
+    check_whole(stream.get());
+}
+
 // Guards against a stream that stays with an endpoint that is silent for good.
 TEST_CASE("a stream whose endpoint falls silent goes on at another endpoint") {
     deployment system;
