tests: the stand-in endpoint abandons a connection when it falls over

Since a handler that sends nothing is answered with 500, an endpoint that fell over in stand_ins_test gave a response instead of a lost connection (endpoint_test, "a cold endpoint falls over beyond its cold limit", failed).

--- a/tests/stand_ins/src/endpoint.cpp
+++ b/tests/stand_ins/src/endpoint.cpp
@@ -119,6 +119,7 @@
 http::awaitable<void> endpoint::execute(active_run& run, http::responder& out) {
     if (faults_.silent) {
         co_await work(run, std::chrono::hours{1});
+        out.abandon();
         co_return;
     }
     const bool stream = flag_or(run.order, "stream", false);
@@ -131,6 +132,7 @@
     }
     const bool done = co_await work(run, time);
     if (!done) {
+        out.abandon();
         co_return;
     }
     if (faults_.fail) {
