--- a/review/build.sh
+++ b/review/build.sh
@@ -3,8 +3,10 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-g++ -std=c++20 -O2 -Wall -Wextra -pthread -c -o build/stand_ins.o stand_ins/stand_ins.cpp
+compile=(g++ -std=c++20 -O2 -Wall -Wextra -pthread)
+"${compile[@]}" -c -o build/stand_ins.o stand_ins/stand_ins.cpp
+"${compile[@]}" -c -o build/memory_scene.o stand_ins/memory_scene.cpp
 for case in [1-5]/case.cpp; do
-  g++ -std=c++20 -O2 -Wall -Wextra -pthread -o "build/case$(dirname "$case")" "$case" \
-    build/stand_ins.o -lboost_json
+  "${compile[@]}" -o "build/case$(dirname "$case")" "$case" build/stand_ins.o \
+    build/memory_scene.o -lboost_json
 done
