--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,87 +1,100 @@
-// A result is lost with its worker, so the model worker rejects a request with 409, and sends the
-// rejection a second time when the request comes again on the same connection. A request that may
-// run once at most must not run twice.
+// Machines freeze for half a second and wake again, one after the other. One that has been awake
+// for `contact_ms` must answer requests, or refuse them, by the timeout of their route.
 #include "../stand_ins/stand_ins.hpp"
 
 #include <boost/json.hpp>
 
-#include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <set>
 
 namespace {
 
 using namespace review;
 namespace json = boost::json;
 
-constexpr int stage_workers = 5;
+constexpr int gateways = 4;
+constexpr int stage_services = 3;
+constexpr int stage_workers = 5; // of each service
 constexpr int model_workers = 3;
-constexpr int requests_before = 60;
-constexpr int requests_after = 10;
+constexpr int order_workers = 3;
+constexpr int callers = 40;
 constexpr milliseconds call_time{150};
-constexpr milliseconds piece_time{16};
-constexpr milliseconds prefill_time{40};
-constexpr milliseconds event_gap{60};
-constexpr int events = 5;
+constexpr milliseconds piece_time{2};
+constexpr milliseconds order_work{15};
+constexpr milliseconds prefill_time{20};
+constexpr milliseconds freeze_time{400};
+constexpr milliseconds freeze_gap{100};
+constexpr milliseconds contact_time{3'000};   // `contact_ms`
+constexpr milliseconds route_timeout{2'000};  // `timeout_ms` of the route of orders
+constexpr milliseconds answer_tolerance{500}; // by the rule
+constexpr milliseconds grace_time{8'000};     // `grace_s`
+constexpr milliseconds run_time{98'000};
+constexpr int probes = 8;
 
 constexpr auto config = R"({"version":7,"routes":[
- {"name":"leather","host":"leather.example","prefix":"/","kind":"streaming","service":"model",
-  "timeout_ms":5000,"target_latency_ms":1900,"max_attempts":1,"priority":1,"public":false,
-  "stages":[{"service":"first","after":[],"bytes":8000}],"stream_resume":false,"gap_aim_ms":400,
+ {"name":"order","host":"order.example","prefix":"/","kind":"non_idempotent","service":"orders",
+  "timeout_ms":2000,"target_latency_ms":100,"max_attempts":1,"priority":2,"public":false},
+ {"name":"sheet","host":"sheet.example","prefix":"/","kind":"streaming","service":"model",
+  "timeout_ms":6000,"target_latency_ms":920,"max_attempts":2,"priority":0,"public":false,
+  "stages":[{"service":"first","after":[],"bytes":3000},{"service":"second","after":[],
+  "bytes":3000},{"service":"third","after":[],"bytes":3000}],"stream_resume":true,"gap_aim_ms":400,
   "session_affinity":true}],
  "services":[
- {"name":"model","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,
-  "cold_start_s":0.0,"cold_per_s":0.0,"engine":{"slots":64,"kv_capacity_tokens":486721}},
- {"name":"first","health_path":"/healthz","max_connections":360,"protocol":"h1","tls":false,
-  "cold_start_s":0.0,"cold_per_s":0.0,"pieces":{"slots":1,"queue":2,"batch":8,"call_ms":150.0,
-  "item_ms":16.0,"room_mb":44.0,"handle_s":4.0,"link_mbps":10000}}],
+ {"name":"orders","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false,
+  "cold_start_s":0.0,"cold_per_s":0.0},
+ {"name":"model","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,
+  "cold_start_s":0.0,"cold_per_s":0.0,"engine":{"slots":64,"kv_capacity_tokens":232000}},
+ {"name":"first","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,
+  "cold_start_s":0.0,"cold_per_s":0.0,"pieces":{"slots":1,"queue":2,"batch":60,"call_ms":150.0,
+  "item_ms":2.1,"room_mb":36.0,"handle_s":4.0,"link_mbps":10000}},
+ {"name":"second","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,
+  "cold_start_s":0.0,"cold_per_s":0.0,"pieces":{"slots":1,"queue":2,"batch":60,"call_ms":150.0,
+  "item_ms":2.1,"room_mb":36.0,"handle_s":4.0,"link_mbps":10000}},
+ {"name":"third","health_path":"/healthz","max_connections":370,"protocol":"h1","tls":false,
+  "cold_start_s":0.0,"cold_per_s":0.0,"pieces":{"slots":1,"queue":2,"batch":60,"call_ms":150.0,
+  "item_ms":2.1,"room_mb":36.0,"handle_s":4.0,"link_mbps":10000}}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
   "idle_timeout_ms":15000},
  "tenants":[{"name":"team","api_keys":["key"],"priority":1}]})";
 
-struct stage_worker {
-    std::unique_ptr<listener> server;
-    std::mutex slot;
-    std::atomic<bool> crashed{false};
-};
+std::string request_text(const std::string& host, const std::string& id, milliseconds limit) {
+    return "POST /x HTTP/1.1\r\nHost: " + host + "\r\nBoragefront-Request-Id: " + id +
+           "\r\nBoragefront-Model: m\r\nBoragefront-Token-Usage: 100,50"
+           "\r\nBoragefront-Prefix-Hash: a1:50,b" +
+           id + ":50\r\nBoragefront-Deadline-Ms: " + std::to_string(limit.count()) +
+           "\r\nApi-Key: key\r\nBoragefront-Pieces: 1,1,1\r\nBoragefront-Piece-Key: k" + id +
+           "\r\nContent-Length: 2\r\n\r\nhi";
+}
 
-// The results that exist, with the number of the worker that keeps them.
-class results {
-public:
-    void add(const std::string& handle, int worker) {
-        const std::scoped_lock lock{mutex_};
-        kept_[handle] = worker;
-    }
-    void remove(const std::string& handle) {
-        const std::scoped_lock lock{mutex_};
-        kept_.erase(handle);
-    }
-    void remove_all_of(int worker) {
-        const std::scoped_lock lock{mutex_};
-        std::erase_if(kept_, [&](const auto& one) { return one.second == worker; });
-    }
-    int worker_of(const std::string& handle) { // -1 if it does not exist
-        const std::scoped_lock lock{mutex_};
-        const auto found = kept_.find(handle);
-        return found == kept_.end() ? -1 : found->second;
+// Sends orders to one machine at once. Returns how many have no answer at the timeout of their
+// route and the tolerance after it.
+int count_unanswered(const gateway& entry, const std::string& prefix, record& notes) {
+    std::atomic<int> unanswered{0};
+    std::vector<std::thread> threads;
+    threads.reserve(probes);
+    for (int n = 0; n < probes; ++n) {
+        threads.emplace_back([&, n] {
+            const auto id = prefix + "-" + std::to_string(n);
+            const auto with = connection::open(entry.port());
+            message out;
+            if (with == nullptr) {
+                ++unanswered;
+                return;
+            }
+            with->set_timeout(route_timeout + answer_tolerance);
+            if (!with->write(request_text("order.example", id, 2 * route_timeout)) ||
+                !with->read(out)) {
+                ++unanswered;
+                notes.add("no answer to " + id + " half a second after the route's timeout");
+            }
+        });
     }
-
-private:
-    std::mutex mutex_;
-    std::map<std::string, int> kept_;
-};
-
-std::string event_text(int number, const std::string& id) {
-    const auto text = "id: " + std::to_string(number) + "\ndata: " + id + "\n\n";
-    constexpr int hex_digit = 16;
-    const std::string digits = "0123456789abcdef";
-    std::string size;
-    for (auto rest = text.size(); rest > 0; rest /= hex_digit) {
-        size.insert(size.begin(), digits[rest % hex_digit]);
+    for (auto& one : threads) {
+        one.join();
     }
-    return size + "\r\n" + text + "\r\n";
+    return unanswered;
 }
 
 } // namespace
@@ -92,141 +105,135 @@
     }
     const std::string folder = argv[1];
     const std::string temporary = argv[2];
+    const auto started = steady::now();
     record notes{folder + "/record.txt"};
     store platform;
-    results kept;
     std::atomic<int> next_handle{0};
-    std::atomic<int> extras{0};
-    std::atomic<bool> crash_next{false}; // the maker of the result of the next request
-    std::vector<std::unique_ptr<stage_worker>> stages;
-    for (int i = 0; i < stage_workers; ++i) {
-        auto& worker = *stages.emplace_back(std::make_unique<stage_worker>());
-        worker.server = std::make_unique<listener>([&, i](connection& with) {
-            for (message call; !worker.crashed && with.read(call) && !worker.crashed;) {
-                const auto body = json::parse(call.body).as_object();
+    std::vector<std::unique_ptr<listener>> workers;
+    std::vector<std::unique_ptr<std::mutex>> slots;
+    const std::vector<std::string> stage_names{"first", "second", "third"};
+    for (int i = 0; i < stage_services * stage_workers; ++i) {
+        auto& slot = *slots.emplace_back(std::make_unique<std::mutex>());
+        workers.push_back(std::make_unique<listener>([&](connection& with) {
+            for (message call; with.read(call);) {
                 if (call.path() == "/-/stage-free") {
-                    for (const auto& handle : body.at("handles").as_array()) {
-                        kept.remove(std::string{handle.as_string()});
-                    }
                     with.write(answer(200, "", ""));
                     continue;
                 }
-                const std::scoped_lock busy{worker.slot};
-                const auto& items = body.at("items").as_array();
-                std::this_thread::sleep_for(call_time + piece_time * items.size());
-                json::array answered;
-                for (const auto& item : items) {
-                    const auto handle =
-                        worker.server->address() + '/' + std::to_string(++next_handle);
-                    kept.add(handle, i);
-                    notes.add("stage worker " + std::to_string(i) + " made " + handle + " for " +
-                              std::string{item.at("id").as_string()});
-                    answered.push_back(json::object{{"handle", handle}});
+                const auto body = json::parse(call.body).as_object();
+                const auto count = body.at("items").as_array().size();
+                json::array items;
+                {
+                    const std::scoped_lock busy{slot};
+                    std::this_thread::sleep_for(call_time + piece_time * count);
+                }
+                for (std::size_t n = 0; n < count; ++n) {
+                    items.push_back(
+                        json::object{{"handle", "127.0.0.1:1/" + std::to_string(++next_handle)}});
                 }
                 with.write(answer(200, "Content-Type: application/json\r\n",
-                                  json::serialize(json::object{{"items", answered}})));
+                                  json::serialize(json::object{{"items", items}})));
             }
-        });
+        }));
         platform.put("servers/s-" + std::to_string(i),
-                     registration("first", worker.server->address(), 1));
+                     registration(stage_names.at(static_cast<std::size_t>(i % stage_services)),
+                                  workers.back()->address(), 1));
     }
-    std::mutex runs_mutex;
-    std::map<std::string, int> runs;
-    std::vector<std::unique_ptr<listener>> models;
-    std::vector<std::atomic<int>> answers(model_workers);
-    for (int i = 0; i < model_workers; ++i) {
-        models.push_back(std::make_unique<listener>([&, i](connection& with) {
-            std::string last_rejection; // on this connection
+    for (int i = 0; i < model_workers + order_workers; ++i) {
+        const bool model = i < model_workers;
+        workers.push_back(std::make_unique<listener>([model](connection& with) {
             for (message call; with.read(call);) {
                 const auto id = call.header("boragefront-request-id");
-                const auto handle = call.header("boragefront-inputs");
-                const auto name = "model worker " + std::to_string(i);
-                const auto echo = "Boragefront-Request-Id: " + id + "\r\n";
-                notes.add(name + " got " + id + " with " + handle);
-                if (!last_rejection.empty()) {
-                    ++extras;
-                    notes.add(name + " sends its last answer again");
-                    with.write(std::exchange(last_rejection, {}));
-                }
-                if (crash_next.exchange(false)) {
-                    const auto maker = kept.worker_of(handle);
-                    notes.add("stage worker " + std::to_string(maker) + " crashes");
-                    stages[static_cast<std::size_t>(maker)]->crashed = true;
-                    kept.remove_all_of(maker);
-                }
-                std::this_thread::sleep_for(milliseconds{5}); // it fetches the result
-                ++answers[static_cast<std::size_t>(i)];
-                if (kept.worker_of(handle) < 0) {
-                    last_rejection = answer(409, echo + "Boragefront-Not-Executed: 1\r\n", "");
-                    notes.add(name + " rejects " + id + " with 409, after " +
-                              std::to_string(answers[static_cast<std::size_t>(i)]) + " answers");
-                    with.write(last_rejection);
-                    continue;
-                }
-                {
-                    const std::scoped_lock lock{runs_mutex};
-                    ++runs[id];
-                    notes.add(name + " runs " + id + (runs[id] > 1 ? " TWICE" : ""));
-                }
-                std::this_thread::sleep_for(prefill_time);
-                bool open = with.write("HTTP/1.1 200 OK\r\n" + echo +
-                                       "Boragefront-Response-Signature: s." + id +
-                                       "\r\nContent-Type: text/event-stream\r\n"
-                                       "Transfer-Encoding: chunked\r\n\r\n");
-                for (int event = 1; event <= events && open; ++event) {
-                    std::this_thread::sleep_for(event_gap);
-                    open = with.write(event_text(event, id));
-                }
-                if (!open || !with.write("0\r\n\r\n")) {
-                    notes.add(name + " finds the connection of " + id + " closed");
-                    return;
-                }
+                std::this_thread::sleep_for(model ? prefill_time : order_work);
+                with.write(answer(200,
+                                  join({"Boragefront-Request-Id: ", id,
+                                        "\r\nBoragefront-Response-Signature: s.", id, "\r\n"}),
+                                  "id: 1\ndata: " + id + "\n\n"));
             }
         }));
-        platform.put("servers/m-" + std::to_string(i),
-                     registration("model", models.back()->address(), 64));
+        platform.put(
+            "servers/w-" + std::to_string(i),
+            registration(model ? "model" : "orders", workers.back()->address(), model ? 64 : 6));
     }
     platform.put("op/config", config);
-    gateway entry{"entry-1", temporary, platform.address(), {}, free_port()};
-    if (!entry.wait_ready(milliseconds{10'000})) {
-        std::cerr << "the program did not become ready\n";
-        return 2;
+    std::vector<std::uint16_t> control_ports;
+    std::vector<std::string> seeds;
+    for (int i = 0; i < gateways; ++i) {
+        control_ports.push_back(free_port());
+        seeds.push_back("127.0.0.1:" + std::to_string(control_ports.back()));
+    }
+    seeds.resize(3);
+    std::vector<std::unique_ptr<gateway>> entries;
+    entries.reserve(gateways);
+    for (int i = 0; i < gateways; ++i) {
+        entries.push_back(std::make_unique<gateway>("entry-" + std::to_string(i), temporary,
+                                                    platform.address(), seeds,
+                                                    control_ports[static_cast<std::size_t>(i)]));
+    }
+    for (const auto& one : entries) {
+        if (!one->wait_ready(milliseconds{10'000})) {
+            std::cerr << "a program did not become ready\n";
+            return 2;
+        }
     }
-    int complete = 0;
-    const auto call = [&](const std::string& id) {
-        const auto with = connection::open(entry.port());
-        message out;
-        const bool whole = with != nullptr &&
-                           with->write("POST /x HTTP/1.1\r\nHost: leather.example\r\n"
-                                       "Boragefront-Request-Id: " +
-                                       id +
-                                       "\r\nBoragefront-Model: m\r\nBoragefront-Token-Usage: 100,50"
-                                       "\r\nBoragefront-Prefix-Hash: a1:50,b" +
-                                       id +
-                                       ":50\r\nBoragefront-Deadline-Ms: 5000\r\nApi-Key: key\r\n"
-                                       "Boragefront-Pieces: 1\r\nBoragefront-Piece-Key: k" +
-                                       id + "\r\nContent-Length: 2\r\n\r\nhi") &&
-                           with->read(out);
-        notes.add("caller got " + std::to_string(whole ? out.status() : 0) + " for " + id);
-        complete += whole && out.status() == 200 ? 1 : 0;
-    };
-    const auto call_some = [&](const std::string& phase, int count) {
-        for (int n = 0; n < count; ++n) {
-            call(phase + std::to_string(n));
+    std::atomic<bool> stopped{false};
+    std::atomic<int> answered{0};
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (int caller = 0; caller < callers; ++caller) {
+        threads.emplace_back([&, caller] {
+            for (int n = caller; !stopped; ++n) {
+                const auto with =
+                    connection::open(entries[static_cast<std::size_t>(n % gateways)]->port());
+                message out;
+                const auto id = "sheet-" + std::to_string(caller) + "-" + std::to_string(n);
+                if (with != nullptr) {
+                    with->set_timeout(milliseconds{2'500});
+                    const bool whole =
+                        with->write(request_text("sheet.example", id, milliseconds{6'000})) &&
+                        with->read(out);
+                    answered += whole && out.status() == 200 ? 1 : 0;
+                }
+            }
+        });
+    }
+    int freezes = 0;
+    int hung = 0;
+    for (int round = 0; hung == 0 && steady::now() - started < run_time; ++round) {
+        for (int n = 0; n < 2 * gateways; ++n) {
+            const auto i = n % gateways;
+            if (has_trouble()) {
+                notes.add("machine " + std::to_string(i) + " freezes");
+                entries[static_cast<std::size_t>(i)]->signal(SIGSTOP);
+                ++freezes;
+            }
+            std::this_thread::sleep_for(freeze_time);
+            entries[static_cast<std::size_t>(i)]->signal(SIGCONT);
+            std::this_thread::sleep_for(freeze_gap);
         }
-    };
-    call_some("a", requests_before);
-    crash_next = has_trouble();
-    call("x");
-    call_some("b", requests_after);
-    const std::scoped_lock lock{runs_mutex};
-    const auto twice =
-        std::count_if(runs.begin(), runs.end(), [](const auto& one) { return one.second > 1; });
-    const auto summary = std::to_string(complete) + " answered with 200, " +
-                         std::to_string(extras) + " extra answers, " + std::to_string(twice) +
-                         " requests ran more than once";
+        std::this_thread::sleep_for(contact_time);
+        for (int i = 0; i < gateways; ++i) {
+            const auto& entry = *entries[static_cast<std::size_t>(i)];
+            const auto prefix = "order-" + std::to_string(round) + "-" + std::to_string(i);
+            const auto unanswered = count_unanswered(entry, prefix, notes);
+            notes.add("machine " + std::to_string(i) + " left " + std::to_string(unanswered) +
+                      " of " + std::to_string(probes) + " orders without an answer");
+            if (unanswered * 2 > probes) {
+                ++hung;
+                entry.signal(SIGTERM);
+                std::this_thread::sleep_for(grace_time);
+                notes.add("machine " + std::to_string(i) + " was sent SIGTERM and " +
+                          (entry.end() ? "ended" : "still runs at the end of its grace"));
+            }
+        }
+    }
+    stopped = true;
+    const auto summary = std::to_string(answered) + " sheets answered, " + std::to_string(freezes) +
+                         " freezes, " + std::to_string(hung) + " machines that answer nothing";
     notes.add(summary);
     std::cout << summary << std::endl;
-    entry.stop();
-    std::_Exit(twice > 0 ? 1 : 0); // the stand-ins' threads still run
+    for (const auto& one : entries) {
+        one->stop();
+    }
+    std::_Exit(hung > 0 ? 1 : 0); // the stand-ins' threads still run
 }
--- a/review/stand_ins/memory_scene.cpp
+++ b/review/stand_ins/memory_scene.cpp
@@ -29,8 +29,8 @@
         }
         std::this_thread::sleep_for(order_work);
         if (!with.write(answer(200,
-                               "Boragefront-Request-Id: " + id +
-                                   "\r\nBoragefront-Response-Signature: s." + id + "\r\n",
+                               join({"Boragefront-Request-Id: ", id,
+                                     "\r\nBoragefront-Response-Signature: s.", id, "\r\n"}),
                                "ordered " + id))) {
             return;
         }
--- a/review/stand_ins/stand_ins.cpp
+++ b/review/stand_ins/stand_ins.cpp
@@ -301,6 +301,14 @@
     }
 }
 
+std::string join(std::initializer_list<std::string_view> parts) {
+    std::string text;
+    for (const auto part : parts) {
+        text += part;
+    }
+    return text;
+}
+
 std::uint16_t free_port() {
     asio::io_context io;
     const tcp::acceptor probe{io, {asio::ip::make_address("127.0.0.1"), 0}};
@@ -337,8 +345,8 @@
     const auto settings = folder + '/' + id + ".json";
     std::ofstream{settings} << text;
     const auto log = folder + '/' + id + ".log";
-    pid_ = ::fork();
-    if (pid_ == 0) {
+    const int child = ::fork();
+    if (child == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // ends with the case
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
         ::dup2(out, STDOUT_FILENO);
@@ -346,6 +354,7 @@
         ::execl("target/bin/boragefrontd", "boragefrontd", "--settings", settings.c_str(), nullptr);
         std::_Exit(EXIT_FAILURE);
     }
+    pid_ = child;
 }
 
 gateway::~gateway() {
--- a/review/stand_ins/stand_ins.hpp
+++ b/review/stand_ins/stand_ins.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <fstream>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -148,6 +149,9 @@
 
 std::uint16_t free_port();
 
+/// The parts as one text.
+std::string join(std::initializer_list<std::string_view> parts);
+
 /// The text of an answer with a length.
 std::string answer(unsigned status, const std::string& headers, const std::string& body);
 
