--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -172,7 +172,7 @@
                 std::this_thread::sleep_for(prefill_time);
                 bool open = with.write(
                     join({"HTTP/1.1 200 OK\r\n", echo, "Boragefront-Response-Signature: s.", id,
-                          "\r\nContent-Type: text/event-stream\r\n"
+                          "\r\nContent-Type: text/event-stream\r\n",
                           "Transfer-Encoding: chunked\r\n\r\n"}));
                 for (int event = 1; event <= events && open; ++event) {
                     std::this_thread::sleep_for(event_gap);
