--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -30,7 +30,7 @@
 constexpr milliseconds route_timeout{2'000};  // `timeout_ms` of the route of orders
 constexpr milliseconds answer_tolerance{500}; // by the rule
 constexpr milliseconds grace_time{8'000};     // `grace_s`
-constexpr milliseconds run_time{98'000};
+constexpr milliseconds run_time{84'000};
 constexpr int probes = 8;
 
 constexpr auto config = R"({"version":7,"routes":[
@@ -220,6 +220,8 @@
                       " of " + std::to_string(probes) + " orders without an answer");
             if (unanswered * 2 > probes) {
                 ++hung;
+            }
+            if (unanswered * 2 > probes && hung == 1) {
                 entry.signal(SIGTERM);
                 std::this_thread::sleep_for(grace_time);
                 notes.add("machine " + std::to_string(i) + " was sent SIGTERM and " +
