gateway: no connection carries two attempts of one request

Cause: answers were matched to a request by its id, which all its attempts bear. After a refusal with 409 (a result is gone) the request went to the same engine on the kept connection; a faulty engine wrote the refusal a second time there, the entry took it for the answer to the second attempt, which ran, and sent a third.

Change: an attempt at an address that an earlier attempt of the request was sent to has a new connection. A copy of an answer comes on the connection of the answer, so it can't meet a later attempt.

--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -297,6 +297,9 @@
     options.end_when_silent = [this] { return may_retry() && reserve_other_endpoint(); };
     options.connect_timeout = connect_timeout;
     options.cancel = &add_cancel_source();
+    // Responses name the request, not the attempt. A response to an earlier attempt may come once
+    // more on its connection, so no connection carries two attempts.
+    options.fresh_connection = !contacted_addresses_.insert(chosen.address).second;
     if (route_->idempotency == catalog::idempotency_class::non_idempotent) {
         options.max_idle_time = max_idle_for_reuse;
     }
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -180,9 +180,10 @@
     bool entry_exits_{false};
 
     std::set<std::string> tried_endpoints_;
-    unsigned attempts_{0};             // that may have been run
-    unsigned refusals_{0};             // by endpoints, including failed connections
-    unsigned input_losses_{0};         // times that stage results were lost
+    std::set<std::string> contacted_addresses_; // of all attempts
+    unsigned attempts_{0};                      // that may have been run
+    unsigned refusals_{0};                      // by endpoints, including failed connections
+    unsigned input_losses_{0};                  // times that stage results were lost
     bool retry_reserved_{false};       // a retry was taken from the budget and is not used yet
     time_point next_replacement_at_{}; // none is tried before
     std::optional<accepted_response> replacement_;       // of an endpoint that fell silent
--- /dev/null
+++ b/tests/gateway/repeated_responses_test.cpp
@@ -0,0 +1,59 @@
+// Endpoints that send a response a second time, where the response to the next request is due.
+#include "deployment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace boragefront;
+using namespace boragefront::gateway_tests;
+
+namespace {
+
+http::request staged_request(const std::string& host, const std::string& id) {
+    auto message = deployment::make_request(host, id);
+    message.headers.add("Boragefront-Pieces", "1,2");
+    message.headers.add("Boragefront-Piece-Key", "7c1e");
+    return message;
+}
+
+struct repeating_pipeline : deployment {
+    repeating_pipeline() {
+        publish_configuration();
+        on_loop([&] { model.events = 3; });
+    }
+
+    std::ptrdiff_t runs_of(const std::string& id) {
+        return on_loop([&] {
+            const auto& visits = model.visits();
+            return std::count_if(visits.begin(), visits.end(),
+                                 [&](const auto& visit) { return visit.ran && visit.id == id; });
+        });
+    }
+
+    endpoint_stand_in& first{add_endpoint("f-1", "first")};
+    endpoint_stand_in& second{add_endpoint("s-1", "second")};
+    endpoint_stand_in& model{add_endpoint("m-1", "model")};
+};
+
+} // namespace
+
+// A copy of the refusal of a request's first attempt was taken for the answer to its second one.
+TEST_CASE_METHOD(repeating_pipeline,
+                 "trouble: a request runs once though its refusal comes a second time",
+                 "[invariant]") {
+    auto& gateway = start_ready_gateway();
+    const std::string host{"staged-once.example"};
+    for (int i = 0; i < 3; ++i) {
+        const auto id = "r" + std::to_string(i);
+        REQUIRE(call_lines(gateway, staged_request(host, "before-" + id)));
+        on_loop([&] {
+            model.repeats_responses = true;
+            model.set_mode(endpoint_mode::inputs_gone, 1);
+        });
+        const auto answer = call_lines(gateway, staged_request(host, id));
+        REQUIRE(answer);
+        CHECK_FALSE(answer.value().broken);
+        CHECK(runs_of(id) == 1);
+    }
+}
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -41,8 +41,8 @@
 
     /// Publishes the configuration of these tests: hosts "plain.example" (idempotent),
     /// "order.example" (runs once), "stream.example" (resumable), "once.example" (a stream that
-    /// runs once), "staged.example" (with two stages, one after the other) and "parallel.example"
-    /// (with two stages at once).
+    /// runs once), "staged.example" (with two stages, one after the other), "staged-once.example"
+    /// (the same as a stream that runs once) and "parallel.example" (with two stages at once).
     /// \param plain_service that "plain.example" goes to.
     void publish_configuration(const std::string& plain_service = "plain", unsigned version = 7);
 
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -88,7 +88,8 @@
 
     tcp::socket socket;
     beast::flat_buffer buffer;
-    int served{0}; ///< requests answered on it
+    int served{0};               ///< requests answered on it
+    std::string last_repeatable; ///< response that may be sent a second time
 };
 
 endpoint_stand_in::endpoint_stand_in(asio::any_io_executor executor, std::string id)
@@ -203,6 +204,9 @@
 
 asio::awaitable<bool> endpoint_stand_in::answer(connection& with, std::size_t visit) {
     const auto& message = visits_[visit].message;
+    if (repeats_responses && message.target != "/-/stage-free" && !with.last_repeatable.empty()) {
+        (void)co_await with.send(std::exchange(with.last_repeatable, {}));
+    }
     const auto expected = message.headers.get("Boragefront-Expect-Instance");
     if (!expected.empty() && expected != id_) {
         co_return co_await with.send(with_body(head_of(421, visits_[visit].id, false), ""));
@@ -215,9 +219,10 @@
         const unsigned status = mode == endpoint_mode::refusing ? 503 : 409;
         const auto later =
             retry_after.empty() ? std::string{} : "Retry-After: " + retry_after + "\r\n";
-        co_return co_await with.send(with_body(head_of(status, visits_[visit].id, false) + later +
-                                                   "Boragefront-Not-Executed: 1\r\n",
-                                               ""));
+        co_return co_await send_repeatable(with,
+                                           with_body(head_of(status, visits_[visit].id, false) +
+                                                         later + "Boragefront-Not-Executed: 1\r\n",
+                                                     ""));
     }
     visits_[visit].ran = true;
     if (!co_await with.wait(work)) {
@@ -346,7 +351,12 @@
     }
     visits_[visit].ran = true;
     const auto body = json::serialize(json::object{{"items", std::move(items)}});
-    co_return co_await with.send(with_body(head_of(200, "", false), body));
+    co_return co_await send_repeatable(with, with_body(head_of(200, "", false), body));
+}
+
+asio::awaitable<bool> endpoint_stand_in::send_repeatable(connection& with, std::string bytes) {
+    with.last_repeatable = std::move(bytes);
+    co_return co_await with.send(with.last_repeatable);
 }
 
 } // namespace boragefront::gateway_tests
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -97,6 +97,9 @@
     bool unframed{false};          ///< streams have neither a length nor chunks
     std::string retry_after{};     ///< in mode `refusing`; empty: none
     std::string crashes_on{};      ///< a part of a prompt; crashes after the head of the response
+    /// Before each response, sends the one before it on the same connection a second time, if that
+    /// was a refusal or a response to a call for pieces.
+    bool repeats_responses{false};
 
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
@@ -112,6 +115,7 @@
                                                endpoint_mode mode);
     boost::asio::awaitable<bool> flood(connection& with, std::size_t visit);
     boost::asio::awaitable<bool> answer_pieces(connection& with, std::size_t visit);
+    boost::asio::awaitable<bool> send_repeatable(connection& with, std::string bytes);
     endpoint_mode take_mode();
     bool crashes_with(const http::request& message) const;
     std::string head_of(unsigned status, const std::string& request_id, bool receipt) const;
