gateway: a call for pieces shares its connection with no other call

Answers to calls for pieces name no call. A second copy of an answer was known by its handles for five seconds, but connections are kept for thirty; once a copy was taken for the answer to a call, each later answer on the connection went to the next call.

Change: such a call has a new connection, which is closed after the answer, so nothing can come before its answer and nothing after it is read. The filter by handles stays as a second guard.

New test in http_test.

--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -36,9 +36,12 @@
 };
 
 struct call_options {
-    time_point deadline;                ///< for the whole call, including the connect
-    milliseconds connect_timeout{500};  ///< for a new connection; `deadline` applies if earlier
-    bool fresh_connection{false};       ///< do not reuse a pooled connection
+    time_point deadline;               ///< for the whole call, including the connect
+    milliseconds connect_timeout{500}; ///< for a new connection; `deadline` applies if earlier
+    bool fresh_connection{false};      ///< do not reuse a pooled connection
+    /// Use a connection of its own: a new one, closed after the response. For calls whose response
+    /// does not identify them.
+    bool single_use_connection{false};
     milliseconds max_idle_time{30'000}; ///< do not reuse a connection that was idle longer
     cancel_source* cancel{nullptr};     ///< not owned; may be null
     /// Whether a response answers this request. Other responses are late ones to earlier requests
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -107,7 +107,8 @@
         : connection_{std::move(connection)}, reused_{reused}, address_{std::move(address)},
           pool_{std::move(pool)}, guard_{options.cancel, *connection_},
           matches_request_{options.matches_request}, body_limit_{options.body_limit},
-          end_when_silent_{options.end_when_silent}, silent_at_{options.silent_at} {
+          end_when_silent_{options.end_when_silent}, silent_at_{options.silent_at},
+          single_use_{options.single_use_connection} {
         start_parser();
     }
     ~beast_stream() override {
@@ -121,6 +122,9 @@
 
     awaitable<result<void>> exchange(request message, time_point deadline) {
         auto outgoing = to_beast(std::move(message), address_);
+        if (single_use_) {
+            outgoing.keep_alive(false);
+        }
         boost::system::error_code failure;
         connection_->stream.expires_at(deadline);
         if (outgoing.body().size() > max_sequential_body) {
@@ -388,7 +392,7 @@
         }
         guard_.release();
         const bool wrote_all = write_ == nullptr || write_->done;
-        if (!wrote_all) {
+        if (!wrote_all || single_use_) {
             connection_->stream.close();
         } else if (parser_->keep_alive()) {
             connection_->stream.expires_never();
@@ -406,6 +410,7 @@
     std::size_t body_limit_;
     std::function<bool()> end_when_silent_;
     time_point silent_at_;
+    bool single_use_;
     boost::system::error_code receive_failure_; // of a read that did not wait
     std::optional<body_parser> parser_;
     std::shared_ptr<body_write> write_; // shared with the completion handler
@@ -435,7 +440,7 @@
             co_return make_error(error_kind::cancelled, work_ran::no,
                                  "cancelled before the request was sent");
         }
-        auto connection = options.fresh_connection
+        auto connection = options.fresh_connection || options.single_use_connection
                               ? nullptr
                               : pool_->acquire(address, steady_clock::now(), options.max_idle_time);
         const bool reused = connection != nullptr;
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -151,6 +151,35 @@
     REQUIRE(answer.value().status == 500);
 }
 
+// A response that does not identify its call must not be taken for the response to another call.
+TEST_CASE("a call with a connection of its own shares it with no other call") {
+    fixture peers{[](const request& message, responder& out) -> awaitable<void> {
+        (void)co_await out.send(
+            make_json_response(200, std::string{message.headers.get("Connection")}));
+    }};
+    const call_options pooled{.deadline = steady_clock::now() + test_timeout};
+    auto alone = pooled;
+    alone.single_use_connection = true;
+    const auto open_connections_fall_to = [&](std::size_t expected) {
+        const auto until = steady_clock::now() + test_timeout;
+        while (peers.http_server().open_connections() != expected && steady_clock::now() < until) {
+            std::this_thread::sleep_for(milliseconds{1});
+        }
+        return peers.http_server().open_connections() == expected;
+    };
+    REQUIRE(peers.call({}, pooled));
+    for (int i = 0; i < 2; ++i) {
+        const auto answer = peers.call({}, alone);
+        REQUIRE(answer);
+        CHECK(answer.value().body == "close");
+        CHECK(open_connections_fall_to(1)); // the pooled one
+    }
+    const auto answer = peers.call({}, pooled);
+    REQUIRE(answer);
+    CHECK(answer.value().body.empty());
+    CHECK(peers.http_server().open_connections() == 1);
+}
+
 TEST_CASE("a stream is read line by line to its end") {
     fixture peers{[](const request&, responder& out) -> awaitable<void> {
         const response head;
--- a/tests/gateway/repeated_responses_test.cpp
+++ b/tests/gateway/repeated_responses_test.cpp
@@ -4,6 +4,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <sstream>
+#include <thread>
 
 using namespace boragefront;
 using namespace boragefront::gateway_tests;
@@ -31,6 +33,29 @@
         });
     }
 
+    // Ids of requests that were sent to the model with results of other requests.
+    std::vector<std::string> mixed_up_requests() {
+        return on_loop([&] {
+            std::map<std::string, std::string> request_of; // by handle
+            for (const auto& visit : second.visits()) {
+                for (const auto& made : visit.made) {
+                    request_of[made.handle] = made.request_id;
+                }
+            }
+            std::vector<std::string> mixed_up;
+            for (const auto& visit : model.visits()) {
+                std::istringstream inputs{
+                    std::string{visit.message.headers.get("Boragefront-Inputs")}};
+                for (std::string handle; std::getline(inputs, handle, ',');) {
+                    if (request_of[handle] != visit.id) {
+                        mixed_up.push_back(visit.id);
+                    }
+                }
+            }
+            return mixed_up;
+        });
+    }
+
     endpoint_stand_in& first{add_endpoint("f-1", "first")};
     endpoint_stand_in& second{add_endpoint("s-1", "second")};
     endpoint_stand_in& model{add_endpoint("m-1", "model")};
@@ -57,3 +82,19 @@
         CHECK(runs_of(id) == 1);
     }
 }
+
+// A copy of an earlier response was taken for the response to a call for other pieces, once the
+// handles in it were not remembered any more.
+TEST_CASE_METHOD(repeating_pipeline,
+                 "trouble: results that come a second time after a quiet time go to no request",
+                 "[invariant]") {
+    constexpr milliseconds quiet{5'500};
+    auto& gateway = start_ready_gateway();
+    REQUIRE(call_lines(gateway, staged_request("staged.example", "r1")));
+    on_loop([&] { second.repeats_responses = true; });
+    std::this_thread::sleep_for(quiet);
+    for (int i = 2; i < 6; ++i) {
+        REQUIRE(call_lines(gateway, staged_request("staged.example", "r" + std::to_string(i))));
+    }
+    CHECK(mixed_up_requests().empty());
+}
