gateway: a request refused for lost inputs takes a retry from the budget

Cause: an endpoint counts each attempt, whatever it answers. A request that was refused with 409, as a result was gone, was sent again up to twice without a retry from the budget, beside all that the budget allowed. The crash of a stage endpoint does this to all requests whose results it held.

A request whose results were lost too often is refused, not sent elsewhere with the lost inputs.

--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -433,16 +433,19 @@
     --attempts_;
     ++refusals_;
     auto& state = context_.state;
-    if (head.input_gone && plan_ && ++input_losses_ <= max_input_losses && has_time_left()) {
+    // The endpoint counts each attempt, whatever it answers.
+    const bool budgeted = state.retry_budget(service_).try_consume(
+        state.retry_limit(), state.entry_group().size(), steady_clock::now());
+    const bool may_send_again = budgeted && has_time_left() && !caller_disconnected_;
+    const bool inputs_lost = head.input_gone && plan_.has_value();
+    if (may_send_again && inputs_lost && ++input_losses_ <= max_input_losses) {
         log_decision("request", "inputs_gone",
                      {{"request", caller_.id}, {"endpoint", last_endpoint_}});
         plan_->invalidate_results([](const std::string&) { return true; });
         tried_endpoints_.clear();
         co_return next_step::retry;
     }
-    const bool budgeted = state.retry_budget(service_).try_consume(
-        state.retry_limit(), state.entry_group().size(), steady_clock::now());
-    if (budgeted && has_time_left() && refusals_ < max_rejected_attempts && !caller_disconnected_) {
+    if (may_send_again && !inputs_lost && refusals_ < max_rejected_attempts) {
         log_decision("request", "endpoint_refused",
                      {{"request", caller_.id},
                       {"endpoint", last_endpoint_},
