balancing: the slack of the retry budget accrues after a start

Cause: each life of an entry began with its whole share of the slack, so one that restarted again and again used the share many times in a window. An entry that knew only its seeds divided the slack among these.

Change: the share accrues over the first window of a life, and half a second of it is there at once.

Evidence: new test "retries of an entry that restarts in series respect the budget", on a virtual clock.

--- a/libs/balancing/include/balancing/retry_budget.hpp
+++ b/libs/balancing/include/balancing/retry_budget.hpp
@@ -19,6 +19,13 @@
 /// This entry's share of the budget of one service.
 class retry_budget {
 public:
+    /// The budget of an entry that has run for longer than any window.
+    retry_budget() = default;
+
+    /// \param started_at start of the process. What its earlier lives consumed is not known, so its
+    /// share of the slack accrues over the first window.
+    static retry_budget make(time_point started_at);
+
     /// Records the first attempt of a request.
     void record_request(time_point now);
 
@@ -38,7 +45,9 @@
     };
     time_slot& slot_at(time_point now);
     void expire_slots(time_point horizon);
+    double accrued_share(const retry_limit& limit, time_point now) const;
 
+    time_point started_at_{};
     std::deque<time_slot> slots_;
 };
 
--- a/libs/balancing/src/retry_budget.cpp
+++ b/libs/balancing/src/retry_budget.cpp
@@ -9,9 +9,24 @@
 // A quarter of the budget stays unused, because requests are counted when they arrive and retries
 // when they are sent, and because this entry may not know all others.
 constexpr double usable_share = 0.75;
+// A process takes longer than this to end and start again.
+constexpr milliseconds accrued_at_start{500};
 
 } // namespace
 
+retry_budget retry_budget::make(time_point started_at) {
+    retry_budget budget;
+    budget.started_at_ = started_at;
+    return budget;
+}
+
+// Part of the share of the slack that this life of the process may use, from 0 to 1.
+double retry_budget::accrued_share(const retry_limit& limit, time_point now) const {
+    using fraction = std::chrono::duration<double, milliseconds::period>;
+    const fraction accrued_for = now - started_at_ + accrued_at_start;
+    return std::clamp(accrued_for / fraction{limit.window}, 0.0, 1.0);
+}
+
 retry_budget::time_slot& retry_budget::slot_at(time_point now) {
     if (slots_.empty() || now - slots_.back().begins >= slot_length) {
         slots_.push_back({now});
@@ -39,7 +54,8 @@
             retries += static_cast<double>(slot.retries);
         }
     }
-    const double slack = limit.slack / static_cast<double>(std::max<std::size_t>(entries, 1));
+    const double slack = accrued_share(limit, now) * limit.slack /
+                         static_cast<double>(std::max<std::size_t>(entries, 1));
     return retries + 1 <= usable_share * (limit.ratio * requests + slack);
 }
 
--- a/libs/balancing/tests/limits_test.cpp
+++ b/libs/balancing/tests/limits_test.cpp
@@ -70,6 +70,47 @@
     }
 }
 
+// Each life of an entry that restarted again and again used a whole share of the slack.
+TEST_CASE("retries of an entry that restarts in series respect the budget", "[invariant]") {
+    const retry_limit limit{0.2, 52, milliseconds{10'000}};
+    constexpr std::size_t entries = 3;
+    const auto life = GENERATE(milliseconds{1'000}, milliseconds{2'500}, milliseconds{5'000});
+    INFO("lives of " << life.count() << " ms");
+    std::vector<time_point> retries;
+    retry_budget budget;
+    for (auto now = start; now < start + seconds{60}; now += milliseconds{20}) {
+        if ((now - start) % life == duration{0}) {
+            budget = retry_budget::make(now);
+        }
+        if (budget.try_consume(limit, entries, now)) {
+            retries.push_back(now);
+        }
+    }
+    for (const auto from : retries) {
+        const auto in_window = std::count_if(retries.begin(), retries.end(), [&](time_point one) {
+            return one >= from && one < from + limit.window;
+        });
+        CHECK(static_cast<double>(in_window) <= limit.slack / entries);
+    }
+    CHECK_FALSE(retries.empty());
+}
+
+TEST_CASE("an entry that has just started may retry a little, and its whole share after a window") {
+    const retry_limit limit{0, 52, milliseconds{10'000}};
+    auto budget = retry_budget::make(start);
+    CHECK(budget.try_consume(limit, 1, start));
+    int at_once = 1;
+    while (budget.try_consume(limit, 1, start)) {
+        ++at_once;
+    }
+    CHECK(at_once <= limit.slack / 10);
+    int after_a_window = 0;
+    while (budget.try_consume(limit, 1, start + 2 * limit.window)) {
+        ++after_a_window;
+    }
+    CHECK(after_a_window == 39); // three quarters
+}
+
 // Guards against retry storms when all entries see the same failures at once.
 TEST_CASE("retries of all entries respect the budget in any window", "[invariant]") {
     const auto entries = GENERATE(std::size_t{1}, std::size_t{3}, std::size_t{12});
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -120,6 +120,10 @@
     return found == pools_.end() ? nullptr : &found->second;
 }
 
+balancing::retry_budget& traffic_state::retry_budget(const std::string& service) {
+    return budgets_.try_emplace(service, balancing::retry_budget::make(started_at_)).first->second;
+}
+
 balancing::cold_limit traffic_state::cold_limit_of(std::string_view service) const {
     const auto found = pools_.find(service);
     const double per_second =
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -97,7 +97,7 @@
     /// The endpoint pool of a service, null if no configuration had such a service. One that has
     /// left the configuration keeps its pool, and with it the tickets of its open requests.
     balancing::endpoint_pool* pool(std::string_view service);
-    balancing::retry_budget& retry_budget(const std::string& service) { return budgets_[service]; }
+    balancing::retry_budget& retry_budget(const std::string& service);
     balancing::prompt_locations& prompt_locations() { return prompt_locations_; }
     balancing::reachability& reachability() { return reachability_; }
 
@@ -150,6 +150,7 @@
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
     std::map<std::string, balancing::retry_budget> budgets_;
+    time_point started_at_{steady_clock::now()};
     std::map<std::string, longest_recent> longest_durations_; // by route
     open_request_list open_requests_;
     balancing::prompt_locations prompt_locations_;
