gateway, daemon: a hung event loop is seen, and a stop ends without it

Cause: the loops were watched by the readiness of the control loop alone, which the traffic loop tells; the stop joins both loops' threads without a bound. The setting drain_timeout_ms, "the most that a graceful shutdown may take", was read and used by nothing.

Change: each of the two loops of a gateway checks that the other takes turns (stall_detector): event_loop_stalled and event_loop_resumed, boragefront_event_loop_stalls_total. A process that was suspended as a whole reports nothing. A stop has a bound on a thread of its own (shutdown_limit): 0.25 s before the end of a gateway's grace, or after drain_timeout_ms, the daemon logs shutdown_overdue and exits with 3.

--- a/boragefrontd/src/main.cpp
+++ b/boragefrontd/src/main.cpp
@@ -4,6 +4,7 @@
 #include "base/metrics.hpp"
 #include "role.hpp"
 #include "settings/settings.hpp"
+#include "shutdown_limit.hpp"
 
 #include <gflags/gflags.h>
 
@@ -24,8 +25,10 @@
 
 constexpr int exit_start_failed = 1;
 constexpr int exit_bad_settings = 2;
+constexpr int exit_shutdown_overdue = 3;
 constexpr time_t settings_poll_interval_s = 2; // the longest delay until a changed file is noticed
 constexpr milliseconds log_flush_timeout{500}; // short compared with the time-out of a shutdown
+constexpr milliseconds overdue_flush_timeout{50};
 
 constexpr std::string_view usage = R"(Usage: boragefrontd --settings FILE [--check]
 
@@ -40,7 +43,8 @@
 Logs follow that line on standard output.
 
 Exit status: 0 after a graceful shutdown or a successful check, 1 if it cannot
-start, 2 if the command line or the settings are invalid.
+start, 2 if the command line or the settings are invalid, 3 if a shutdown took
+too long and was cut short.
 )";
 
 // Called before any thread starts, so that only the main thread receives these signals.
@@ -110,7 +114,14 @@
     log_change("daemon", "started");
     const int received = await_shutdown(signals, role.value());
     log_change("daemon", "shutting_down", {{"signal", std::to_string(received)}});
-    daemon::shut_down(role.value());
+    {
+        const daemon::shutdown_limit limit{daemon::shutdown_time(settings), [] {
+                                               log_warning("daemon", "shutdown_overdue");
+                                               flush_logs(overdue_flush_timeout);
+                                               std::quick_exit(exit_shutdown_overdue);
+                                           }};
+        daemon::shut_down(role.value());
+    }
     log_change("daemon", "stopped");
     flush_logs(log_flush_timeout);
     // Skips the destructors of static objects, which would wait for a blocked standard output.
--- a/boragefrontd/src/role.cpp
+++ b/boragefrontd/src/role.cpp
@@ -2,9 +2,14 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace boragefront::daemon {
 namespace {
 
+// Time that remains for the process to end before the platform kills it.
+constexpr milliseconds exit_margin{250};
+
 template <class Node>
 result<running_role> start_node(const settings::daemon_settings& settings,
                                 metrics_registry& metrics) {
@@ -49,6 +54,12 @@
     return std::visit(role_starter{settings, metrics}, settings.role);
 }
 
+milliseconds shutdown_time(const settings::daemon_settings& settings) {
+    const auto* const gateway = std::get_if<settings::gateway_settings>(&settings.role);
+    return gateway == nullptr ? settings.drain_timeout
+                              : std::max(gateway->grace - exit_margin, exit_margin);
+}
+
 void shut_down(running_role& role) {
     std::visit(
         [](auto& node) {
--- a/boragefrontd/src/role.hpp
+++ b/boragefrontd/src/role.hpp
@@ -28,6 +28,10 @@
 /// Applies the settings that can change while the role runs.
 void reload(running_role& role, const settings::daemon_settings& settings);
 
+/// The most time that a shutdown may take, so that the process ends by itself also if a thread of
+/// the role hangs.
+milliseconds shutdown_time(const settings::daemon_settings& settings);
+
 /// Shuts the role down gracefully and blocks until it has stopped.
 void shut_down(running_role& role);
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/exceptions.hpp"
 #include "base/logging.hpp"
+#include "base/stall_detector.hpp"
 #include "control_loop.hpp"
 #include "http/server.hpp"
 #include "request_handler.hpp"
@@ -10,6 +11,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
 #include <condition_variable>
@@ -24,6 +26,7 @@
 
 constexpr milliseconds drain_poll_interval{20};
 constexpr milliseconds query_timeout{300};
+constexpr milliseconds turn_interval{250}; // between checks that the other event loop takes turns
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
@@ -82,6 +85,7 @@
         state_.on_suspects_changed([this](std::vector<quarantine::part_report> reports) {
             control_->set_suspects(std::move(reports));
         });
+        take_traffic_turn();
         traffic_loop_.thread = std::thread{[this] { run_event_loop(traffic_loop_.io, "traffic"); }};
         control_thread_ = std::thread{[this] { control_->run(); }};
         log_change("gateway", "started",
@@ -178,6 +182,11 @@
         };
         callbacks.dump_traffic = [this] { return dump(); };
         callbacks.open_requests = [this] { return open_requests(); };
+        callbacks.on_turn = [this] {
+            const auto now = steady_clock::now();
+            control_stalls_.record_turn(now);
+            report_change(traffic_stalls_, "traffic", now);
+        };
         return callbacks;
     }
 
@@ -207,6 +216,37 @@
         }
     }
 
+    // Traffic thread. Records turns of its event loop, and checks that of the control thread.
+    void take_traffic_turn() {
+        const auto now = steady_clock::now();
+        traffic_stalls_.record_turn(now);
+        report_change(control_stalls_, "control", now);
+        traffic_turn_.expires_at(now + turn_interval);
+        traffic_turn_.async_wait([this](boost::system::error_code failure) {
+            if (!failure) {
+                take_traffic_turn();
+            }
+        });
+    }
+
+    // Called on the thread of the other event loop.
+    void report_change(stall_detector& watched, std::string_view loop, time_point now) {
+        const auto change = watched.check(now);
+        if (change == loop_change::none) {
+            return;
+        }
+        const bool stalled = change == loop_change::stalled;
+        const auto stalled_for = std::chrono::floor<milliseconds>(watched.stalled_for());
+        log_warning("gateway", stalled ? "event_loop_stalled" : "event_loop_resumed",
+                    {{"loop", std::string{loop}}, {"for_ms", std::to_string(stalled_for.count())}});
+        if (stalled) {
+            metrics_
+                .get_counter("boragefront_event_loop_stalls_total",
+                             "loop=\"" + std::string{loop} + '"')
+                .add();
+        }
+    }
+
     http::awaitable<void> handle_request(const http::request& request, http::responder& responder) {
         apply_latest_snapshot();
         request_handler handler{*request_context_, request, responder};
@@ -335,6 +375,9 @@
     metrics_registry& metrics_;
     traffic_state state_;
     event_loop traffic_loop_;
+    boost::asio::steady_timer traffic_turn_{traffic_loop_.io};
+    stall_detector traffic_stalls_{stall_detector::make(steady_clock::now())};
+    stall_detector control_stalls_{stall_detector::make(steady_clock::now())};
     std::atomic<std::shared_ptr<const indexed_snapshot>> latest_snapshot_; // shared with requests
     std::unique_ptr<http::client> endpoints_;
     std::unique_ptr<wire::client> peers_;
