stages: results that are reported twice are not freed while in use

Found by reading in the review, and looked for as a way to lost results (409), from which requests ran twice.

Cause: a dispatcher that sees no answer to its report of completed pieces reports them again. The entry that waits had taken the results by then, knew the ticket no more, and freed them as unclaimed, while its request was about to read them.

Change: tickets whose results were accepted are remembered for 30 s; a repeated report is ignored and logged.

--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -26,6 +26,8 @@
 // The queue expires a group once it is useless. After this margin its completion counts as lost.
 constexpr milliseconds completion_margin{2'000};
 constexpr milliseconds notify_timeout{400};
+// Longer than all attempts to report a group, also from a dispatcher that was suspended meanwhile.
+constexpr seconds accepted_report_retention{30};
 // Short, because endpoints are waiting for the memory.
 constexpr milliseconds release_batch_delay{8};
 
@@ -282,6 +284,12 @@
         (ended.expired || found->second->pieces == ended.results.size())) {
         found->second->result = std::move(ended);
         found->second->done.cancel();
+        accepted_reports_[ticket] = steady_clock::now();
+        return;
+    }
+    if (was_accepted(ticket)) {
+        log_decision("stages", "repeated_report_ignored",
+                     {{"request", ended.request_id}, {"dispatcher", dispatcher}});
         return;
     }
     std::vector<std::string> unclaimed;
@@ -293,6 +301,15 @@
     freer_.free(unclaimed);
 }
 
+// Whether the results of a group were accepted. A dispatcher reports them again if it saw no answer
+// to its report, and they may be in use.
+bool stage_scheduler::was_accepted(std::uint64_t ticket) {
+    const auto now = steady_clock::now();
+    std::erase_if(accepted_reports_,
+                  [now](const auto& one) { return now - one.second > accepted_report_retention; });
+    return accepted_reports_.contains(ticket);
+}
+
 void stage_scheduler::release(const std::string& service, std::vector<std::string> handles) {
     auto& waiting = pending_releases_[service];
     waiting.insert(waiting.end(), std::make_move_iterator(handles.begin()),
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -146,6 +146,7 @@
     void deliver(service_queue& queue, stages::finished_group ended);
     void complete_group(std::uint64_t ticket, const std::string& dispatcher,
                         stages::finished_group ended);
+    bool was_accepted(std::uint64_t ticket);
     http::awaitable<void> run_call(std::string service, stages::stage_call call);
     http::awaitable<void> notify_peer(std::string address, wire::request message);
     http::awaitable<void> send_releases();
@@ -161,6 +162,8 @@
     std::map<std::string, std::unique_ptr<service_queue>> queues_;
     std::map<std::uint64_t, std::shared_ptr<pending_group>>
         pending_groups_; // by ticket; shared with the waiting request
+    // Tickets of groups whose results were accepted lately, and when.
+    std::map<std::uint64_t, time_point> accepted_reports_;
     std::map<std::string, std::vector<std::string>> pending_releases_; // by service
     bool release_scheduled_{false};
     std::map<std::string, stages::group_duration_estimator> paces_; // by service
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -55,6 +55,7 @@
     settings.data_address = "127.0.0.1:0";
     settings.control_address = "127.0.0.1:0";
     settings.platform_address = store_address.empty() ? store_->address() : store_address;
+    settings.seed_peers = seeds_;
     for (const auto& other : gateways_) {
         settings.seed_peers.push_back(other->node->control_address());
     }
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -49,6 +49,9 @@
     /// Publishes a configuration as text.
     void publish_text(const std::string& text);
 
+    /// Adds a seed to those of the gateways that start later.
+    void add_seed(std::string control_address) { seeds_.push_back(std::move(control_address)); }
+
     /// Starts a gateway that knows the others as seeds.
     /// \param store_address another store than the deployment's, as when that one is cut off.
     running_gateway& start_gateway(const std::string& store_address = {});
@@ -65,6 +68,7 @@
     }
 
     store_stand_in& store() { return *store_; }
+    auto executor() { return loop_.executor(); }
 
     /// A caller's request.
     static http::request make_request(const std::string& host, const std::string& id);
@@ -77,6 +81,7 @@
     bool becomes_true(const std::function<bool()>& condition);
 
 private:
+    std::vector<std::string> seeds_;
     stand_in_loop loop_;
     std::unique_ptr<store_stand_in> store_;
     std::vector<std::unique_ptr<endpoint_stand_in>> endpoints_;
