http, gateway: messages in progress share one budget of memory

Cause: each message had a limit, but not all together. The HTTP client counted what lay in its own buffer; the relay took each piece out of it and kept it, up to 16 MiB per answer, uncounted, and a partial event up to 1 MiB per stream. Bodies of requests were not counted at all, and each was copied twice for a send.

Change: one byte_budget for the traffic thread (gateway.message_memory_mb, 96): bodies of requests as they arrive and their copies for sending, bytes of answers as received, the relay's answers, failed answers that are kept, partial events. What exceeds it is ended: a request is refused as not run, with Retry-After; an answer fails with too_large. One copy of a body less.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -45,7 +45,8 @@
     gateway_node_impl(const settings::daemon_settings& settings, metrics_registry& metrics)
         : settings_{settings}, role_{std::get<settings::gateway_settings>(settings.role)},
           metrics_{metrics}, state_{role_, settings.id, settings.data_centre, metrics},
-          endpoints_{http::client::make(traffic_loop_.io.get_executor())},
+          memory_{role_.message_bytes}, endpoints_{http::client::make(
+                                            traffic_loop_.io.get_executor(), &memory_)},
           peers_{wire::client::make(traffic_loop_.io.get_executor(), work_bytes())},
           freer_{traffic_loop_.io.get_executor(), state_, *endpoints_} {}
 
@@ -61,12 +62,13 @@
                                             },
                                             work_bytes()));
         stages_.emplace(executor, state_, *endpoints_, *peers_, freer_, work_server_->address());
-        request_context_.emplace(request_context{executor, state_, *endpoints_, *stages_});
+        request_context_.emplace(request_context{executor, state_, *endpoints_, *stages_, memory_});
         BOOST_OUTCOME_TRY(server_, http::server::listen(
                                        {executor}, settings_.data_address, {},
                                        [this](const http::request& message, http::responder& out) {
                                            return handle_request(message, out);
-                                       }));
+                                       },
+                                       &memory_));
         BOOST_OUTCOME_TRY(
             ready_server_,
             http::server::listen({executor}, role_.ready_address, {},
@@ -273,6 +275,8 @@
         metrics_.get_gauge("boragefront_log_lines_left_out")
             .set(static_cast<double>(dropped_log_lines()));
         metrics_.get_gauge("boragefront_open_requests").set(static_cast<double>(open_requests()));
+        metrics_.get_gauge("boragefront_message_memory_bytes")
+            .set(static_cast<double>(memory_.used()));
         export_statistics(server_->statistics());
         http::response response;
         response.headers.set("Content-Type", "text/plain; version=0.0.4");
@@ -289,6 +293,7 @@
         set("boragefront_connections_closed_idle", {}, from.closed_idle);
         set("boragefront_requests_served_at_idle_limit", {}, from.served_at_limit);
         set("boragefront_requests_refused_late", {}, from.refused_late);
+        set("boragefront_requests_refused_for_memory", {}, from.refused_for_memory);
         set(incomplete, R"(reason="peer_closed")", from.peer_closed);
         set(incomplete, R"(reason="write_failed")", from.write_failed);
         set(incomplete, R"(reason="handler_unfinished")", from.handler_unfinished);
@@ -374,6 +379,7 @@
     settings::gateway_settings role_;
     metrics_registry& metrics_;
     traffic_state state_;
+    byte_budget memory_; // of messages in progress
     event_loop traffic_loop_;
     boost::asio::steady_timer traffic_turn_{traffic_loop_.io};
     stall_detector traffic_stalls_{stall_detector::make(steady_clock::now())};
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -241,11 +241,11 @@
         co_await refuse(quarantine_error(), *refused_for);
         co_return next_step::done;
     }
-    const auto prepared = prepare_send(*chosen, *pool, now);
+    auto prepared = prepare_send(*chosen, *pool, now);
     last_endpoint_ = chosen->id;
     progress_ = response_progress::none;
-    auto stream =
-        co_await context_.endpoints.open(prepared.address, prepared.message, prepared.options);
+    auto stream = co_await context_.endpoints.open(prepared.address, std::move(prepared.message),
+                                                   prepared.options);
     if (!stream) {
         record_failed_open(prepared, stream.error(), now);
         record_lost_connection(prepared.attempt, stream.error());
--- a/libs/gateway/src/request_context.hpp
+++ b/libs/gateway/src/request_context.hpp
@@ -2,6 +2,7 @@
 /// Objects shared by all request handlers. Traffic thread only.
 #pragma once
 
+#include "base/byte_budget.hpp"
 #include "http/client.hpp"
 #include "stage_scheduler.hpp"
 #include "traffic_state.hpp"
@@ -16,6 +17,7 @@
     traffic_state& state;
     http::client& endpoints;
     stage_scheduler& stages;
+    byte_budget& memory; ///< of messages in progress
 };
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -33,7 +33,8 @@
                                           }};
     if (auto refusal = admit()) {
         std::optional<milliseconds> retry_after;
-        if (refusal->kind == error_kind::not_ready || refusal->kind == error_kind::no_endpoint) {
+        if (refusal->kind == error_kind::not_ready || refusal->kind == error_kind::no_endpoint ||
+            refusal->kind == error_kind::no_capacity) {
             retry_after = default_retry_after;
         } else if (refusal->kind == error_kind::shutting_down) {
             retry_after = shutdown_retry_after();
@@ -138,10 +139,20 @@
     if (context_.state.prompt_quarantine().refused_for(shared_parts_, received_at_)) {
         return quarantine_error();
     }
+    if (!request_memory_.resize(request_.body.size())) {
+        return make_error(error_kind::no_capacity, "not enough memory to send the request");
+    }
     context_.state.retry_budget(service_).record_request(received_at_);
     return std::nullopt;
 }
 
+// Takes memory for a response of this size, beside that of a failed one that is kept. Returns
+// whether the budget allows it.
+bool request_handler::lease_response_memory(std::size_t bytes) {
+    const auto kept = last_failed_response_ ? last_failed_response_->body.capacity() : 0;
+    return response_memory_.resize(kept + bytes);
+}
+
 error request_handler::quarantine_error() {
     return make_error(error_kind::quarantined,
                       "a part of the prompt crashed the endpoints that processed it");
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -122,7 +122,7 @@
     http::awaitable<bool> replace(http::response_stream& silent, const byte_consumer& consume);
     http::awaitable<bool> reproduce_results(http::response_stream& silent,
                                             const byte_consumer& consume);
-    http::awaitable<void> open_replacement(const prepared_send& prepared,
+    http::awaitable<void> open_replacement(prepared_send& prepared,
                                            std::unique_ptr<http::response_stream>& accepted);
     bool reserve_retry();
     bool reserve_other_endpoint();
@@ -149,6 +149,7 @@
     http::awaitable<void> refuse(error failure, std::optional<milliseconds> retry_after);
     http::awaitable<void> fail(const error& failure);
     http::awaitable<void> send_response(http::response response);
+    bool lease_response_memory(std::size_t bytes);
     void release_all_results();
     void release_results(std::vector<stages::stage_results> results);
     void log_summary();
@@ -175,6 +176,8 @@
 
     std::optional<stages::stage_plan> plan_;
     std::vector<std::unique_ptr<http::cancel_source>> cancel_sources_; // one per attempt
+    byte_lease request_memory_{context_.memory};  // for the copy of the body that is sent
+    byte_lease response_memory_{context_.memory}; // for what was received and is not sent on
     std::set<cancellation_source*> stage_cancellations_;
     bool caller_disconnected_{false};
     bool entry_exits_{false};
--- a/libs/gateway/src/request_replacement.cpp
+++ b/libs/gateway/src/request_replacement.cpp
@@ -115,7 +115,7 @@
         co_return false;
     }
     retry_reserved_ = false;
-    const auto prepared = prepare_send(*chosen, *pool, now);
+    auto prepared = prepare_send(*chosen, *pool, now);
     log_decision("request", "replacement_sent",
                  {{"request", caller_.id},
                   {"silent_endpoint", last_endpoint_},
@@ -148,11 +148,11 @@
 
 // Sends the request to another endpoint. Sets `accepted` unless that fails or is refused.
 http::awaitable<void>
-request_handler::open_replacement(const prepared_send& prepared,
+request_handler::open_replacement(prepared_send& prepared,
                                   std::unique_ptr<http::response_stream>& accepted) {
     const auto began_at = steady_clock::now();
-    auto opened =
-        co_await context_.endpoints.open(prepared.address, prepared.message, prepared.options);
+    auto opened = co_await context_.endpoints.open(prepared.address, std::move(prepared.message),
+                                                   prepared.options);
     if (!opened) {
         if (opened.error().ran == work_ran::no) {
             --attempts_;
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -74,11 +74,14 @@
     }
     http::response response = stream.head();
     progress_tracker progress{min_progress_bytes, *head_at_};
+    bool too_large = false;
     const byte_consumer consume = [&](const std::string& bytes) {
         response.body += bytes;
+        too_large = response.body.size() > max_response_bytes ||
+                    !lease_response_memory(response.body.capacity());
         const auto before = progress.last_progress_at();
         progress.record(bytes.size(), steady_clock::now());
-        return progress.last_progress_at() != before || response.body.size() > max_response_bytes;
+        return progress.last_progress_at() != before || too_large;
     };
     for (;;) {
         if (co_await wait_or_replace(stream, progress, consume)) {
@@ -95,10 +98,14 @@
             break;
         }
         (void)consume(*chunk.value());
-        if (response.body.size() > max_response_bytes) {
+        if (too_large) {
             record_outcome(attempt, send_outcome::broken);
-            const auto oversized = make_error(error_kind::too_large, work_ran::unknown,
-                                              "response body exceeds 16 MiB");
+            const auto oversized =
+                make_error(error_kind::too_large, work_ran::unknown,
+                           "response body exceeds 16 MiB, or the memory for all responses");
+            response.body.clear();
+            response.body.shrink_to_fit();
+            (void)lease_response_memory(0); // shrinking succeeds
             co_return co_await handle_failure(oversized, true);
         }
     }
@@ -132,12 +139,15 @@
     progress_tracker progress{1, *head_at_}; // counts complete events
     std::optional<error> failure;
     event_batch batch; // complete events that are not relayed yet
+    bool too_large = false;
     const byte_consumer consume = [&](const std::string& bytes) {
         auto completed = events.append(bytes);
         batch.bytes += completed.bytes;
         batch.count += completed.count;
         batch.last_id = completed.last_id ? completed.last_id : batch.last_id;
-        return completed.count > 0 || events.pending_bytes() > max_event_bytes;
+        too_large = events.pending_bytes() > max_event_bytes ||
+                    !lease_response_memory(events.pending_bytes() + batch.bytes.size());
+        return completed.count > 0 || too_large;
     };
     for (;;) {
         batch = {};
@@ -163,8 +173,9 @@
             }
             (void)consume(*chunk.value());
         }
-        if (events.pending_bytes() > max_event_bytes) {
-            failure = make_error(error_kind::too_large, work_ran::unknown, "event exceeds 1 MiB");
+        if (too_large) {
+            failure = make_error(error_kind::too_large, work_ran::unknown,
+                                 "event exceeds 1 MiB, or the memory for all responses");
             break;
         }
         if (batch.count == 0) {
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -2,6 +2,7 @@
 /// An HTTP/1.1 client with a connection pool. A client is used from one single-threaded executor.
 #pragma once
 
+#include "base/byte_budget.hpp"
 #include "base/error.hpp"
 #include "base/time.hpp"
 #include "http/message.hpp"
@@ -97,10 +98,14 @@
 ///
 /// A faulty peer may send an unlimited number of bytes. The head, interim responses, chunk headers
 /// and trailers, responses to other requests and the body each have a limit; exceeding one ends the
-/// call and closes the connection.
+/// call and closes the connection. All responses that are being read share a budget of memory; one
+/// that exceeds it fails with `too_large`.
 class client {
 public:
-    static std::unique_ptr<client> make(boost::asio::any_io_executor executor);
+    /// \param memory for responses that are being read; must outlive the client and its streams.
+    /// Null: the client has a budget of its own
+    static std::unique_ptr<client> make(boost::asio::any_io_executor executor,
+                                        byte_budget* memory = nullptr);
 
     client() = default;
     client(const client&) = delete;
--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -2,6 +2,7 @@
 /// An HTTP/1.1 server whose handlers are coroutines.
 #pragma once
 
+#include "base/byte_budget.hpp"
 #include "base/error.hpp"
 #include "base/time.hpp"
 #include "http/message.hpp"
@@ -69,6 +70,7 @@
     std::uint64_t closed_idle{0};        ///< connections closed at the idle time limit
     std::uint64_t served_at_limit{0};    ///< requests found as their connection was to be closed
     std::uint64_t refused_late{0};       ///< requests that did not arrive in time
+    std::uint64_t refused_for_memory{0}; ///< requests whose bodies exceeded the budget of memory
     std::uint64_t peer_closed{0};        ///< responses not completed as the peer closed first
     std::uint64_t write_failed{0};       ///< responses not completed as a write failed
     std::uint64_t handler_unfinished{0}; ///< handlers that sent nothing, or only part of a response
@@ -76,17 +78,20 @@
 };
 
 /// Listens on one address until it is stopped. Requests over a limit are rejected with `too_large`
-/// or `header_too_large`, malformed ones with `bad_request`, and ones that don't arrive in time
-/// with `request_timeout`, without calling the handler.
+/// or `header_too_large`, malformed ones with `bad_request`, ones that don't arrive in time with
+/// `request_timeout`, and ones whose body exceeds the budget of memory with `no_capacity`, without
+/// calling the handler.
 class server {
 public:
     /// Binds exclusively and starts to accept connections.
     /// \param address "ip:port"; port 0 picks a free one.
     /// \param executors single-threaded; connections are assigned round-robin. \pre not empty.
+    /// \param memory for the bodies of requests, from their arrival to the end of the response;
+    /// must outlive the executors' work. Null: not limited
     /// \returns `bad_request` for a malformed address, `unavailable` if it cannot be bound.
     static result<std::unique_ptr<server>>
     listen(std::vector<boost::asio::any_io_executor> executors, std::string_view address,
-           server_limits limits, handler handle);
+           server_limits limits, handler handle, byte_budget* memory = nullptr);
 
     virtual ~server() = default;
     server(const server&) = delete;
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -26,10 +26,6 @@
 constexpr std::size_t max_interim_responses = 8;   // normally at most one 100 and one 103
 constexpr std::size_t max_head_size = 16U << 10U;  // equals the platform's limit for callers
 constexpr std::size_t max_line_length = 1U << 20U; // a stream event takes a few hundred bytes
-// For all responses that are being buffered, so that peers whose responses never end cannot exhaust
-// an instance's memory, which is 260 MB at the least. Responses up to the typical size are exempt.
-constexpr std::size_t max_buffered_bytes = 64U << 20U;
-constexpr std::size_t typical_response_size = 256U << 10U;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned status_switching_protocols = 101;
 // A body up to this size fits the socket's send buffer, so that writing it does not wait for the
@@ -103,16 +99,15 @@
 class beast_stream : public response_stream {
 public:
     beast_stream(connection_ptr connection, bool reused, std::string address, shared_pool pool,
-                 const call_options& options)
+                 byte_budget& memory, const call_options& options)
         : connection_{std::move(connection)}, reused_{reused}, address_{std::move(address)},
-          pool_{std::move(pool)}, guard_{options.cancel, *connection_},
+          pool_{std::move(pool)}, memory_{memory}, guard_{options.cancel, *connection_},
           matches_request_{options.matches_request}, body_limit_{options.body_limit},
           end_when_silent_{options.end_when_silent}, silent_at_{options.silent_at},
           single_use_{options.single_use_connection} {
         start_parser();
     }
     ~beast_stream() override {
-        pool_->buffered_bytes -= counted_;
         if (connection_ != nullptr) {
             connection_->stream.close();
         }
@@ -291,8 +286,8 @@
 
     void append_body(const char* data, std::size_t size) {
         pending_.append(data, size);
-        pool_->buffered_bytes += pending_.size() - counted_;
-        counted_ = pending_.size();
+        const auto received = connection_ == nullptr ? 0 : connection_->buffer.capacity();
+        over_budget_ = over_budget_ || !memory_.resize(pending_.capacity() + received);
     }
 
     void start_parser() {
@@ -346,7 +341,9 @@
         if (pending_.empty()) {
             return std::nullopt;
         }
-        return std::exchange(pending_, {});
+        auto taken = std::exchange(pending_, {});
+        (void)memory_.resize(0); // shrinking succeeds
+        return taken;
     }
 
     awaitable<result<void>> read_more(time_point deadline) {
@@ -374,9 +371,7 @@
             co_return call_failure(failure, guard_.cancelled());
         }
         append_body(bytes.data(), bytes.size() - body.size);
-        const bool over_total =
-            counted_ > typical_response_size && pool_->buffered_bytes > max_buffered_bytes;
-        if (counted_ > body_limit_ || over_total) {
+        if (pending_.size() > body_limit_ || over_budget_) {
             co_return make_error(error_kind::too_large, work_ran::unknown,
                                  "response exceeds the size limit");
         }
@@ -405,6 +400,8 @@
     bool reused_;
     std::string address_;
     shared_pool pool_;
+    byte_lease memory_; // of what was received and not taken
+    bool over_budget_{false};
     cancel_guard guard_;
     std::function<bool(const response&)> matches_request_;
     std::size_t body_limit_;
@@ -416,12 +413,13 @@
     std::shared_ptr<body_write> write_; // shared with the completion handler
     response head_;
     std::string pending_;
-    std::size_t counted_{0}; ///< bytes of `pending_` that are included in the pool's total
 };
 
 class beast_client : public client {
 public:
-    explicit beast_client(asio::any_io_executor executor) : executor_{std::move(executor)} {}
+    beast_client(asio::any_io_executor executor, byte_budget* memory)
+        : executor_{std::move(executor)}, memory_{memory == nullptr ? pool_->own_memory : *memory} {
+    }
 
     awaitable<result<response>> call(std::string address, request message,
                                      call_options options) override {
@@ -448,7 +446,7 @@
             BOOST_OUTCOME_CO_TRY(connection, co_await connect(address, options));
         }
         auto stream = std::make_unique<beast_stream>(std::move(connection), reused,
-                                                     std::move(address), pool_, options);
+                                                     std::move(address), pool_, memory_, options);
         BOOST_OUTCOME_CO_TRY(co_await stream->exchange(std::move(message), options.deadline));
         co_return std::unique_ptr<response_stream>{std::move(stream)};
     }
@@ -477,6 +475,7 @@
 
     asio::any_io_executor executor_;
     shared_pool pool_{std::make_shared<connection_pool>()};
+    byte_budget& memory_;
 };
 
 } // namespace
@@ -496,8 +495,8 @@
     close_ = std::move(close);
 }
 
-std::unique_ptr<client> client::make(asio::any_io_executor executor) {
-    return std::make_unique<beast_client>(std::move(executor));
+std::unique_ptr<client> client::make(asio::any_io_executor executor, byte_budget* memory) {
+    return std::make_unique<beast_client>(std::move(executor), memory);
 }
 
 } // namespace boragefront::http
--- a/libs/http/src/connection_pool.hpp
+++ b/libs/http/src/connection_pool.hpp
@@ -2,6 +2,7 @@
 /// The client's connection pool. Not thread-safe.
 #pragma once
 
+#include "base/byte_budget.hpp"
 #include "base/time.hpp"
 #include "beast_messages.hpp"
 
@@ -17,6 +18,7 @@
 
 namespace boragefront::http {
 
+inline constexpr std::size_t default_memory = 128U << 20U;
 inline constexpr std::size_t max_idle_per_address = 64;
 inline constexpr seconds max_idle_lifetime{30};
 /// Limits chunk headers and trailers, which the parser does not limit.
@@ -34,7 +36,7 @@
 
 using connection_ptr = std::unique_ptr<peer_connection>;
 
-/// Idle connections by address, and the memory used by responses that are being read.
+/// Idle connections by address.
 class connection_pool {
 public:
     connection_ptr acquire(const std::string& address, time_point now, milliseconds max_idle_time) {
@@ -60,7 +62,7 @@
 
     void close_idle(const std::string& address) { idle_.erase(address); }
 
-    std::size_t buffered_bytes{0}; ///< of responses that are being read
+    byte_budget own_memory{default_memory}; ///< of a client that shares no budget with others
 
 private:
     std::map<std::string, std::vector<connection_ptr>, std::less<>> idle_;
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -162,10 +162,10 @@
 
 result<std::unique_ptr<server>> server::listen(std::vector<asio::any_io_executor> executors,
                                                std::string_view address, server_limits limits,
-                                               handler handle) {
+                                               handler handle, byte_budget* memory) {
     BOOST_OUTCOME_TRY(const auto local_endpoint, parse_address(address));
     BOOST_OUTCOME_TRY(auto acceptor, listen_on(executors.front(), local_endpoint));
-    auto state = std::make_shared<server_state>(limits, std::move(handle));
+    auto state = std::make_shared<server_state>(limits, std::move(handle), memory);
     auto created =
         std::make_unique<beast_server>(std::move(executors), std::move(acceptor), std::move(state));
     created->start();
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -23,6 +23,7 @@
 // Closing a connection with unread bytes resets it, which may destroy a response in transit.
 constexpr milliseconds linger_timeout{500};
 constexpr std::size_t linger_bytes = 4U << 20U;
+constexpr milliseconds memory_retry_after{500}; // most requests take less time
 // A read that completes as it is cancelled is continued by another one, which is cancelled next.
 constexpr milliseconds cancel_retry_interval{10};
 
@@ -145,11 +146,18 @@
     boost::system::error_code failure;
     begin_wait(wait_kind::header);
     co_await beast::http::async_read_header(stream_, buffer_, parser, awaitable_into(failure));
+    byte_lease memory{state_->memory};
+    bool within_budget = true;
     if (!failure && !parser.is_done()) {
         begin_wait(wait_kind::body);
-        co_await beast::http::async_read(stream_, buffer_, parser, awaitable_into(failure));
+        within_budget = co_await read_body(parser, memory, failure);
     }
     end_wait();
+    if (!within_budget) {
+        co_await refuse_for_memory(parser.get().body().size());
+        serving_ = false;
+        co_return false;
+    }
     if (failure) {
         co_await reject(failure);
         serving_ = false;
@@ -158,6 +166,19 @@
     co_return co_await respond(parser);
 }
 
+awaitable<bool> server_connection::read_body(parser_type& parser, byte_lease& memory,
+                                             boost::system::error_code& failure) {
+    while (!failure && !parser.is_done()) {
+        co_await beast::http::async_read_some(stream_, buffer_, parser, awaitable_into(failure));
+        const auto& body = parser.get().body();
+        // A body of known length is reserved as a whole, and becomes memory as it is filled.
+        if (!failure && !memory.resize(parser.chunked() ? body.capacity() : body.size())) {
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
 // Waits for the first bytes of a request. Returns whether any arrived.
 awaitable<bool> server_connection::wait_for_request() {
     stream_.expires_never(); // a time-out of the stream would close the connection
@@ -360,10 +381,27 @@
     }
 }
 
-awaitable<void> server_connection::send_problem(const error& problem) {
+awaitable<void> server_connection::refuse_for_memory(std::size_t body_size) {
+    keep_alive_ = false;
+    state_->count(&server_statistics::refused_for_memory);
+    log_decision("http", "refused_for_memory",
+                 {{"received_bytes", std::to_string(body_size)},
+                  {"used_bytes", std::to_string(state_->memory.used())},
+                  {"limit_bytes", std::to_string(state_->memory.limit())}});
+    co_await send_problem(
+        make_error(error_kind::no_capacity, "not enough memory for the request at present"),
+        memory_retry_after);
+}
+
+awaitable<void> server_connection::send_problem(const error& problem,
+                                                std::optional<milliseconds> retry_after) {
     auto message =
         make_json_response(properties_of(problem.kind).http_status, to_problem_json(problem));
     message.headers.set("Content-Type", "application/problem+json");
+    if (retry_after) {
+        message.headers.set("Retry-After",
+                            std::to_string(std::chrono::duration<double>(*retry_after).count()));
+    }
     (void)co_await send(std::move(message));
 }
 
--- a/libs/http/src/server_connection.hpp
+++ b/libs/http/src/server_connection.hpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -23,9 +24,10 @@
 /// State shared by a server and its connections; it outlives the server while responses are in
 /// progress.
 struct server_state {
-    server_state(server_limits limits, handler handle_request)
+    server_state(server_limits limits, handler handle_request, byte_budget* shared_memory)
         : current_limits{limits}, idle_timeout{limits.idle_timeout},
-          header_timeout{limits.header_timeout}, handle{std::move(handle_request)} {}
+          header_timeout{limits.header_timeout}, handle{std::move(handle_request)},
+          memory{shared_memory == nullptr ? unlimited : *shared_memory} {}
 
     server_limits limits() const {
         const std::scoped_lock lock{mutex};
@@ -66,6 +68,8 @@
     changing_limit idle_timeout;
     changing_limit header_timeout;
     handler handle;
+    byte_budget unlimited{std::numeric_limits<std::size_t>::max()};
+    byte_budget& memory;
     std::atomic<std::size_t> open_requests{0};
     std::atomic<bool> announcing_close{false};
     std::atomic<bool> stopping{false};
@@ -108,6 +112,10 @@
     // Returns whether the connection may serve another request.
     awaitable<bool> serve_request();
 
+    // Reads the rest of a request. Returns false if its body exceeds the budget of memory.
+    awaitable<bool> read_body(parser_type& parser, byte_lease& memory,
+                              boost::system::error_code& failure);
+
     // Waits for the first bytes of a request. Returns whether any arrived.
     awaitable<bool> wait_for_request();
 
@@ -138,8 +146,10 @@
                                     const std::optional<std::string>& thrown);
 
     awaitable<void> reject(const boost::system::error_code& failure);
+    awaitable<void> refuse_for_memory(std::size_t body_size);
 
-    awaitable<void> send_problem(const error& problem);
+    awaitable<void> send_problem(const error& problem,
+                                 std::optional<milliseconds> retry_after = std::nullopt);
 
     // The signal is shared with `watch`, which clears its slot only after it has received the
     // signal.
--- a/libs/settings/include/settings/settings.hpp
+++ b/libs/settings/include/settings/settings.hpp
@@ -43,6 +43,7 @@
     double cold_slack{5};                         ///< ... and so many requests more, in any second
     double processors{1};                         ///< its share of processor cores
     unsigned log_lines_per_second{400};           ///< of decisions; others are counted and left out
+    std::size_t message_bytes{96U << 20U};        ///< memory for bodies of requests and responses
 };
 
 /// Settings of every role.
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -18,6 +18,8 @@
 constexpr number_range grace_times{0.5, 600}; // seconds
 constexpr number_range windows{0.1, 600};     // seconds
 constexpr integer_range log_rates{0, 100'000};
+constexpr integer_range memory_sizes{8, 65'536}; // MiB
+constexpr unsigned mebibyte_shift = 20;
 constexpr number_range ratios{0, 10};
 constexpr number_range processor_counts{0.01, 1'024};
 constexpr number_range tolerances{1, 100};
@@ -103,6 +105,10 @@
     read.processors = fields.number("processors", read.processors, processor_counts);
     read.log_lines_per_second = static_cast<unsigned>(
         fields.integer("log_lines_per_second", read.log_lines_per_second, log_rates));
+    const auto message_memory = fields.integer(
+        "message_memory_mb", static_cast<std::int64_t>(read.message_bytes >> mebibyte_shift),
+        memory_sizes);
+    read.message_bytes = static_cast<std::size_t>(message_memory) << mebibyte_shift;
     fields.refuse_unknown();
     return read;
 }
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -63,6 +63,7 @@
     role.log_lines_per_second = 0;
     role.work_address = "127.0.0.1:0";
     role.grace = seconds{3};
+    role.message_bytes = message_bytes_;
     settings.role = role;
     auto made = std::make_unique<running_gateway>();
     made->metrics = std::make_unique<metrics_registry>();
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -49,6 +49,9 @@
     /// Publishes a configuration as text.
     void publish_text(const std::string& text);
 
+    /// Limits the memory for messages in gateways that start later.
+    void set_message_memory(std::size_t bytes) { message_bytes_ = bytes; }
+
     /// Adds a seed to those of the gateways that start later.
     void add_seed(std::string control_address) { seeds_.push_back(std::move(control_address)); }
 
@@ -81,6 +84,7 @@
     bool becomes_true(const std::function<bool()>& condition);
 
 private:
+    std::size_t message_bytes_{settings::gateway_settings{}.message_bytes};
     std::vector<std::string> seeds_;
     stand_in_loop loop_;
     std::unique_ptr<store_stand_in> store_;
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -22,6 +22,7 @@
 using tcp = asio::ip::tcp;
 
 constexpr milliseconds second_answer_delay{30};
+constexpr std::size_t max_body_bytes = 16U << 20U;
 
 auto into(boost::system::error_code& failure) {
     return asio::redirect_error(asio::use_awaitable, failure);
@@ -178,12 +179,14 @@
 
 asio::awaitable<void> endpoint_stand_in::serve(std::shared_ptr<connection> with) {
     for (;;) {
-        beast::http::request<beast::http::string_body> message;
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.body_limit(max_body_bytes);
         boost::system::error_code failure;
-        co_await beast::http::async_read(with->socket, with->buffer, message, into(failure));
+        co_await beast::http::async_read(with->socket, with->buffer, parser, into(failure));
         if (failure) {
             co_return;
         }
+        const auto message = parser.release();
         endpoint_visit visit;
         visit.message.method = std::string{message.method_string()};
         visit.message.target = std::string{message.target()};
@@ -285,6 +288,7 @@
                                       "Transfer-Encoding: chunked\r\n\r\n");
     while (reached) {
         reached = co_await with.send(bytes);
+        flooded_bytes += bytes.size();
     }
     visits_[visit].left = true;
     co_return false;
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -100,6 +100,7 @@
     /// Before each response, sends the one before it on the same connection a second time, if that
     /// was a refusal or a response to a call for pieces.
     bool repeats_responses{false};
+    std::size_t flooded_bytes{0}; ///< sent in mode `flooding`
 
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
