--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -21,7 +21,7 @@
 namespace beast = boost::beast;
 
 constexpr seconds idle_lifetime{5};
-constexpr std::size_t max_idle_per_peer = 4;
+constexpr std::size_t max_idle_per_peer = 16;
 constexpr milliseconds reconnect_interval{100};
 
 auto into(boost::system::error_code& failure) {
@@ -151,6 +151,7 @@
     BOOST_OUTCOME_CO_TRY(const auto length, read_length(head));
     // Grows as bytes arrive: the length is the peer's claim.
     std::string message;
+    message.reserve(std::min(length, typical_message_bytes));
     co_await asio::async_read(with.stream, asio::dynamic_buffer(message, length),
                               asio::transfer_exactly(length), into(failure));
     if (failure) {
--- a/libs/wire/src/req_rep_framing.hpp
+++ b/libs/wire/src/req_rep_framing.hpp
@@ -22,6 +22,9 @@
 /// Bytes that framing adds to each message.
 inline constexpr std::size_t framing_bytes = length_bytes + call_id_bytes;
 
+/// Most messages are shorter. Memory of this size is reserved for one that begins to arrive.
+inline constexpr std::size_t typical_message_bytes = 16U << 10U;
+
 /// Which half of the protocol a side speaks.
 enum class side : std::uint16_t { caller = 0x30, answerer = 0x31 };
 
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace boragefront::wire {
@@ -89,6 +90,7 @@
     }
     // Grows as bytes arrive: the length is the peer's claim.
     std::string message;
+    message.reserve(std::min(length.value(), typical_message_bytes));
     stream.expires_after(transfer_limit);
     co_await asio::async_read(stream, asio::dynamic_buffer(message, length.value()),
                               asio::transfer_exactly(length.value()), into(failure));
