wire: a call that was given up before it was read is not handled

A sidecar that wakes holds its work until it hears news, and took the old call for news.

Change: a call on a connection that its caller has closed by then is dropped. Nobody waits for its answer.

New test "a call that was given up before it was read is not answered": failed in a trial without the check (3 calls handled, 1 expected), passes.

--- a/libs/base/include/base/tcp.hpp
+++ b/libs/base/include/base/tcp.hpp
@@ -21,6 +21,9 @@
 /// Whether a connection is open and has nothing to read.
 bool is_quiet(boost::asio::ip::tcp::socket& socket);
 
+/// Whether the peer has closed a connection and everything that it sent was read.
+bool is_closed_by_peer(boost::asio::ip::tcp::socket& socket);
+
 /// Opens an acceptor on an address that no other socket listens on.
 /// \returns `unavailable` if the address cannot be bound.
 result<boost::asio::ip::tcp::acceptor> listen_on(const boost::asio::any_io_executor& executor,
--- a/libs/base/src/tcp.cpp
+++ b/libs/base/src/tcp.cpp
@@ -23,6 +23,15 @@
 using keepalive_count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
+// The outcome of a read that takes nothing and does not wait.
+boost::system::error_code peek(tcp::socket& socket) {
+    boost::system::error_code failure;
+    char byte = 0;
+    socket.non_blocking(true, failure);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+    return failure;
+}
+
 } // namespace
 
 result<tcp::endpoint> parse_address(std::string_view text) {
@@ -55,11 +64,12 @@
 }
 
 bool is_quiet(tcp::socket& socket) {
-    boost::system::error_code failure;
-    char byte = 0;
-    socket.non_blocking(true, failure);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
-    return failure == asio::error::would_block;
+    return peek(socket) == asio::error::would_block;
+}
+
+bool is_closed_by_peer(tcp::socket& socket) {
+    const auto failure = peek(socket);
+    return failure && failure != asio::error::would_block;
 }
 
 result<tcp::acceptor> listen_on(const asio::any_io_executor& executor,
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -98,6 +98,10 @@
     if (failure || !call || !core.acceptor.is_open()) {
         co_return false;
     }
+    // A process that was suspended finds calls that were given up meanwhile. Their news is old.
+    if (is_closed_by_peer(stream.socket())) {
+        co_return false;
+    }
     const auto answered = core.answer_to(call->body);
     core.bytes.received.add(call->body.size() + framing_bytes);
     core.bytes.sent.add(answered.size() + framing_bytes);
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -200,6 +200,30 @@
     CHECK(steady_clock::now() - began < seconds{3});
 }
 
+// A process that had been suspended took an old call for news, and started work by what it told.
+TEST_CASE("a call that was given up before it was read is not answered", "[invariant]") {
+    asio::io_context io;
+    metrics_registry metrics;
+    int handled = 0;
+    const auto suspended = server::listen(io.get_executor(), "127.0.0.1:0",
+                                          [&](const request& asked) {
+                                              ++handled;
+                                              return echo_status(asked);
+                                          },
+                                          {metrics.get_counter("a"), metrics.get_counter("b")});
+    REQUIRE(suspended);
+    fixture peers{echo_status};
+    const auto address = suspended.value()->address();
+    REQUIRE_FALSE(peers.call(address, status_request{}, milliseconds{100}));
+    io.run_for(milliseconds{200});
+    CHECK(handled == 0);
+    REQUIRE_FALSE(peers.call(address, status_request{}, milliseconds{100}));
+    std::thread runner{[&] { io.run_for(seconds{2}); }};
+    CHECK(peers.call(address, status_request{}, milliseconds{1'500}));
+    runner.join();
+    CHECK(handled == 1);
+}
+
 TEST_CASE("an idle connection whose peer has ended is not used again") {
     fixture peers{echo_status};
     asio::io_context io;
