daemon: the bound on a stop leaves out the time of a suspension

The bound was a point in time. A process that is suspended past it had no time left to answer its open requests, though its loops were sound.

Change: the bound counts steps of 50 ms in which the process runs.

--- a/boragefrontd/src/shutdown_limit.cpp
+++ b/boragefrontd/src/shutdown_limit.cpp
@@ -3,13 +3,22 @@
 #include <utility>
 
 namespace boragefront::daemon {
+namespace {
+
+constexpr milliseconds step{50};
+
+} // namespace
 
 shutdown_limit::shutdown_limit(milliseconds limit, std::function<void()> on_overdue)
-    : thread_{[this, until = steady_clock::now() + limit, action = std::move(on_overdue)] {
+    : thread_{[this, limit, action = std::move(on_overdue)] {
           std::unique_lock lock{mutex_};
-          if (!ended_changed_.wait_until(lock, until, [this] { return ended_; })) {
-              action();
+          // A step counts the same however long it took, so a suspended process is not overdue.
+          for (auto left = limit; left > milliseconds{0}; left -= step) {
+              if (ended_changed_.wait_for(lock, step, [this] { return ended_; })) {
+                  return;
+              }
           }
+          action();
       }} {}
 
 shutdown_limit::~shutdown_limit() {
--- a/boragefrontd/src/shutdown_limit.hpp
+++ b/boragefrontd/src/shutdown_limit.hpp
@@ -15,7 +15,7 @@
 /// hang. Destroying it in time prevents that.
 class shutdown_limit {
 public:
-    /// \param limit from now
+    /// \param limit from now, without the time for which the process is suspended
     /// \param on_overdue called once, on the limit's thread
     shutdown_limit(milliseconds limit, std::function<void()> on_overdue);
     shutdown_limit(const shutdown_limit&) = delete;
