--- a/tests/gateway/repeated_report_test.cpp
+++ b/tests/gateway/repeated_report_test.cpp
@@ -104,10 +104,8 @@
     });
     system.add_seed(system.on_loop([&] { return dispatcher->control_address(); }));
     auto& gateway = system.start_ready_gateway();
-    auto message = deployment::make_request("staged.example", "r1");
-    message.headers.add("Boragefront-Pieces", "1,2");
-    message.headers.add("Boragefront-Piece-Key", "7c1e");
-    const auto answer = system.call_lines(gateway, std::move(message));
+    const auto answer =
+        system.call_lines(gateway, deployment::make_staged_request("staged.example", "r1", "1,2"));
     REQUIRE(answer);
     CHECK_FALSE(answer.value().broken);
     CHECK(system.becomes_true([&] { return dispatcher->repeated_reports() == 2; }));
--- a/tests/gateway/repeated_responses_test.cpp
+++ b/tests/gateway/repeated_responses_test.cpp
@@ -12,12 +12,7 @@
 
 namespace {
 
-http::request staged_request(const std::string& host, const std::string& id) {
-    auto message = deployment::make_request(host, id);
-    message.headers.add("Boragefront-Pieces", "1,2");
-    message.headers.add("Boragefront-Piece-Key", "7c1e");
-    return message;
-}
+constexpr auto pieces = "1,2";
 
 struct repeating_pipeline : deployment {
     repeating_pipeline() {
@@ -71,12 +66,12 @@
     const std::string host{"staged-once.example"};
     for (int i = 0; i < 3; ++i) {
         const auto id = "r" + std::to_string(i);
-        REQUIRE(call_lines(gateway, staged_request(host, "before-" + id)));
+        REQUIRE(call_lines(gateway, make_staged_request(host, "before-" + id, pieces)));
         on_loop([&] {
             model.repeats_responses = true;
             model.set_mode(endpoint_mode::inputs_gone, 1);
         });
-        const auto answer = call_lines(gateway, staged_request(host, id));
+        const auto answer = call_lines(gateway, make_staged_request(host, id, pieces));
         REQUIRE(answer);
         CHECK_FALSE(answer.value().broken);
         CHECK(runs_of(id) == 1);
@@ -90,11 +85,12 @@
                  "[invariant]") {
     constexpr milliseconds quiet{5'500};
     auto& gateway = start_ready_gateway();
-    REQUIRE(call_lines(gateway, staged_request("staged.example", "r1")));
+    REQUIRE(call_lines(gateway, make_staged_request("staged.example", "r1", pieces)));
     on_loop([&] { second.repeats_responses = true; });
     std::this_thread::sleep_for(quiet);
     for (int i = 2; i < 6; ++i) {
-        REQUIRE(call_lines(gateway, staged_request("staged.example", "r" + std::to_string(i))));
+        REQUIRE(call_lines(gateway,
+                           make_staged_request("staged.example", "r" + std::to_string(i), pieces)));
     }
     CHECK(mixed_up_requests().empty());
 }
--- a/tests/gateway/retry_budget_test.cpp
+++ b/tests/gateway/retry_budget_test.cpp
@@ -34,10 +34,8 @@
         threads.emplace_back([&, caller] {
             for (int i = 0; i < requests_each; ++i) {
                 const auto id = "r" + std::to_string(caller) + "-" + std::to_string(i);
-                auto message = deployment::make_request("staged-once.example", id);
-                message.headers.add("Boragefront-Pieces", "1,1");
-                message.headers.add("Boragefront-Piece-Key", "7c1e");
-                const auto answer = system.call(gateway, std::move(message));
+                const auto answer = system.call(
+                    gateway, deployment::make_staged_request("staged-once.example", id, "1,1"));
                 refused += answer && answer.value().status == 503 ? 1 : 0;
             }
         });
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -105,6 +105,14 @@
     return message;
 }
 
+http::request deployment::make_staged_request(const std::string& host, const std::string& id,
+                                              const std::string& pieces) {
+    auto message = make_request(host, id);
+    message.headers.add("Boragefront-Pieces", pieces);
+    message.headers.add("Boragefront-Piece-Key", "7c1e");
+    return message;
+}
+
 result<http::response> deployment::call(const running_gateway& to, http::request message) {
     support::blocking_client client;
     return client.call(to.node->data_address(), std::move(message), patience);
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -76,6 +76,11 @@
     /// A caller's request.
     static http::request make_request(const std::string& host, const std::string& id);
 
+    /// The same for a route with stages.
+    /// \param pieces of each stage, separated by commas.
+    static http::request make_staged_request(const std::string& host, const std::string& id,
+                                             const std::string& pieces);
+
     /// Sends a request and waits for its answer.
     result<http::response> call(const running_gateway& to, http::request message);
     result<support::line_answer> call_lines(const running_gateway& to, http::request message);
--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -20,10 +20,7 @@
 }
 
 http::request staged_request(const std::string& id) {
-    auto message = deployment::make_request("staged.example", id);
-    message.headers.add("Boragefront-Pieces", "2,3");
-    message.headers.add("Boragefront-Piece-Key", "7c1e");
-    return message;
+    return deployment::make_staged_request("staged.example", id, "2,3");
 }
 
 struct pipeline : deployment {
