--- a/libs/entry/src/at_most_once_run.cpp
+++ b/libs/entry/src/at_most_once_run.cpp
@@ -152,7 +152,7 @@
         options.deadline =
             now + std::min(remaining, std::clamp<duration>(remaining / 3, min_query_timeout,
                                                            max_query_timeout));
-        options.fresh_connection = true;
+        options.connection = http::connection_use::fresh;
         co_await exchange_and_record(attempt, std::move(message), options);
     }
 
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -299,7 +299,9 @@
     options.cancel = &add_cancel_source();
     // Responses name the request, not the attempt. A response to an earlier attempt may come once
     // more on its connection, so no connection carries two attempts.
-    options.fresh_connection = !contacted_addresses_.insert(chosen.address).second;
+    options.connection = contacted_addresses_.insert(chosen.address).second
+                             ? http::connection_use::pooled
+                             : http::connection_use::fresh;
     if (route_->idempotency == catalog::idempotency_class::non_idempotent) {
         options.max_idle_time = max_idle_for_reuse;
     }
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -225,7 +225,7 @@
     options.deadline = started + call.timeout;
     options.connect_timeout = connect_timeout;
     options.body_limit = max_response_bytes;
-    options.single_use_connection = true; // responses do not name their call
+    options.connection = http::connection_use::single_use;
     auto response = co_await endpoints_.call(
         call.address, platform::make_stage_run_request(call.endpoint, call.pieces, call.time_left),
         options);
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -36,13 +37,17 @@
     std::function<void()> close_;
 };
 
+/// Which connection a call uses.
+enum class connection_use : std::uint8_t {
+    pooled,     ///< an idle one if there is any; kept afterwards
+    fresh,      ///< a new one; kept afterwards
+    single_use, ///< a new one, closed after the response, which does not identify its call
+};
+
 struct call_options {
     time_point deadline;               ///< for the whole call, including the connect
     milliseconds connect_timeout{500}; ///< for a new connection; `deadline` applies if earlier
-    bool fresh_connection{false};      ///< do not reuse a pooled connection
-    /// Use a connection of its own: a new one, closed after the response. For calls whose response
-    /// does not identify them.
-    bool single_use_connection{false};
+    connection_use connection{connection_use::pooled};
     milliseconds max_idle_time{30'000}; ///< do not reuse a connection that was idle longer
     cancel_source* cancel{nullptr};     ///< not owned; may be null
     /// Whether a response answers this request. Other responses are late ones to earlier requests
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -104,7 +104,7 @@
           pool_{std::move(pool)}, memory_{memory}, guard_{options.cancel, *connection_},
           matches_request_{options.matches_request}, body_limit_{options.body_limit},
           end_when_silent_{options.end_when_silent}, silent_at_{options.silent_at},
-          single_use_{options.single_use_connection} {
+          single_use_{options.connection == connection_use::single_use} {
         start_parser();
     }
     ~beast_stream() override {
@@ -438,9 +438,9 @@
             co_return make_error(error_kind::cancelled, work_ran::no,
                                  "cancelled before the request was sent");
         }
-        auto connection = options.fresh_connection || options.single_use_connection
-                              ? nullptr
-                              : pool_->acquire(address, steady_clock::now(), options.max_idle_time);
+        auto connection = options.connection == connection_use::pooled
+                              ? pool_->acquire(address, steady_clock::now(), options.max_idle_time)
+                              : nullptr;
         const bool reused = connection != nullptr;
         if (!reused) {
             BOOST_OUTCOME_CO_TRY(connection, co_await connect(address, options));
--- a/libs/http/tests/hostile_peer_test.cpp
+++ b/libs/http/tests/hostile_peer_test.cpp
@@ -239,7 +239,7 @@
         callers.emplace_back([&] {
             while (!stop) {
                 auto options = within(test_timeout);
-                options.fresh_connection = true;
+                options.connection = connection_use::fresh;
                 (void)flooding.call(std::move(options));
             }
         });
--- a/libs/http/tests/http_test.cpp
+++ b/libs/http/tests/http_test.cpp
@@ -159,7 +159,7 @@
     }};
     const call_options pooled{.deadline = steady_clock::now() + test_timeout};
     auto alone = pooled;
-    alone.single_use_connection = true;
+    alone.connection = connection_use::single_use;
     const auto open_connections_fall_to = [&](std::size_t expected) {
         const auto until = steady_clock::now() + test_timeout;
         while (peers.http_server().open_connections() != expected && steady_clock::now() < until) {
--- a/libs/sidecar/src/endpoint_adapter.cpp
+++ b/libs/sidecar/src/endpoint_adapter.cpp
@@ -53,7 +53,8 @@
     http::call_options options{.deadline = order.deadline};
     options.cancel = &cancel;
     // A failure to connect proves that nothing ran; a failure on an idle connection proves nothing.
-    options.fresh_connection = !order.idempotent;
+    options.connection =
+        order.idempotent ? http::connection_use::pooled : http::connection_use::fresh;
     auto opened = co_await client_.open(address_, std::move(message), options);
     if (!opened) {
         co_return failed_call(order, std::move(opened.error()));
