--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -2,13 +2,11 @@
 
 #include "base/tcp.hpp"
 #include "req_rep_framing.hpp"
+#include "transfer.hpp"
 
 #include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <algorithm>
 #include <map>
@@ -24,10 +22,6 @@
 constexpr std::size_t max_idle_per_peer = 16;
 constexpr milliseconds reconnect_interval{100};
 
-auto into(boost::system::error_code& failure) {
-    return asio::redirect_error(asio::use_awaitable, failure);
-}
-
 // Carries one call at a time.
 struct connection {
     explicit connection(const asio::any_io_executor& executor) : stream{executor} {}
@@ -143,17 +137,14 @@
         co_return to_error(failure, address);
     }
     BOOST_OUTCOME_CO_TRY(co_await read_greeting(with, address));
-    std::array<std::uint8_t, length_bytes> head{};
-    co_await asio::async_read(with.stream, asio::buffer(head), into(failure));
+    const auto length = co_await receive_length(with.stream, failure);
     if (failure) {
         co_return to_error(failure, address);
     }
-    BOOST_OUTCOME_CO_TRY(const auto length, read_length(head));
-    // Grows as bytes arrive: the length is the peer's claim.
-    std::string message;
-    message.reserve(std::min(length, typical_message_bytes));
-    co_await asio::async_read(with.stream, asio::dynamic_buffer(message, length),
-                              asio::transfer_exactly(length), into(failure));
+    if (!length) {
+        co_return length.error();
+    }
+    const auto message = co_await receive_message(with.stream, length.value(), failure);
     if (failure) {
         co_return to_error(failure, address);
     }
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -3,16 +3,13 @@
 #include "base/exceptions.hpp"
 #include "base/tcp.hpp"
 #include "req_rep_framing.hpp"
+#include "transfer.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/read.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
-#include <algorithm>
 #include <set>
 
 namespace boragefront::wire {
@@ -26,10 +23,6 @@
 constexpr seconds idle_limit{60}; // many times the lifetime of a caller's idle connection
 constexpr seconds transfer_limit{5};
 
-auto into(boost::system::error_code& failure) {
-    return asio::redirect_error(asio::use_awaitable, failure);
-}
-
 struct peer_connection {
     explicit peer_connection(tcp::socket socket) : stream{std::move(socket)} {}
     beast::tcp_stream stream;
@@ -81,24 +74,19 @@
 // Answers one call. Returns whether the connection can carry another.
 asio::awaitable<bool> serve_call(beast::tcp_stream& stream, server_core& core) {
     boost::system::error_code failure;
-    std::array<std::uint8_t, length_bytes> head{};
     stream.expires_after(idle_limit);
-    co_await asio::async_read(stream, asio::buffer(head), into(failure));
-    const auto length = read_length(head);
+    const auto length = co_await receive_length(stream, failure);
     if (failure || !length) {
         co_return false;
     }
-    // Grows as bytes arrive: the length is the peer's claim.
-    std::string message;
-    message.reserve(std::min(length.value(), typical_message_bytes));
     stream.expires_after(transfer_limit);
-    co_await asio::async_read(stream, asio::dynamic_buffer(message, length.value()),
-                              asio::transfer_exactly(length.value()), into(failure));
+    const auto message = co_await receive_message(stream, length.value(), failure);
     const auto call = read_message(message);
     if (failure || !call || !core.acceptor.is_open()) {
         co_return false;
     }
-    // A process that was suspended finds calls that were given up meanwhile. Their news is old.
+    // After a suspension, calls that timed out meanwhile are still queued. They carry outdated
+    // state.
     if (is_closed_by_peer(stream.socket())) {
         co_return false;
     }
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -200,7 +200,8 @@
     CHECK(steady_clock::now() - began < seconds{3});
 }
 
-// A process that had been suspended took an old call for news, and started work by what it told.
+// After a suspension, a queued call that had timed out was handled, and work started by its
+// outdated state.
 TEST_CASE("a call that was given up before it was read is not answered", "[invariant]") {
     asio::io_context io;
     metrics_registry metrics;
