--- a/boragefrontd/src/shutdown_limit.cpp
+++ b/boragefrontd/src/shutdown_limit.cpp
@@ -12,7 +12,7 @@
 shutdown_limit::shutdown_limit(milliseconds limit, std::function<void()> on_overdue)
     : thread_{[this, limit, action = std::move(on_overdue)] {
           std::unique_lock lock{mutex_};
-          // A step counts the same however long it took, so a suspended process is not overdue.
+          // Counts steps, not elapsed time, so that a suspension is not part of the limit.
           for (auto left = limit; left > milliseconds{0}; left -= step) {
               if (ended_changed_.wait_for(lock, step, [this] { return ended_; })) {
                   return;
--- a/boragefrontd/src/shutdown_limit.hpp
+++ b/boragefrontd/src/shutdown_limit.hpp
@@ -11,8 +11,8 @@
 
 namespace boragefront::daemon {
 
-/// Acts if a shutdown takes too long, on a thread of its own, as the threads that are to end may
-/// hang. Destroying it in time prevents that.
+/// Calls a function if a shutdown takes too long. Runs on a thread of its own, because the threads
+/// that are to be joined may hang. Destroying it in time cancels the call.
 class shutdown_limit {
 public:
     /// \param limit from now, without the time for which the process is suspended
--- a/libs/balancing/include/balancing/retry_budget.hpp
+++ b/libs/balancing/include/balancing/retry_budget.hpp
@@ -22,7 +22,7 @@
     /// The budget of an entry that has run for longer than any window.
     retry_budget() = default;
 
-    /// \param started_at start of the process. What its earlier lives consumed is not known, so its
+    /// \param started_at start of the process. Retries sent before a restart are not known, so its
     /// share of the slack accrues over the first window.
     static retry_budget make(time_point started_at);
 
--- a/libs/balancing/src/retry_budget.cpp
+++ b/libs/balancing/src/retry_budget.cpp
@@ -9,7 +9,7 @@
 // A quarter of the budget stays unused, because requests are counted when they arrive and retries
 // when they are sent, and because this entry may not know all others.
 constexpr double usable_share = 0.75;
-// A process takes longer than this to end and start again.
+// A restart takes longer than this.
 constexpr milliseconds accrued_at_start{500};
 
 } // namespace
@@ -20,7 +20,7 @@
     return budget;
 }
 
-// Part of the share of the slack that this life of the process may use, from 0 to 1.
+// Fraction of this entry's share of the slack that has accrued since the process started.
 double retry_budget::accrued_share(const retry_limit& limit, time_point now) const {
     using fraction = std::chrono::duration<double, milliseconds::period>;
     const fraction accrued_for = now - started_at_ + accrued_at_start;
--- a/libs/balancing/tests/limits_test.cpp
+++ b/libs/balancing/tests/limits_test.cpp
@@ -70,16 +70,16 @@
     }
 }
 
-// Each life of an entry that restarted again and again used a whole share of the slack.
+// An entry used its whole share of the slack after each of several restarts within one window.
 TEST_CASE("retries of an entry that restarts in series respect the budget", "[invariant]") {
     const retry_limit limit{0.2, 52, milliseconds{10'000}};
     constexpr std::size_t entries = 3;
-    const auto life = GENERATE(milliseconds{1'000}, milliseconds{2'500}, milliseconds{5'000});
-    INFO("lives of " << life.count() << " ms");
+    const auto uptime = GENERATE(milliseconds{1'000}, milliseconds{2'500}, milliseconds{5'000});
+    INFO("restarts every " << uptime.count() << " ms");
     std::vector<time_point> retries;
     retry_budget budget;
     for (auto now = start; now < start + seconds{60}; now += milliseconds{20}) {
-        if ((now - start) % life == duration{0}) {
+        if ((now - start) % uptime == duration{0}) {
             budget = retry_budget::make(now);
         }
         if (budget.try_consume(limit, entries, now)) {
--- a/libs/base/include/base/byte_budget.hpp
+++ b/libs/base/include/base/byte_budget.hpp
@@ -8,8 +8,8 @@
 
 namespace boragefront {
 
-/// Bytes of memory, shared by all holders of leases. A few large holders must not take what many
-/// small ones need, so holders over `small_lease` have to leave a half to the others. Thread-safe.
+/// A memory budget shared by all leases. Leases over `small_lease` fail once half of the budget is
+/// used, so that a few large ones do not starve many small ones. Thread-safe.
 class byte_budget {
 public:
     /// Leases up to this size may use the whole budget.
--- a/libs/base/include/base/stall_detector.hpp
+++ b/libs/base/include/base/stall_detector.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// Detects that an event loop takes no turns.
+/// Detects a stalled event loop by its missing heartbeats.
 #pragma once
 
 #include "base/time.hpp"
@@ -12,18 +12,18 @@
 /// What a check of an event loop found.
 enum class loop_change : std::uint8_t { none, stalled, resumed };
 
-/// Watches one event loop from the thread of another one. A suspended process stalls all its loops;
-/// the watching one notices that by its own pause, and does not report it.
+/// Monitors one event loop from the thread of another one. A suspended process stalls all its
+/// loops; the monitoring one detects that by the gap between its own checks, and reports no stall.
 class stall_detector {
 public:
     /// \param started_at when the loop begins to run
     static stall_detector make(time_point started_at) { return stall_detector{started_at}; }
 
-    /// Records a turn of the watched loop. Thread-safe.
-    void record_turn(time_point now) { last_turn_ = now.time_since_epoch().count(); }
+    /// Records a heartbeat of the monitored loop. Thread-safe.
+    void record_heartbeat(time_point now) { last_heartbeat_ = now.time_since_epoch().count(); }
 
-    /// Checks the watched loop. Called on one thread, several times a second.
-    /// \returns `stalled` once the loop has taken no turn for a second, `resumed` at its next one.
+    /// Checks the monitored loop. Called on one thread, several times a second.
+    /// \returns `stalled` once a second has passed without a heartbeat, `resumed` at the next one.
     loop_change check(time_point now);
 
     /// How long the last stall took, or has taken until the last check.
@@ -31,12 +31,12 @@
 
 private:
     explicit stall_detector(time_point started_at)
-        : last_turn_{started_at.time_since_epoch().count()}, last_check_{started_at},
-          watched_since_{started_at} {}
+        : last_heartbeat_{started_at.time_since_epoch().count()}, last_check_{started_at},
+          monitored_since_{started_at} {}
 
-    std::atomic<duration::rep> last_turn_; ///< since the clock's epoch
+    std::atomic<duration::rep> last_heartbeat_; ///< since the clock's epoch
     time_point last_check_;
-    time_point watched_since_; ///< without a pause of the watching loop
+    time_point monitored_since_; ///< since the last gap between checks
     bool stalled_{false};
     duration stalled_for_{0};
 };
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -312,8 +312,8 @@
     for (;;) {
         const auto now = steady_clock::now();
         last_round_ = now.time_since_epoch().count();
-        if (callbacks_.on_turn) {
-            callbacks_.on_turn();
+        if (callbacks_.on_heartbeat) {
+            callbacks_.on_heartbeat();
         }
         for (auto& address : peers_.gossip_targets(now, random_)) {
             asio::co_spawn(io_, gossip_with(std::move(address)),
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -33,7 +33,7 @@
     std::function<void(std::vector<quarantine::part_report>)> merge_suspects;
     std::function<std::string()> dump_traffic; ///< JSON; blocks until the traffic thread responds
     std::function<std::size_t()> open_requests;
-    std::function<void()> on_turn{}; ///< several times a second; may be empty
+    std::function<void()> on_heartbeat{}; ///< several times a second; may be empty
 };
 
 /// Runs its own event loop. Public functions are thread-safe.
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -26,7 +26,7 @@
 
 constexpr milliseconds drain_poll_interval{20};
 constexpr milliseconds query_timeout{300};
-constexpr milliseconds turn_interval{250}; // between checks that the other event loop takes turns
+constexpr milliseconds heartbeat_interval{250}; // of the event loops
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
@@ -87,7 +87,7 @@
         state_.on_suspects_changed([this](std::vector<quarantine::part_report> reports) {
             control_->set_suspects(std::move(reports));
         });
-        take_traffic_turn();
+        send_traffic_heartbeat();
         traffic_loop_.thread = std::thread{[this] { run_event_loop(traffic_loop_.io, "traffic"); }};
         control_thread_ = std::thread{[this] { control_->run(); }};
         log_change("gateway", "started",
@@ -184,10 +184,10 @@
         };
         callbacks.dump_traffic = [this] { return dump(); };
         callbacks.open_requests = [this] { return open_requests(); };
-        callbacks.on_turn = [this] {
+        callbacks.on_heartbeat = [this] {
             const auto now = steady_clock::now();
-            control_stalls_.record_turn(now);
-            report_change(traffic_stalls_, "traffic", now);
+            control_stalls_.record_heartbeat(now);
+            report_stalls(traffic_stalls_, "traffic", now);
         };
         return callbacks;
     }
@@ -218,27 +218,27 @@
         }
     }
 
-    // Traffic thread. Records turns of its event loop, and checks that of the control thread.
-    void take_traffic_turn() {
+    // Traffic thread. Records its heartbeat and checks that of the control thread.
+    void send_traffic_heartbeat() {
         const auto now = steady_clock::now();
-        traffic_stalls_.record_turn(now);
-        report_change(control_stalls_, "control", now);
-        traffic_turn_.expires_at(now + turn_interval);
-        traffic_turn_.async_wait([this](boost::system::error_code failure) {
+        traffic_stalls_.record_heartbeat(now);
+        report_stalls(control_stalls_, "control", now);
+        heartbeat_timer_.expires_at(now + heartbeat_interval);
+        heartbeat_timer_.async_wait([this](boost::system::error_code failure) {
             if (!failure) {
-                take_traffic_turn();
+                send_traffic_heartbeat();
             }
         });
     }
 
     // Called on the thread of the other event loop.
-    void report_change(stall_detector& watched, std::string_view loop, time_point now) {
-        const auto change = watched.check(now);
+    void report_stalls(stall_detector& monitored, std::string_view loop, time_point now) {
+        const auto change = monitored.check(now);
         if (change == loop_change::none) {
             return;
         }
         const bool stalled = change == loop_change::stalled;
-        const auto stalled_for = std::chrono::floor<milliseconds>(watched.stalled_for());
+        const auto stalled_for = std::chrono::floor<milliseconds>(monitored.stalled_for());
         log_warning("gateway", stalled ? "event_loop_stalled" : "event_loop_resumed",
                     {{"loop", std::string{loop}}, {"for_ms", std::to_string(stalled_for.count())}});
         if (stalled) {
@@ -381,7 +381,7 @@
     traffic_state state_;
     byte_budget memory_; // of messages in progress
     event_loop traffic_loop_;
-    boost::asio::steady_timer traffic_turn_{traffic_loop_.io};
+    boost::asio::steady_timer heartbeat_timer_{traffic_loop_.io};
     stall_detector traffic_stalls_{stall_detector::make(steady_clock::now())};
     stall_detector control_stalls_{stall_detector::make(steady_clock::now())};
     std::atomic<std::shared_ptr<const indexed_snapshot>> latest_snapshot_; // shared with requests
