wire, settings, gateway: what entries tell each other of capacity and lateness

Cause: an entry knows neither the bandwidth of the others' links nor how long they have been serving, and what one entry observes of late entries and slow endpoints reaches no other. Change: gateway.link_mbps in the settings; link_mbps and serving_for in entry_info; observations in gossip requests and answers, with at most 8 late entries and 24 estimates; the workspace of a group in make_pieces_request. Nothing decides by them yet. The started line shows processors and link. Result: wire_test, peering_test, settings_test and gateway_test pass; a message grows by less than 1 kB; programs without the fields read and are read as before.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -153,6 +153,12 @@
                [this, reports = std::move(reports)]() mutable { suspects_ = std::move(reports); });
 }
 
+void control_loop::set_observations(wire::fleet_observations observations) {
+    asio::post(io_, [this, observations = std::move(observations)]() mutable {
+        observations_ = std::move(observations);
+    });
+}
+
 void control_loop::reload(const settings::daemon_settings& settings) {
     asio::post(io_, [this, seeds = other_seeds(settings.seed_peers)] { peers_.set_seeds(seeds); });
 }
@@ -338,6 +344,7 @@
     wire::gossip_request request{self(), peers_.gossip_sample(now, random_),
                                  published_.operator_keys().through(),
                                  published_.endpoint_keys().through(), to_message(suspects_, now)};
+    request.observations = observations_;
     // At start-up the response contains the full published state, so only a few peers are asked for
     // it at a time.
     const bool is_full_sync = !published_.complete() && full_syncs_ < max_full_syncs;
@@ -364,6 +371,7 @@
     peers_.record_contact(gossip.self, now);
     peers_.merge_gossip(gossip.others, now);
     merge_suspects(gossip.suspected_parts, now);
+    merge_observations(gossip.self, gossip.observations);
     bool changed = apply_delta(operators_part, published_.operator_keys(), gossip.configuration,
                                gossip.self.id);
     changed =
@@ -403,6 +411,13 @@
     }
 }
 
+void control_loop::merge_observations(const wire::entry_info& from,
+                                      const wire::fleet_observations& received) {
+    if (callbacks_.merge_observations) {
+        callbacks_.merge_observations(from.id, from.life, received);
+    }
+}
+
 void control_loop::notify_peers() {
     for (const auto& peer : peers_.alive_peers(steady_clock::now())) {
         asio::co_spawn(io_, gossip_with(peer.control_address),
@@ -411,10 +426,14 @@
 }
 
 wire::entry_info control_loop::self() const {
-    return {settings_.id,          incarnation_,
-            settings_.data_centre, server_->address(),
-            work_address_,         published_.complete() && !draining_,
-            milliseconds{0},       std::get<settings::gateway_settings>(settings_.role).processors};
+    const auto& role = std::get<settings::gateway_settings>(settings_.role);
+    const bool serving = published_.complete() && !draining_;
+    const auto serving_for =
+        serving && serving_since_
+            ? std::chrono::floor<milliseconds>(steady_clock::now() - *serving_since_)
+            : milliseconds{0};
+    return {settings_.id, incarnation_,    settings_.data_centre, server_->address(), work_address_,
+            serving,      milliseconds{0}, role.processors,       role.link_mbps,     serving_for};
 }
 
 wire::answer control_loop::answer_gossip(const wire::gossip_request& message) {
@@ -422,8 +441,10 @@
     peers_.record_contact(message.self, now);
     peers_.merge_gossip(message.others, now);
     merge_suspects(message.suspected_parts, now);
+    merge_observations(message.self, message.observations);
     wire::gossip_answer response;
     response.self = self();
+    response.observations = observations_;
     response.suspected_parts = to_message(suspects_, now);
     response.others = peers_.gossip_sample(now, random_);
     const auto& operators = published_.operator_keys();
@@ -508,6 +529,7 @@
     published_at_ = steady_clock::now();
     auto snapshot = published_.build(published_at_);
     if (published_.complete()) {
+        serving_since_ = serving_since_.value_or(published_at_);
         callbacks_.publish(std::make_shared<const indexed_snapshot>(std::move(snapshot)));
     }
 }
@@ -516,7 +538,7 @@
     const auto now = steady_clock::now();
     fleet_view view{peers_.serving_peers(now), peers_.alive_peers(now),
                     peers_.unresponsive_peers(now, silent_retention),
-                    peers_.max_entry_count(now, limit_divisor_retention)};
+                    peers_.max_entry_count(now, limit_divisor_retention), self()};
     if (view.alive.size() != alive_peers_) {
         log_change("peers", "alive_changed",
                    {{"before", std::to_string(alive_peers_)},
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boragefront::gateway {
@@ -31,6 +32,8 @@
     std::function<void(std::shared_ptr<const indexed_snapshot>)> publish;
     std::function<void(fleet_view)> set_fleet;
     std::function<void(std::vector<quarantine::part_report>)> merge_suspects;
+    /// Observations of an entry, by its id and incarnation; may be empty.
+    std::function<void(std::string, incarnation, wire::fleet_observations)> merge_observations{};
     std::function<std::string()> dump_traffic; ///< JSON; blocks until the traffic thread responds
     std::function<std::size_t()> open_requests;
     std::function<void()> on_heartbeat{}; ///< several times a second; may be empty
@@ -60,6 +63,9 @@
     /// Sets what other entries are told of suspected parts of prompts.
     void set_suspects(std::vector<quarantine::part_report> reports);
 
+    /// Sets what other entries are told of late entries and of endpoints.
+    void set_observations(wire::fleet_observations observations);
+
     /// Whether the control thread still runs its gossip loop. If not, the entry's state goes stale.
     bool is_responsive(time_point now) const;
 
@@ -110,6 +116,7 @@
     http::awaitable<void> gossip_with(std::string address);
     void apply_gossip(const wire::gossip_answer& gossip);
     void merge_suspects(const std::vector<wire::suspected_part>& parts, time_point now);
+    void merge_observations(const wire::entry_info& from, const wire::fleet_observations& received);
     void notify_peers();
     wire::entry_info self() const;
     wire::answer answer(const wire::request& message);
@@ -147,6 +154,8 @@
     std::map<std::string, time_point, std::less<>>
         last_contact_; // when the store last responded, by part
     std::vector<quarantine::part_report> suspects_;
+    wire::fleet_observations observations_; ///< of this entry
+    std::optional<time_point> serving_since_;
     bool draining_{false};
     std::atomic<duration::rep>
         last_round_; // start of the last gossip round, since the clock's epoch
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -91,7 +91,10 @@
         traffic_loop_.thread = std::thread{[this] { run_event_loop(traffic_loop_.io, "traffic"); }};
         control_thread_ = std::thread{[this] { control_->run(); }};
         log_change("gateway", "started",
-                   {{"data_address", data_address()}, {"control_address", control_address()}});
+                   {{"data_address", data_address()},
+                    {"control_address", control_address()},
+                    {"processors", std::to_string(role_.processors)},
+                    {"link_mbps", std::to_string(role_.link_mbps)}});
         return success();
     }
 
@@ -182,6 +185,13 @@
                 state_.merge_suspects(reports, steady_clock::now());
             });
         };
+        callbacks.merge_observations = [this](std::string from, incarnation life,
+                                              wire::fleet_observations received) {
+            asio::post(traffic_loop_.io,
+                       [this, from = std::move(from), life, received = std::move(received)] {
+                           state_.merge_observations(from, life, received, steady_clock::now());
+                       });
+        };
         callbacks.dump_traffic = [this] { return dump(); };
         callbacks.open_requests = [this] { return open_requests(); };
         callbacks.on_heartbeat = [this] {
@@ -218,11 +228,13 @@
         }
     }
 
-    // Traffic thread. Records its heartbeat and checks that of the control thread.
+    // Traffic thread. Records its heartbeat, checks that of the control thread, and hands it what
+    // this entry observes of others.
     void send_traffic_heartbeat() {
         const auto now = steady_clock::now();
         traffic_stalls_.record_heartbeat(now);
         report_stalls(control_stalls_, "control", now);
+        control_->set_observations(state_.observations(now));
         heartbeat_timer_.expires_at(now + heartbeat_interval);
         heartbeat_timer_.async_wait([this](boost::system::error_code failure) {
             if (!failure) {
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -207,6 +207,7 @@
     group.pieces = plan_->pieces_of(stage);
     group.result_bytes = route_->stages[stage].result_bytes;
     group.priority = priority_;
+    group.workspace = workspace_;
     const auto inputs = plan_->inputs_of(stage);
     group.near_data_centre = inputs.empty() && group.result_bytes >= costly_transfer_bytes
                                  ? context_.state.preferred_data_centre(*route_, shared_prompt())
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -115,6 +115,14 @@
     }
 }
 
+wire::fleet_observations traffic_state::observations(time_point /*now*/) const {
+    return {};
+}
+
+void traffic_state::merge_observations(const std::string& /*from*/, incarnation /*life*/,
+                                       const wire::fleet_observations& /*received*/,
+                                       time_point /*now*/) {}
+
 balancing::endpoint_pool* traffic_state::pool(std::string_view service) {
     const auto found = pools_.find(service);
     return found == pools_.end() ? nullptr : &found->second;
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -50,6 +50,7 @@
     std::vector<wire::entry_info> alive;   ///< respond, including draining ones
     std::vector<wire::entry_info> silent;  ///< responded recently, but not now
     std::size_t max_entry_count{1};        ///< divisor of limits, including this entry
+    wire::entry_info self{};               ///< what the others are told of this entry
 };
 
 /// Snapshot, pools, budgets and the fleet, as the traffic thread uses them for its decisions.
@@ -94,6 +95,13 @@
         on_suspects_changed_ = std::move(callback);
     }
 
+    /// What other entries are told of late entries and of endpoints.
+    wire::fleet_observations observations(time_point now) const;
+
+    /// Merges the observations of another entry.
+    void merge_observations(const std::string& from, incarnation life,
+                            const wire::fleet_observations& received, time_point now);
+
     /// The endpoint pool of a service, null if no configuration had such a service. One that has
     /// left the configuration keeps its pool, and with it the tickets of its open requests.
     balancing::endpoint_pool* pool(std::string_view service);
--- a/libs/peering/include/peering/peer_table.hpp
+++ b/libs/peering/include/peering/peer_table.hpp
@@ -41,7 +41,8 @@
     /// Peers that are not forgotten, with the time since each was last seen.
     std::vector<wire::entry_info> known_peers(time_point now) const;
 
-    /// Peers that are seen regularly and answer calls.
+    /// Peers that are seen regularly and answer calls. How long they have accepted work is as of
+    /// `now`.
     std::vector<wire::entry_info> alive_peers(time_point now) const;
 
     /// Peers that are not alive but were seen within `window` while serving. They have stopped, or
--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -121,6 +121,10 @@
     for (const auto& [address, one] : peers_) {
         if (is_alive(one, now)) {
             all.push_back(one.info);
+            auto& listed = all.back();
+            if (listed.serving && listed.serving_for > milliseconds{0}) {
+                listed.serving_for += std::chrono::floor<milliseconds>(now - one.last_seen);
+            }
         }
     }
     return all;
--- a/libs/peering/tests/peer_table_test.cpp
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -198,3 +198,14 @@
     });
     CHECK(dropped);
 }
+
+// Guards against an entry that counts as just started for as long as nothing new is heard of it.
+TEST_CASE("how long a peer has accepted work rises until it is heard of again") {
+    auto table = peer_table::make("self", {});
+    auto report = make_peer("a", true, milliseconds{200});
+    report.serving_for = milliseconds{1'000};
+    table.merge_gossip({report}, start);
+    const auto alive = table.alive_peers(start + milliseconds{500});
+    REQUIRE(alive.size() == 1);
+    CHECK(alive.front().serving_for == milliseconds{1'700});
+}
--- a/libs/settings/include/settings/settings.hpp
+++ b/libs/settings/include/settings/settings.hpp
@@ -42,6 +42,7 @@
     double cold_tolerance{1.5};                   ///< a cold endpoint bears its rate times this ...
     double cold_slack{5};                         ///< ... and so many requests more, in any second
     double processors{1};                         ///< its share of processor cores
+    double link_mbps{0};                          ///< bandwidth of its network link; 0: unknown
     unsigned log_lines_per_second{400};           ///< of decisions; others are counted and left out
     std::size_t message_bytes{96U << 20U};        ///< memory for bodies of requests and responses
 };
--- a/libs/settings/src/settings.cpp
+++ b/libs/settings/src/settings.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned mebibyte_shift = 20;
 constexpr number_range ratios{0, 10};
 constexpr number_range processor_counts{0.01, 1'024};
+constexpr number_range link_rates{0, 1e6}; // Mbit/s
 constexpr number_range tolerances{1, 100};
 constexpr number_range request_counts{0, 1e6};
 constexpr std::uintmax_t largest_file = 1U << 20U;
@@ -103,6 +104,7 @@
     read.cold_tolerance = fields.number("cold_tolerance", read.cold_tolerance, tolerances);
     read.cold_slack = fields.number("cold_slack", read.cold_slack, request_counts);
     read.processors = fields.number("processors", read.processors, processor_counts);
+    read.link_mbps = fields.number("link_mbps", read.link_mbps, link_rates);
     read.log_lines_per_second = static_cast<unsigned>(
         fields.integer("log_lines_per_second", read.log_lines_per_second, log_rates));
     const auto message_memory = fields.integer(
--- a/libs/stages/include/stages/piece.hpp
+++ b/libs/stages/include/stages/piece.hpp
@@ -45,6 +45,7 @@
     std::vector<piece> pieces;
     std::uint64_t result_bytes{0}; ///< approximate size of each result
     int priority{0};               ///< 0 is the most urgent
+    std::string workspace;         ///< of the request; empty: none
     time_point soft_deadline{};    ///< after this the request misses its latency goal
     time_point hard_deadline{};    ///< after this the request misses its deadline
     /// Data centre of its inputs or of the readers of its results, if transferring them is
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -119,8 +119,36 @@
     bool serving{false};      ///< takes work; false while it starts or drains
     milliseconds heard{0};    ///< since it was last heard of, by anyone
     double processors{1};     ///< its share of processor cores
+    double link_mbps{0};      ///< bandwidth of its network link; 0: unknown
+    /// How long it has accepted work, as of `heard` ago. 0: it does not, or does not say.
+    milliseconds serving_for{0};
 };
 
+/// An entry that the sender observes to respond late.
+struct late_entry {
+    std::string id;
+    incarnation life{0};
+};
+
+/// What the sender knows about how much an endpoint takes.
+struct endpoint_estimate {
+    std::uint64_t endpoint{0};    ///< hash of its id
+    std::uint64_t incarnation{0}; ///< of the endpoint
+    unsigned speed_percent{100};  ///< 100: as fast as the median of its peers
+    unsigned concurrency{0};      ///< requests that it takes well at a time; 0: unknown
+    milliseconds age{0};          ///< since it was last confirmed by an observation
+};
+
+/// What an entry observes of others and of endpoints.
+struct fleet_observations {
+    std::vector<late_entry> late_entries;
+    std::vector<endpoint_estimate> estimates;
+};
+
+/// Bounds the growth of a gossip message to about 1 kB, whatever the size of the fleet.
+inline constexpr std::size_t late_entry_limit = 8;
+inline constexpr std::size_t endpoint_estimate_limit = 24;
+
 /// A crash of an engine while it processed a request with a certain part of a prompt.
 struct crash_info {
     std::uint64_t engine{0};
@@ -144,6 +172,7 @@
     catalog::store_position endpoints_through;
     std::vector<suspected_part> suspected_parts{};
     bool knows_eras{true}; ///< false: the sender compares bare revisions
+    fleet_observations observations{};
 };
 struct gossip_answer {
     entry_info self;
@@ -151,6 +180,7 @@
     catalog::replica_delta configuration;
     catalog::replica_delta endpoints;
     std::vector<suspected_part> suspected_parts{};
+    fleet_observations observations{};
 };
 
 /// Asks the entry that dispatches for a stage service to have pieces made.
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -8,6 +8,8 @@
 constexpr std::uint64_t most_milliseconds = 1'000ULL * 3'600 * 24 * 365;
 constexpr double least_processors = 0.01; // also of a peer that tells none
 constexpr double most_processors = 1'024;
+constexpr double most_link_mbps = 1'000'000;
+constexpr unsigned most_speed_percent = 10'000;
 constexpr std::size_t most_suspected_parts = 64; // of a message; entries send fewer
 constexpr std::size_t most_crashes = 64;         // of a part; entries send fewer
 constexpr int most_pieces = 4'096; // far above any route's; bounds what a broken peer can ask for
@@ -25,6 +27,8 @@
     out.set_serving(entry.serving);
     out.set_heard_ms(as_count(entry.heard));
     out.set_processors(entry.processors);
+    out.set_link_mbps(entry.link_mbps);
+    out.set_serving_for_ms(as_count(entry.serving_for));
 }
 
 entry_info read_entry(const pb::entry_info& in) {
@@ -35,7 +39,49 @@
             in.work_address(),
             in.serving(),
             read_milliseconds(in.heard_ms()),
-            std::clamp(in.processors(), least_processors, most_processors)};
+            std::clamp(in.processors(), least_processors, most_processors),
+            in.link_mbps() > 0 ? std::min(in.link_mbps(), most_link_mbps) : 0, // 0 also for NaN
+            read_milliseconds(in.serving_for_ms())};
+}
+
+template <class Message>
+void write_observations(const fleet_observations& observations, Message& message) {
+    if (observations.late_entries.empty() && observations.estimates.empty()) {
+        return;
+    }
+    auto& out = *message.mutable_observations();
+    for (const auto& entry : observations.late_entries) {
+        auto& one = *out.add_late_entries();
+        one.set_id(entry.id);
+        one.set_incarnation(entry.life);
+    }
+    for (const auto& estimate : observations.estimates) {
+        auto& one = *out.add_estimates();
+        one.set_endpoint(estimate.endpoint);
+        one.set_incarnation(estimate.incarnation);
+        one.set_speed_percent(estimate.speed_percent);
+        one.set_concurrency(estimate.concurrency);
+        one.set_age_ms(as_count(estimate.age));
+    }
+}
+
+fleet_observations read_observations(const pb::fleet_observations& in) {
+    fleet_observations observations;
+    for (const auto& one : in.late_entries()) {
+        if (observations.late_entries.size() == late_entry_limit) {
+            break;
+        }
+        observations.late_entries.push_back({one.id(), one.incarnation()});
+    }
+    for (const auto& one : in.estimates()) {
+        if (observations.estimates.size() == endpoint_estimate_limit) {
+            break;
+        }
+        observations.estimates.push_back({one.endpoint(), one.incarnation(),
+                                          std::clamp(one.speed_percent(), 1U, most_speed_percent),
+                                          one.concurrency(), read_milliseconds(one.age_ms())});
+    }
+    return observations;
 }
 
 void write_delta(const catalog::replica_delta& delta, pb::replica_delta& out) {
@@ -132,6 +178,7 @@
         out.set_endpoints_era(message.endpoints_through.era);
     }
     write_parts(message.suspected_parts, out);
+    write_observations(message.observations, out);
 }
 
 void write(const gossip_answer& message, pb::gossip_answer& out) {
@@ -142,6 +189,7 @@
     write_delta(message.configuration, *out.mutable_configuration());
     write_delta(message.endpoints, *out.mutable_endpoints());
     write_parts(message.suspected_parts, out);
+    write_observations(message.observations, out);
 }
 
 gossip_request read(const pb::gossip_request& in) {
@@ -150,12 +198,17 @@
             {in.configuration_era(), in.configuration_through()},
             {in.endpoints_era(), in.endpoints_through()},
             read_parts_of(in.suspected_parts()),
-            in.has_configuration_era() && in.has_endpoints_era()};
+            in.has_configuration_era() && in.has_endpoints_era(),
+            read_observations(in.observations())};
 }
 
 gossip_answer read(const pb::gossip_answer& in) {
-    return {read_entry(in.self()), read_entries_of(in.others()), read_delta(in.configuration()),
-            read_delta(in.endpoints()), read_parts_of(in.suspected_parts())};
+    return {read_entry(in.self()),
+            read_entries_of(in.others()),
+            read_delta(in.configuration()),
+            read_delta(in.endpoints()),
+            read_parts_of(in.suspected_parts()),
+            read_observations(in.observations())};
 }
 
 // All pieces of a group share the request, the key and the inputs, so these travel once.
@@ -181,6 +234,7 @@
     out.set_useless_in_ms(as_count(message.useless_in));
     out.set_near_data_centre(group.near_data_centre);
     out.set_result_bytes(group.result_bytes);
+    out.set_workspace(group.workspace);
 }
 
 result<request> read(const pb::make_pieces_request& in) {
@@ -198,6 +252,7 @@
     read.group.priority = in.priority();
     read.group.near_data_centre = in.near_data_centre();
     read.group.result_bytes = in.result_bytes();
+    read.group.workspace = in.workspace();
     read.wanted_in = read_milliseconds(in.wanted_in_ms());
     read.useless_in = read_milliseconds(in.useless_in_ms());
     return request{std::move(read)};
--- a/libs/wire/tests/entry_codec_test.cpp
+++ b/libs/wire/tests/entry_codec_test.cpp
@@ -16,6 +16,7 @@
     sent.group.priority = 1;
     sent.group.result_bytes = 3'000'000;
     sent.group.near_data_centre = "a";
+    sent.group.workspace = "w-1";
     sent.wanted_in = milliseconds{600};
     sent.useless_in = milliseconds{5'000};
     return sent;
@@ -33,6 +34,7 @@
     CHECK(got.group.pieces[1].request_id == "r1");
     CHECK(got.group.pieces[1].inputs == std::vector<std::string>{"h/1", "h/2"});
     CHECK(got.group.result_bytes == 3'000'000);
+    CHECK(got.group.workspace == "w-1");
     CHECK(got.useless_in == milliseconds{5'000});
 }
 
@@ -125,6 +127,47 @@
     CHECK(encode(request{present}).find(bytes.substr(2)) == 2);
 }
 
+// Guards against a fleet in which each entry learns of slow endpoints and late entries alone.
+TEST_CASE("observations and the capacity of an entry are read as sent") {
+    gossip_request sent;
+    sent.self.link_mbps = 22.5;
+    sent.self.serving_for = milliseconds{3'100};
+    sent.observations.late_entries = {{"entry-2", 7}};
+    sent.observations.estimates = {{0x1122334455667788, 5, 77, 12, milliseconds{900}}};
+    const auto read = decode_request(encode(request{sent}));
+    REQUIRE(read);
+    const auto& got = std::get<gossip_request>(read.value());
+    CHECK(got.self.link_mbps == Approx(22.5));
+    CHECK(got.self.serving_for == milliseconds{3'100});
+    REQUIRE(got.observations.late_entries.size() == 1);
+    CHECK(got.observations.late_entries[0].id == "entry-2");
+    CHECK(got.observations.late_entries[0].life == 7);
+    REQUIRE(got.observations.estimates.size() == 1);
+    const auto& estimate = got.observations.estimates[0];
+    CHECK(estimate.endpoint == 0x1122334455667788);
+    CHECK(estimate.incarnation == 5);
+    CHECK(estimate.speed_percent == 77);
+    CHECK(estimate.concurrency == 12);
+    CHECK(estimate.age == milliseconds{900});
+}
+
+// Guards against gossip that grows with the fleet.
+TEST_CASE("observations beyond the limits are ignored, and those within take 1 kB at most") {
+    gossip_answer sent;
+    const auto without = encode(answer{sent}).size();
+    sent.observations.late_entries.assign(late_entry_limit, {"entry-of-a-long-name", ~0ULL});
+    sent.observations.estimates.assign(endpoint_estimate_limit,
+                                       {~0ULL, 1'796'500'000'000, 250, 64, milliseconds{9'999}});
+    CHECK(encode(answer{sent}).size() - without <= 1'024);
+    sent.observations.late_entries.push_back({"one-more", 1});
+    sent.observations.estimates.push_back({1, 1, 100, 1, milliseconds{0}});
+    const auto read = decode_answer(encode(answer{sent}));
+    REQUIRE(read);
+    const auto& got = std::get<gossip_answer>(read.value()).observations;
+    CHECK(got.late_entries.size() == late_entry_limit);
+    CHECK(got.estimates.size() == endpoint_estimate_limit);
+}
+
 TEST_CASE("a request for no pieces is refused") {
     auto empty = sample_request();
     empty.group.pieces.clear();
