placement, gateway: dispatchers of stage services by capacity, settling time and lateness

Cause: entries are unlike (0.09 and 0.5 cores, 10 and 200 Mbit/s in one fleet), and a weighted hash placed queues on small ones. Change: libs/placement ranks the entries: at least half of the best one's processors and bandwidth, serving for 2 s, not reported as late by several others; services are spread over these. Why a dispatcher changed is logged and counted. In a hand-over the two dispatchers divide the endpoints. A group whose dispatcher has disappeared is dispatched elsewhere at once. Fleets of equal entries keep their order.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -414,7 +414,7 @@
 void control_loop::merge_observations(const wire::entry_info& from,
                                       const wire::fleet_observations& received) {
     if (callbacks_.merge_observations) {
-        callbacks_.merge_observations(from.id, from.life, received);
+        callbacks_.merge_observations(from.id, received);
     }
 }
 
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -32,8 +32,8 @@
     std::function<void(std::shared_ptr<const indexed_snapshot>)> publish;
     std::function<void(fleet_view)> set_fleet;
     std::function<void(std::vector<quarantine::part_report>)> merge_suspects;
-    /// Observations of an entry, by its id and incarnation; may be empty.
-    std::function<void(std::string, incarnation, wire::fleet_observations)> merge_observations{};
+    /// Observations of the entry with this id; may be empty.
+    std::function<void(std::string, wire::fleet_observations)> merge_observations{};
     std::function<std::string()> dump_traffic; ///< JSON; blocks until the traffic thread responds
     std::function<std::size_t()> open_requests;
     std::function<void()> on_heartbeat{}; ///< several times a second; may be empty
--- a/libs/gateway/src/dispatch_order.cpp
+++ b/libs/gateway/src/dispatch_order.cpp
@@ -1,7 +1,5 @@
 #include "dispatch_order.hpp"
 
-#include "base/hash.hpp"
-
 #include <algorithm>
 
 namespace boragefront::gateway {
@@ -9,32 +7,48 @@
 
 constexpr std::size_t max_dispatchers = 2; // after these, the entry dispatches locally
 
+const std::vector<wire::entry_info>& other_candidates(const dispatching_entry& self,
+                                                      const fleet_view& fleet) {
+    return self.draining && fleet.serving.empty() ? fleet.alive : fleet.serving;
+}
+
 } // namespace
 
 bool defers_dispatch(const dispatching_entry& self, const fleet_view& fleet, time_point now) {
     return self.draining && (!fleet.serving.empty() || now >= self.draining->withdrawn_at());
 }
 
+std::vector<placement::candidate>
+dispatch_candidates(const dispatching_entry& self, const fleet_view& fleet,
+                    const std::function<bool(const wire::entry_info&)>& is_late, time_point now) {
+    std::vector<placement::candidate> candidates;
+    for (const auto& entry : other_candidates(self, fleet)) {
+        candidates.push_back(
+            {entry.id, entry.processors, entry.link_mbps, entry.serving_for, is_late(entry)});
+    }
+    if (!defers_dispatch(self, fleet, now)) {
+        candidates.push_back(self.info);
+    }
+    return candidates;
+}
+
 std::vector<wire::entry_info>
-dispatch_order(std::string_view service, const dispatching_entry& self, const fleet_view& fleet,
-               const std::function<bool(const std::string&)>& is_excluded, time_point now) {
-    const auto score = [&](std::string_view id, double processors) {
-        return weighted_rendezvous_score(service, id, processors);
-    };
-    const auto own_score = score(self.id, self.processors);
-    const bool defers = defers_dispatch(self, fleet, now);
-    const auto& candidates = self.draining && fleet.serving.empty() ? fleet.alive : fleet.serving;
-    std::vector<wire::entry_info> order;
-    for (const auto& entry : candidates) {
-        if (!is_excluded(entry.id) && (defers || score(entry.id, entry.processors) > own_score)) {
-            order.push_back(entry);
+entries_to_ask(const std::vector<std::string>& order, const dispatching_entry& self,
+               const fleet_view& fleet,
+               const std::function<bool(const std::string&)>& is_excluded) {
+    std::vector<wire::entry_info> entries;
+    for (const auto& id : order) {
+        if (id == self.info.id || entries.size() == max_dispatchers) {
+            break;
+        }
+        const auto& others = other_candidates(self, fleet);
+        const auto found = std::find_if(others.begin(), others.end(),
+                                        [&](const auto& entry) { return entry.id == id; });
+        if (found != others.end() && !is_excluded(id)) {
+            entries.push_back(*found);
         }
     }
-    std::sort(order.begin(), order.end(), [&](const auto& a, const auto& b) {
-        return score(a.id, a.processors) > score(b.id, b.processors);
-    });
-    order.resize(std::min(order.size(), max_dispatchers));
-    return order;
+    return entries;
 }
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/dispatch_order.hpp
+++ b/libs/gateway/src/dispatch_order.hpp
@@ -3,20 +3,19 @@
 #pragma once
 
 #include "base/time.hpp"
+#include "placement/dispatcher_order.hpp"
 #include "traffic_state.hpp"
 
 #include <functional>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace boragefront::gateway {
 
 /// The entry that makes the selection.
 struct dispatching_entry {
-    std::string_view id;
-    double processors{0}; ///< weight by which services are assigned to entries
+    placement::candidate info;
     const std::optional<drain_plan>& draining;
 };
 
@@ -24,12 +23,20 @@
 /// this one may already exit. Work for others would delay its successor.
 bool defers_dispatch(const dispatching_entry& self, const fleet_view& fleet, time_point now);
 
+/// The entries among which the dispatchers of services are selected. While no entry is serving, as
+/// in a restart of all entries, these are the draining ones: with separate queues they would send
+/// to the same endpoints without knowing of each other.
+/// \param is_late whether other entries observe that an entry responds late
+std::vector<placement::candidate>
+dispatch_candidates(const dispatching_entry& self, const fleet_view& fleet,
+                    const std::function<bool(const wire::entry_info&)>& is_late, time_point now);
+
 /// The other entries to ask for dispatch, in order of preference. If none of them responds, the
-/// entry dispatches locally. While no entry is serving, as in a restart of all entries, the
-/// draining ones still share one queue: separate queues would send to the same endpoints without
-/// knowing of each other. \param is_excluded whether an entry must not be asked at present
+/// entry dispatches locally.
+/// \param order ids of all candidates, the preferred dispatcher first
+/// \param is_excluded whether an entry must not be asked at present
 std::vector<wire::entry_info>
-dispatch_order(std::string_view service, const dispatching_entry& self, const fleet_view& fleet,
-               const std::function<bool(const std::string&)>& is_excluded, time_point now);
+entries_to_ask(const std::vector<std::string>& order, const dispatching_entry& self,
+               const fleet_view& fleet, const std::function<bool(const std::string&)>& is_excluded);
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -185,11 +185,10 @@
                 state_.merge_suspects(reports, steady_clock::now());
             });
         };
-        callbacks.merge_observations = [this](std::string from, incarnation life,
-                                              wire::fleet_observations received) {
+        callbacks.merge_observations = [this](std::string from, wire::fleet_observations received) {
             asio::post(traffic_loop_.io,
-                       [this, from = std::move(from), life, received = std::move(received)] {
-                           state_.merge_observations(from, life, received, steady_clock::now());
+                       [this, from = std::move(from), received = std::move(received)] {
+                           state_.merge_observations(from, received, steady_clock::now());
                        });
         };
         callbacks.dump_traffic = [this] { return dump(); };
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -73,18 +73,26 @@
             queue->queue.set_capacity(*found->second.stages);
         }
         queue->queue.set_endpoints(state_.endpoints(), published.evacuated, service, now);
-        update_endpoint_shares(*queue);
+        update_endpoint_shares(*queue, now);
         run_queue(service);
     }
 }
 
-// Reserves the share of a service's endpoints that entries which cannot be seen from here may use.
-void stage_scheduler::update_endpoint_shares(service_queue& queue) {
+// Reserves the share of a service's endpoints that entries which cannot be seen from here, or the
+// other dispatcher in a hand-over, may use.
+void stage_scheduler::update_endpoint_shares(service_queue& queue, time_point now) {
+    if (queue.handing_over_with && now >= queue.handed_over_at) {
+        queue.handing_over_with.reset();
+    }
     const auto& fleet = state_.fleet();
+    auto others = fleet.silent;
+    if (queue.handing_over_with) {
+        others.push_back(*queue.handing_over_with);
+    }
     const auto& endpoints = state_.endpoints();
     std::uint64_t shares_hash = 0;
-    if (!fleet.silent.empty()) {
-        for (const auto& entry : fleet.silent) {
+    if (!others.empty()) {
+        for (const auto& entry : others) {
             shares_hash = stable_hash(entry.id, shares_hash);
         }
         for (const auto& entry : fleet.alive) {
@@ -107,14 +115,17 @@
         }
         return shares;
     };
-    auto visible = to_shares(fleet.alive);
+    // In a hand-over only the two dispatchers have work for the service.
+    auto visible =
+        queue.handing_over_with ? std::vector<stages::weighted_entry>{} : to_shares(fleet.alive);
     visible.push_back({state_.self_id(), state_.role().processors});
     auto contended = stages::contended_endpoints(endpoints, queue.service, state_.self_id(),
-                                                 visible, to_shares(fleet.silent));
+                                                 visible, to_shares(others));
     log_change("stages", "endpoints_divided",
                {{"service", queue.service},
                 {"entries_seen", std::to_string(visible.size())},
                 {"entries_silent", std::to_string(fleet.silent.size())},
+                {"handing_over_with", queue.handing_over_with ? queue.handing_over_with->id : ""},
                 {"contended_endpoints", std::to_string(contended.size())}});
     queue.queue.set_contended(std::move(contended));
 }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds max_backoff{3'200};
 // For checks whether the dispatcher is still alive.
 constexpr milliseconds dispatcher_poll_interval{200};
+// The groups that a former dispatcher has are complete or expired within about this time.
+constexpr milliseconds hand_over_time{1'000};
 // The queue expires a group once it is useless. After this margin its completion counts as lost.
 constexpr milliseconds completion_margin{2'000};
 constexpr milliseconds notify_timeout{400};
@@ -55,6 +57,7 @@
       freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {
     freer_.on_freed([this](const auto& handles) { on_results_freed(handles); });
     state_.on_endpoints_changed([this](time_point now) { update_endpoints(now); });
+    state_.on_fleet_changed([this](time_point now) { update_fleet(now); });
 }
 
 // The stage service with this name in the configuration in force, null if there is none.
@@ -72,9 +75,10 @@
         queue->service = service.name;
         queue->queue = stages::stage_queue::make(configured == nullptr ? *service.stages
                                                                        : *configured->stages);
+        const auto now = steady_clock::now();
         queue->queue.set_endpoints(state_.endpoints(), state_.current()->published.evacuated,
-                                   service.name, steady_clock::now());
-        update_endpoint_shares(*queue);
+                                   service.name, now);
+        update_endpoint_shares(*queue, now);
     }
     return *queue;
 }
@@ -86,17 +90,103 @@
 }
 
 dispatching_entry stage_scheduler::self() const {
-    return {state_.self_id(), state_.role().processors, state_.draining};
+    const auto& role = state_.role();
+    const auto& info = state_.fleet().self;
+    const bool late = state_.is_late(state_.self_id(), info.life, steady_clock::now());
+    return {{state_.self_id(), role.processors, role.link_mbps, info.serving_for, late},
+            state_.draining};
 }
 
 // The entries to ask to dispatch for a service. If none responds, this one dispatches locally.
-std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service) const {
+std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service) {
     const auto now = steady_clock::now();
-    const auto is_late = [&](const std::string& id) {
+    const auto is_skipped = [&](const std::string& id) {
         const auto late = late_dispatchers_.find(id);
         return late != late_dispatchers_.end() && now < late->second.skip_until;
     };
-    return dispatch_order(service, self(), state_.fleet(), is_late, now);
+    return entries_to_ask(dispatcher_order(service, now), self(), state_.fleet(), is_skipped);
+}
+
+const std::vector<std::string>& stage_scheduler::dispatcher_order(const std::string& service,
+                                                                  time_point now) {
+    const auto kept = dispatcher_orders_.find(service);
+    if (kept != dispatcher_orders_.end()) {
+        return kept->second;
+    }
+    std::vector<std::string> stage_services;
+    for (const auto& [name, configured] : state_.current()->published.config->services) {
+        if (configured.stages) {
+            stage_services.push_back(name);
+        }
+    }
+    const auto candidates = dispatch_candidates(
+        self(), state_.fleet(),
+        [&](const auto& entry) { return state_.is_late(entry.id, entry.life, now); }, now);
+    auto& order = dispatcher_orders_[service];
+    order = placement::dispatcher_order(service, std::move(stage_services), candidates);
+    if (!placement::is_uniform(candidates)) {
+        record_dispatcher(service, candidates, now);
+    }
+    return order;
+}
+
+void stage_scheduler::record_dispatcher(const std::string& service,
+                                        const std::vector<placement::candidate>& candidates,
+                                        time_point now) {
+    std::vector<std::string> alive;
+    for (const auto& entry : state_.fleet().alive) {
+        alive.push_back(entry.id);
+    }
+    const auto change = dispatcher_history_.update(service, dispatcher_orders_.at(service).front(),
+                                                   candidates, alive);
+    if (!change) {
+        return;
+    }
+    const std::string reason{placement::to_string(change->reason)};
+    log_change("placement", "dispatcher_changed",
+               {{"service", service},
+                {"before", change->before},
+                {"after", change->after},
+                {"reason", reason}});
+    state_.metrics()
+        .get_counter("boragefront_dispatcher_changes_total",
+                     "service=\"" + service + "\",reason=\"" + reason + '"')
+        .add();
+    begin_hand_over(service, *change, now);
+}
+
+// The former dispatcher completes the groups that it has, so for some time two queues use the
+// endpoints of the service.
+void stage_scheduler::begin_hand_over(const std::string& service,
+                                      const placement::dispatcher_change& change, time_point now) {
+    const bool takes_over = change.after == state_.self_id();
+    const auto queue = queues_.find(service);
+    if (queue == queues_.end() || (!takes_over && change.before != state_.self_id())) {
+        return;
+    }
+    const auto& other = takes_over ? change.before : change.after;
+    const auto& alive = state_.fleet().alive;
+    const auto found = std::find_if(alive.begin(), alive.end(),
+                                    [&](const auto& entry) { return entry.id == other; });
+    if (found != alive.end()) {
+        queue->second->handing_over_with = *found;
+        queue->second->handed_over_at = now + hand_over_time;
+        update_endpoint_shares(*queue->second, now);
+    }
+}
+
+// Groups whose dispatcher has disappeared are dispatched elsewhere at once.
+void stage_scheduler::update_fleet(time_point now) {
+    dispatcher_orders_.clear();
+    for (const auto& [ticket, pending] : pending_groups_) {
+        if (pending->dispatcher != state_.self_id() &&
+            !is_alive(pending->dispatcher, pending->dispatcher_life)) {
+            pending->done.cancel();
+        }
+    }
+    for (auto& [service, queue] : queues_) {
+        update_endpoint_shares(*queue, now);
+    }
 }
 
 // A dispatcher that does not respond in time is skipped by all requests for an increasing time.
@@ -110,11 +200,10 @@
     late.skip_until = now + late.backoff;
 }
 
-bool stage_scheduler::is_alive(const wire::entry_info& dispatcher) const {
+bool stage_scheduler::is_alive(const std::string& id, incarnation life) const {
     const auto& alive = state_.fleet().alive;
-    return std::any_of(alive.begin(), alive.end(), [&](const auto& entry) {
-        return entry.id == dispatcher.id && entry.life == dispatcher.life;
-    });
+    return std::any_of(alive.begin(), alive.end(),
+                       [&](const auto& entry) { return entry.id == id && entry.life == life; });
 }
 
 void stage_scheduler::record_expected_time(const std::string& service, milliseconds expected) {
@@ -173,6 +262,7 @@
     const auto ticket = next_id_++;
     auto pending = std::make_shared<pending_group>(executor_);
     pending->dispatcher = dispatcher.id;
+    pending->dispatcher_life = dispatcher.life;
     pending->pieces = group.pieces.size();
     pending_groups_[ticket] = pending;
     const auto asked_at = steady_clock::now();
@@ -195,7 +285,10 @@
     }
     if (reply == nullptr) {
         pending_groups_.erase(ticket);
-        record_late_dispatcher(dispatcher.id, steady_clock::now());
+        const auto now = steady_clock::now();
+        record_late_dispatcher(dispatcher.id, now);
+        state_.response_monitor().record_missed({dispatcher.id, dispatcher.life},
+                                                dispatch_request_timeout, now);
         // The dispatcher may still accept the pieces later.
         asio::co_spawn(executor_,
                        notify_peer(dispatcher.work_address,
@@ -204,14 +297,17 @@
         co_return std::nullopt;
     }
     late_dispatchers_.erase(dispatcher.id);
+    const auto responded_at = steady_clock::now();
+    state_.response_monitor().record_response({dispatcher.id, dispatcher.life},
+                                              responded_at - asked_at, responded_at);
     if (!reply->accepted) {
         pending_groups_.erase(ticket);
         co_return group_outcome{group_refused{reply->retry_after}};
     }
     record_expected_time(service, reply->expected);
     const auto overdue_at = asked_at + dispatch_timeout(reply->expected);
-    while (!pending->result && !cancellation.cancelled() && is_alive(dispatcher) &&
-           steady_clock::now() < overdue_at) {
+    while (!pending->result && !cancellation.cancelled() &&
+           is_alive(dispatcher.id, dispatcher.life) && steady_clock::now() < overdue_at) {
         boost::system::error_code interrupted;
         pending->done.expires_after(dispatcher_poll_interval);
         cancellation.add(pending->done);
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -6,6 +6,7 @@
 #include "dispatch_order.hpp"
 #include "duplicate_response_filter.hpp"
 #include "http/client.hpp"
+#include "placement/dispatcher_history.hpp"
 #include "result_freer.hpp"
 #include "stages/group_duration_estimator.hpp"
 #include "stages/stage_queue.hpp"
@@ -105,6 +106,7 @@
         boost::asio::steady_timer done;
         std::string
             dispatcher; // id of the entry that was asked, or of this one if dispatched locally
+        incarnation dispatcher_life{0}; // of the entry that was asked
         std::size_t pieces{0};
         std::optional<stages::finished_group> result;
     };
@@ -118,6 +120,10 @@
         time_point next_run_at{};                      // the queue is not run before
         std::uint64_t shares_hash{
             0}; // hash of the entries and endpoints that the shares are based on
+        // The other entry that has work for the service after a change of the dispatcher, and until
+        // when its calls are expected.
+        std::optional<wire::entry_info> handing_over_with;
+        time_point handed_over_at{};
         boost::asio::steady_timer run_timer;
     };
 
@@ -129,10 +135,16 @@
     service_queue& queue_for(const catalog::service& service);
     bool can_dispatch(const service_queue& queue, time_point now) const;
     void update_endpoints(time_point now);
-    void update_endpoint_shares(service_queue& queue);
+    void update_endpoint_shares(service_queue& queue, time_point now);
     dispatching_entry self() const;
-    std::vector<wire::entry_info> dispatchers(const std::string& service) const;
-    bool is_alive(const wire::entry_info& dispatcher) const;
+    std::vector<wire::entry_info> dispatchers(const std::string& service);
+    const std::vector<std::string>& dispatcher_order(const std::string& service, time_point now);
+    void record_dispatcher(const std::string& service,
+                           const std::vector<placement::candidate>& candidates, time_point now);
+    void begin_hand_over(const std::string& service, const placement::dispatcher_change& change,
+                         time_point now);
+    void update_fleet(time_point now);
+    bool is_alive(const std::string& id, incarnation life) const;
     void record_late_dispatcher(const std::string& dispatcher, time_point now);
     http::awaitable<std::optional<group_outcome>>
     dispatch_remotely(const wire::entry_info& dispatcher, const std::string& service,
@@ -160,6 +172,9 @@
     std::string work_address_;
     // By service. One that has left the configuration keeps its queue for the requests under way.
     std::map<std::string, std::unique_ptr<service_queue>> queues_;
+    // Ids of all candidates by service, the preferred dispatcher first; of the present fleet.
+    std::map<std::string, std::vector<std::string>> dispatcher_orders_;
+    placement::dispatcher_history dispatcher_history_;
     std::map<std::uint64_t, std::shared_ptr<pending_group>>
         pending_groups_; // by ticket; shared with the waiting request
     // Tickets of groups whose results were accepted lately, and when.
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -62,6 +62,9 @@
     while (group_.members.size() < fleet_.max_entry_count) {
         group_.members.push_back("unknown-" + std::to_string(group_.members.size()));
     }
+    if (on_fleet_changed_) {
+        on_fleet_changed_(steady_clock::now());
+    }
 }
 
 void traffic_state::record_lost(const quarantine::lost_request& request, time_point now) {
@@ -115,13 +118,27 @@
     }
 }
 
-wire::fleet_observations traffic_state::observations(time_point /*now*/) const {
-    return {};
+wire::fleet_observations traffic_state::observations(time_point now) {
+    wire::fleet_observations observed;
+    auto late = response_monitor_.late(now);
+    for (const auto& [id, life] : late) {
+        if (observed.late_entries.size() == wire::late_entry_limit) {
+            break;
+        }
+        observed.late_entries.push_back({id, life});
+    }
+    lateness_.record(self_id_, std::move(late), now);
+    return observed;
 }
 
-void traffic_state::merge_observations(const std::string& /*from*/, incarnation /*life*/,
-                                       const wire::fleet_observations& /*received*/,
-                                       time_point /*now*/) {}
+void traffic_state::merge_observations(const std::string& from,
+                                       const wire::fleet_observations& received, time_point now) {
+    std::vector<placement::entry_life> late;
+    for (const auto& entry : received.late_entries) {
+        late.emplace_back(entry.id, entry.life);
+    }
+    lateness_.record(from, std::move(late), now);
+}
 
 balancing::endpoint_pool* traffic_state::pool(std::string_view service) {
     const auto found = pools_.find(service);
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -15,6 +15,7 @@
 #include "gateway/drain_plan.hpp"
 #include "longest_recent.hpp"
 #include "open_request_list.hpp"
+#include "placement/lateness.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 #include "settings/settings.hpp"
 #include "wire/messages.hpp"
@@ -72,6 +73,12 @@
     }
 
     void set_fleet(fleet_view view);
+
+    /// Sets the callback for changes of `fleet`.
+    void on_fleet_changed(std::function<void(time_point now)> callback) {
+        on_fleet_changed_ = std::move(callback);
+    }
+
     void set_role(const settings::gateway_settings& role) { role_ = role; }
 
     /// The current snapshot, null until the first one is published.
@@ -96,11 +103,18 @@
     }
 
     /// What other entries are told of late entries and of endpoints.
-    wire::fleet_observations observations(time_point now) const;
+    wire::fleet_observations observations(time_point now);
 
     /// Merges the observations of another entry.
-    void merge_observations(const std::string& from, incarnation life,
-                            const wire::fleet_observations& received, time_point now);
+    void merge_observations(const std::string& from, const wire::fleet_observations& received,
+                            time_point now);
+
+    /// How fast other entries respond to requests for dispatch, as this one observes.
+    placement::response_monitor& response_monitor() { return response_monitor_; }
+    /// Whether an entry responds late, as several entries observe.
+    bool is_late(const std::string& id, incarnation life, time_point now) {
+        return lateness_.is_late({id, life}, now);
+    }
 
     /// The endpoint pool of a service, null if no configuration had such a service. One that has
     /// left the configuration keeps its pool, and with it the tickets of its open requests.
@@ -155,6 +169,9 @@
     std::vector<catalog::endpoint> endpoints_;
     std::function<void(time_point)> on_endpoints_changed_;
     fleet_view fleet_;
+    std::function<void(time_point)> on_fleet_changed_;
+    placement::response_monitor response_monitor_;
+    placement::lateness_reports lateness_;
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
     std::map<std::string, balancing::retry_budget> budgets_;
--- a/libs/gateway/tests/dispatch_order_test.cpp
+++ b/libs/gateway/tests/dispatch_order_test.cpp
@@ -22,6 +22,15 @@
     return entry;
 }
 
+std::vector<wire::entry_info> order_of(const dispatching_entry& self, const fleet_view& fleet,
+                                       const std::function<bool(const std::string&)>& is_excluded,
+                                       time_point now) {
+    const auto candidates = dispatch_candidates(
+        self, fleet, [](const auto& /*entry*/) { return false; }, now);
+    return entries_to_ask(placement::dispatcher_order("stage", {"stage"}, candidates), self, fleet,
+                          is_excluded);
+}
+
 // The entry that queues a service's pieces, as selected by the entry `id`.
 std::string dispatcher_according_to(const std::string& id, const std::vector<std::string>& serving,
                                     const std::vector<std::string>& alive,
@@ -37,7 +46,7 @@
             fleet.alive.push_back(make_entry(other));
         }
     }
-    const auto order = dispatch_order("stage", {id, 0.2, draining}, fleet, none_excluded, now);
+    const auto order = order_of({{id, 0.2}, draining}, fleet, none_excluded, now);
     return order.empty() ? id : order.front().id;
 }
 
@@ -62,8 +71,8 @@
         CHECK(dispatcher_according_to(id, {}, all, plan, early) == chosen);
     }
     fleet_view alone;
-    CHECK_FALSE(defers_dispatch({"e1", 0.2, plan}, alone, early));
-    CHECK(defers_dispatch({"e1", 0.2, plan}, alone, plan.withdrawn_at()));
+    CHECK_FALSE(defers_dispatch({{"e1", 0.2}, plan}, alone, early));
+    CHECK(defers_dispatch({{"e1", 0.2}, plan}, alone, plan.withdrawn_at()));
 }
 
 TEST_CASE("a draining entry leaves dispatch to the serving entries") {
@@ -83,10 +92,10 @@
     fleet_view fleet;
     fleet.serving = {make_entry("e2"), make_entry("e3"), make_entry("e4")};
     const std::optional<drain_plan> draining{drain_plan::make(start, seconds{8})};
-    const dispatching_entry self{"e1", 0.2, draining};
-    const auto first = dispatch_order("stage", self, fleet, none_excluded, start).front().id;
-    const auto order = dispatch_order(
-        "stage", self, fleet, [&](const std::string& id) { return id == first; }, start);
+    const dispatching_entry self{{"e1", 0.2}, draining};
+    const auto first = order_of(self, fleet, none_excluded, start).front().id;
+    const auto order = order_of(
+        self, fleet, [&](const std::string& id) { return id == first; }, start);
     REQUIRE(order.size() == 2);
     CHECK(order[0].id != first);
     CHECK(order[1].id != first);
