placement: capable entries of which none is settled share the services

Cause: an entry counted as not settled even if no capable entry was, and services were spread only over settled entries that are not late. For 2 s after a restart of all capable entries two services shared a dispatcher and then moved. Change: without a settled capable entry, all capable ones count as settled; services are spread over the most suitable class that is present. Tests of the order: equal entries, 3, 25 and 300 entries, loss of a data centre and of all capable entries, just started and late ones. Result: placement_test passes (81 assertions in 10 cases); the case of entries that have just started failed before the change (2 dispatchers for 3 services).

--- a/libs/placement/src/dispatcher_order.cpp
+++ b/libs/placement/src/dispatcher_order.cpp
@@ -39,13 +39,19 @@
         return one.processors >= max_processors * min_relative_capacity &&
                (one.link_mbps <= 0 || one.link_mbps >= max_link * min_relative_capacity);
     };
+    // After a restart of all of them, none has been serving for long, and any will do.
+    const bool any_settled =
+        std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
+            return is_capable(one) && one.serving_for >= settling_time;
+        });
     std::vector<ranked_candidate> ranked;
     ranked.reserve(candidates.size());
     for (const auto& one : candidates) {
+        const bool settled = one.serving_for >= settling_time || !any_settled;
         auto suitable = suitability::preferred;
         if (!uniform && !is_capable(one)) {
             suitable = suitability::poor;
-        } else if (!uniform && (one.late || one.serving_for < settling_time)) {
+        } else if (!uniform && (one.late || !settled)) {
             suitable = suitability::capable;
         }
         ranked.push_back(
@@ -58,11 +64,12 @@
     return ranked;
 }
 
-// The preferred candidate of a service that is not the first choice of another one, if any.
+// The first of the most suitable candidates of a service that is not the first choice of another
+// one; the first of all if there is none.
 std::vector<ranked_candidate>::iterator first_free(std::vector<ranked_candidate>& ranked,
                                                    const std::set<std::string_view>& taken) {
     const auto free = std::find_if(ranked.begin(), ranked.end(), [&](const auto& one) {
-        return one.suitable == suitability::preferred && !taken.contains(one.entry->id);
+        return one.suitable == ranked.front().suitable && !taken.contains(one.entry->id);
     });
     return free == ranked.end() ? ranked.begin() : free;
 }
