placement: lateness does not depend on queries

Cause: is_late kept state, so an entry that was reported and not reported any more between two queries never counted as late, and entries with the same reports decided differently. Change: record decides, is_late is const.

--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -112,7 +112,7 @@
     /// How fast other entries respond to requests for dispatch, as this one observes.
     placement::response_monitor& response_monitor() { return response_monitor_; }
     /// Whether an entry responds late, as several entries observe.
-    bool is_late(const std::string& id, incarnation life, time_point now) {
+    bool is_late(const std::string& id, incarnation life, time_point now) const {
         return lateness_.is_late({id, life}, now);
     }
 
--- a/libs/placement/include/placement/lateness.hpp
+++ b/libs/placement/include/placement/lateness.hpp
@@ -47,13 +47,15 @@
 
     /// Whether enough of the observers that were heard lately report an entry, or did until
     /// recently.
-    bool is_late(const entry_life& entry, time_point now);
+    bool is_late(const entry_life& entry, time_point now) const;
 
 private:
     struct report {
         std::vector<entry_life> late;
         time_point at{};
     };
+    bool is_reported(const entry_life& entry) const;
+
     std::map<std::string, report> reports_; // by observer
     std::map<entry_life, time_point> late_until_;
 };
--- a/libs/placement/src/lateness.cpp
+++ b/libs/placement/src/lateness.cpp
@@ -50,26 +50,33 @@
 
 void lateness_reports::record(const std::string& observer, std::vector<entry_life> late,
                               time_point now) {
-    reports_[observer] = {std::move(late), now};
     std::erase_if(reports_,
                   [now](const auto& one) { return now - one.second.at > report_lifetime; });
     std::erase_if(late_until_, [now](const auto& one) { return now > one.second; });
+    const auto& latest = reports_[observer] = {std::move(late), now};
+    for (const auto& entry : latest.late) {
+        if (is_reported(entry)) {
+            late_until_[entry] = now + recovery_time;
+        }
+    }
 }
 
-bool lateness_reports::is_late(const entry_life& entry, time_point now) {
+// Whether enough observers report an entry.
+bool lateness_reports::is_reported(const entry_life& entry) const {
     std::size_t heard = 0;
     std::size_t reporters = 0;
     for (const auto& [observer, latest] : reports_) {
-        if (observer == entry.first || now - latest.at > report_lifetime) {
+        if (observer == entry.first) {
             continue;
         }
         ++heard;
         reporters +=
             std::find(latest.late.begin(), latest.late.end(), entry) == latest.late.end() ? 0 : 1;
     }
-    if (reporters >= min_reporters && reporters * reporters_divisor >= heard) {
-        late_until_[entry] = now + recovery_time;
-    }
+    return reporters >= min_reporters && reporters * reporters_divisor >= heard;
+}
+
+bool lateness_reports::is_late(const entry_life& entry, time_point now) const {
     const auto found = late_until_.find(entry);
     return found != late_until_.end() && now <= found->second;
 }
