peering: a delayed report does not shorten how long a peer has accepted work

Cause: the time that an entry has been serving is relative to its message, and messages are delayed by different times. Around 2 s after its start an entry was settled, not settled and settled again, and each time the dispatchers changed. Change: within one incarnation the time only rises while the entry is serving.

--- a/libs/peering/src/peer_table.cpp
+++ b/libs/peering/src/peer_table.cpp
@@ -23,6 +23,17 @@
 constexpr unsigned discovery_rounds = 40;    // 3 s; after that the seeds are assumed to be down
 constexpr milliseconds forget_after{60'000}; // since a peer was last seen
 
+// How long an entry has accepted work, from an older and a newer report. Reports are delayed by
+// different times, but an entry that has settled once must stay so until it stops.
+milliseconds serving_time(const wire::entry_info& older, time_point older_seen,
+                          const wire::entry_info& newer, time_point newer_seen) {
+    if (older.life != newer.life || !newer.serving || older.serving_for == milliseconds{0}) {
+        return newer.serving_for;
+    }
+    return std::max(newer.serving_for,
+                    older.serving_for + std::chrono::floor<milliseconds>(newer_seen - older_seen));
+}
+
 } // namespace
 
 peer_table peer_table::make(std::string self_id, std::vector<std::string> seeds) {
@@ -37,7 +48,9 @@
         return;
     }
     auto& kept = peers_[report.control_address];
+    const auto serving_for = serving_time(kept.info, kept.last_seen, report, now);
     kept = {report, now};
+    kept.info.serving_for = serving_for;
 }
 
 void peer_table::merge_gossip(const std::vector<wire::entry_info>& peers, time_point now) {
@@ -48,7 +61,9 @@
         const auto last_seen = now - report.heard;
         auto& kept = peers_[report.control_address];
         if (last_seen > kept.last_seen) {
+            const auto serving_for = serving_time(kept.info, kept.last_seen, report, last_seen);
             kept.info = report;
+            kept.info.serving_for = serving_for;
             kept.last_seen = last_seen;
         }
     }
--- a/libs/peering/tests/peer_table_test.cpp
+++ b/libs/peering/tests/peer_table_test.cpp
@@ -209,3 +209,21 @@
     REQUIRE(alive.size() == 1);
     CHECK(alive.front().serving_for == milliseconds{1'700});
 }
+
+// Guards against a dispatcher that changes there and back because a message was delayed.
+TEST_CASE("a delayed report does not shorten how long a peer has accepted work") {
+    auto table = peer_table::make("self", {});
+    auto report = make_peer("a", true, milliseconds{0});
+    report.serving_for = milliseconds{2'000};
+    table.record_contact(report, start);
+    report.serving_for = milliseconds{2'010}; // of 20 ms ago
+    table.record_contact(report, start + milliseconds{30});
+    CHECK(table.alive_peers(start + milliseconds{30}).front().serving_for == milliseconds{2'030});
+    report.serving_for = milliseconds{2'015};
+    table.merge_gossip({report}, start + milliseconds{40});
+    CHECK(table.alive_peers(start + milliseconds{40}).front().serving_for == milliseconds{2'040});
+    report.life += 1; // restarted
+    report.serving_for = milliseconds{10};
+    table.record_contact(report, start + milliseconds{50});
+    CHECK(table.alive_peers(start + milliseconds{50}).front().serving_for == milliseconds{10});
+}
