gateway: a reload changes the capacity that other entries are told

Cause: after a reload of the settings an entry ranked itself by the new processors and bandwidth, and all others by the old ones, so they selected different dispatchers. Change: control_loop::reload takes the role's settings. Result: gateway_test passes. The reload itself is only read: no test without a network covers it.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -160,7 +160,10 @@
 }
 
 void control_loop::reload(const settings::daemon_settings& settings) {
-    asio::post(io_, [this, seeds = other_seeds(settings.seed_peers)] { peers_.set_seeds(seeds); });
+    asio::post(io_, [this, seeds = other_seeds(settings.seed_peers), role = settings.role] {
+        peers_.set_seeds(seeds);
+        settings_.role = role; // the others must rank this entry by what it ranks itself by
+    });
 }
 
 std::vector<std::string> control_loop::other_seeds(const std::vector<std::string>& seeds) const {
