gateway: placement follows the fleet, hand-overs include dispatchers without a queue

Cause, as read in the code: - The order was selected on the next request of the entry itself. An entry without requests did not notice that it became a dispatcher, and a queue that was created after that took no part in the hand-over. - The order was kept when this entry began to drain or the stage services changed. - A hand-over went on after the other dispatcher had died, and counted it twice once it was silent. Together with a lost data centre the new dispatcher left the endpoints to all silent entries as if it were alone. - The second choice of a group was that of its start, although it may have died with the first one. - A draining entry logged its own change with the reason "left". Change: update_placement runs on each change of the fleet, the configuration and the drain, and does nothing if its inputs are equal. Hand-overs are kept by service and end with the other dispatcher. The endpoints left to others are a pure function (endpoint_shares) with a test. A group selects its second dispatcher from the present fleet. Result: gateway_test and placement_test pass. With equal machines there are no hand-overs; the order is that of before.

--- a/libs/gateway/src/dispatch_order.cpp
+++ b/libs/gateway/src/dispatch_order.cpp
@@ -5,8 +5,6 @@
 namespace boragefront::gateway {
 namespace {
 
-constexpr std::size_t max_dispatchers = 2; // after these, the entry dispatches locally
-
 const std::vector<wire::entry_info>& other_candidates(const dispatching_entry& self,
                                                       const fleet_view& fleet) {
     return self.draining && fleet.serving.empty() ? fleet.alive : fleet.serving;
@@ -29,6 +27,9 @@
     if (!defers_dispatch(self, fleet, now)) {
         candidates.push_back(self.info);
     }
+    for (auto& one : candidates) {
+        one.serving_for = std::min(one.serving_for, placement::settling_time);
+    }
     return candidates;
 }
 
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -1,11 +1,10 @@
 // Dispatch for stage services: their queues, and the calls to their endpoints.
 #include "base/exceptions.hpp"
-#include "base/hash.hpp"
 #include "base/logging.hpp"
+#include "endpoint_shares.hpp"
 #include "platform/requests.hpp"
 #include "platform/stage_calls.hpp"
 #include "stage_scheduler.hpp"
-#include "stages/contended_endpoints.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -67,6 +66,7 @@
 // Applies the endpoints and capacities of the current snapshot.
 void stage_scheduler::update_endpoints(time_point now) {
     const auto& published = state_.current()->published;
+    update_placement(now);
     for (auto& [service, queue] : queues_) {
         const auto found = published.config->services.find(service);
         if (found != published.config->services.end() && found->second.stages) {
@@ -81,51 +81,21 @@
 // Reserves the share of a service's endpoints that entries which cannot be seen from here, or the
 // other dispatcher in a hand-over, may use.
 void stage_scheduler::update_endpoint_shares(service_queue& queue, time_point now) {
-    if (queue.handing_over_with && now >= queue.handed_over_at) {
-        queue.handing_over_with.reset();
-    }
     const auto& fleet = state_.fleet();
-    auto others = fleet.silent;
-    if (queue.handing_over_with) {
-        others.push_back(*queue.handing_over_with);
-    }
-    const auto& endpoints = state_.endpoints();
-    std::uint64_t shares_hash = 0;
-    if (!others.empty()) {
-        for (const auto& entry : others) {
-            shares_hash = stable_hash(entry.id, shares_hash);
-        }
-        for (const auto& entry : fleet.alive) {
-            shares_hash = stable_hash(entry.id, shares_hash);
-        }
-        for (const auto& endpoint : endpoints) {
-            shares_hash = endpoint.service == queue.service ? stable_hash(endpoint.id, shares_hash)
-                                                            : shares_hash;
-        }
-    }
+    const endpoint_sharing sharing{
+        fleet, {state_.self_id(), state_.role().processors}, hand_over_partner(queue.service, now)};
+    const auto shares_hash = sharing_hash(state_.endpoints(), queue.service, sharing);
     if (shares_hash == queue.shares_hash) {
         return;
     }
     queue.shares_hash = shares_hash;
-    const auto to_shares = [](const std::vector<wire::entry_info>& entries) {
-        std::vector<stages::weighted_entry> shares;
-        shares.reserve(entries.size() + 1);
-        for (const auto& entry : entries) {
-            shares.push_back({entry.id, entry.processors});
-        }
-        return shares;
-    };
-    // In a hand-over only the two dispatchers have work for the service.
-    auto visible =
-        queue.handing_over_with ? std::vector<stages::weighted_entry>{} : to_shares(fleet.alive);
-    visible.push_back({state_.self_id(), state_.role().processors});
-    auto contended = stages::contended_endpoints(endpoints, queue.service, state_.self_id(),
-                                                 visible, to_shares(others));
+    auto contended = endpoints_of_others(state_.endpoints(), queue.service, sharing);
+    const auto* const partner = sharing.handing_over_with;
     log_change("stages", "endpoints_divided",
                {{"service", queue.service},
-                {"entries_seen", std::to_string(visible.size())},
+                {"entries_seen", std::to_string(fleet.alive.size() + 1)},
                 {"entries_silent", std::to_string(fleet.silent.size())},
-                {"handing_over_with", queue.handing_over_with ? queue.handing_over_with->id : ""},
+                {"handing_over_with", partner == nullptr ? "" : partner->id},
                 {"contended_endpoints", std::to_string(contended.size())}});
     queue.queue.set_contended(std::move(contended));
 }
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -98,47 +98,68 @@
 }
 
 // The entries to ask to dispatch for a service. If none responds, this one dispatches locally.
-std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service) {
+std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service,
+                                                           const std::set<std::string>& asked) {
     const auto now = steady_clock::now();
-    const auto is_skipped = [&](const std::string& id) {
+    const auto entry = self();
+    if (!placement_inputs_ ||
+        placement_inputs_->defers != defers_dispatch(entry, state_.fleet(), now)) {
+        update_placement(now);
+    }
+    const auto is_excluded = [&](const std::string& id) {
         const auto late = late_dispatchers_.find(id);
-        return late != late_dispatchers_.end() && now < late->second.skip_until;
+        return asked.contains(id) ||
+               (late != late_dispatchers_.end() && now < late->second.skip_until);
     };
-    return entries_to_ask(dispatcher_order(service, now), self(), state_.fleet(), is_skipped);
+    return entries_to_ask(dispatcher_order(service), entry, state_.fleet(), is_excluded);
 }
 
-const std::vector<std::string>& stage_scheduler::dispatcher_order(const std::string& service,
-                                                                  time_point now) {
-    const auto kept = dispatcher_orders_.find(service);
-    if (kept != dispatcher_orders_.end()) {
-        return kept->second;
-    }
-    std::vector<std::string> stage_services;
+// Selects the dispatchers of all services anew if the fleet, the configuration or the drain of this
+// entry has changed. Not left to the next request: an entry without requests of its own may become
+// a dispatcher, and must know of the former one.
+void stage_scheduler::update_placement(time_point now) {
+    const auto entry = self();
+    placement_inputs inputs;
+    inputs.defers = defers_dispatch(entry, state_.fleet(), now);
+    inputs.candidates = dispatch_candidates(
+        entry, state_.fleet(),
+        [&](const auto& other) { return state_.is_late(other.id, other.life, now); }, now);
     for (const auto& [name, configured] : state_.current()->published.config->services) {
         if (configured.stages) {
-            stage_services.push_back(name);
+            inputs.stage_services.push_back(name);
         }
     }
-    const auto candidates = dispatch_candidates(
-        self(), state_.fleet(),
-        [&](const auto& entry) { return state_.is_late(entry.id, entry.life, now); }, now);
-    auto& order = dispatcher_orders_[service];
-    order = placement::dispatcher_order(service, std::move(stage_services), candidates);
-    if (!placement::is_uniform(candidates)) {
-        record_dispatcher(service, candidates, now);
+    if (placement_inputs_ == inputs) {
+        return;
+    }
+    placement_inputs_ = std::move(inputs);
+    dispatcher_orders_.clear();
+    for (const auto& service : placement_inputs_->stage_services) {
+        record_dispatcher(service, now);
     }
-    return order;
 }
 
-void stage_scheduler::record_dispatcher(const std::string& service,
-                                        const std::vector<placement::candidate>& candidates,
-                                        time_point now) {
-    std::vector<std::string> alive;
+// Valid until the next selection.
+const std::vector<std::string>& stage_scheduler::dispatcher_order(const std::string& service) {
+    auto [order, is_new] = dispatcher_orders_.try_emplace(service);
+    if (is_new) {
+        order->second = placement::dispatcher_order(service, placement_inputs_->stage_services,
+                                                    placement_inputs_->candidates);
+    }
+    return order->second;
+}
+
+void stage_scheduler::record_dispatcher(const std::string& service, time_point now) {
+    const auto& order = dispatcher_order(service);
+    if (order.empty()) {
+        return;
+    }
+    std::vector<std::string> alive{state_.self_id()};
     for (const auto& entry : state_.fleet().alive) {
         alive.push_back(entry.id);
     }
-    const auto change = dispatcher_history_.update(service, dispatcher_orders_.at(service).front(),
-                                                   candidates, alive);
+    const auto change =
+        dispatcher_history_.update(service, order.front(), placement_inputs_->candidates, alive);
     if (!change) {
         return;
     }
@@ -160,24 +181,42 @@
 void stage_scheduler::begin_hand_over(const std::string& service,
                                       const placement::dispatcher_change& change, time_point now) {
     const bool takes_over = change.after == state_.self_id();
-    const auto queue = queues_.find(service);
-    if (queue == queues_.end() || (!takes_over && change.before != state_.self_id())) {
+    if (!takes_over && change.before != state_.self_id()) {
         return;
     }
     const auto& other = takes_over ? change.before : change.after;
     const auto& alive = state_.fleet().alive;
     const auto found = std::find_if(alive.begin(), alive.end(),
                                     [&](const auto& entry) { return entry.id == other; });
-    if (found != alive.end()) {
-        queue->second->handing_over_with = *found;
-        queue->second->handed_over_at = now + hand_over_time;
-        update_endpoint_shares(*queue->second, now);
+    // A former dispatcher that has restarted meanwhile has no groups.
+    const bool restarted =
+        takes_over && found != alive.end() && found->serving && found->serving_for < hand_over_time;
+    if (found != alive.end() && !restarted) {
+        hand_overs_.insert_or_assign(service, hand_over{*found, now + hand_over_time});
+    }
+}
+
+// The other dispatcher of a hand-over that is in progress, null if there is none.
+const wire::entry_info* stage_scheduler::hand_over_partner(const std::string& service,
+                                                           time_point now) {
+    const auto found = hand_overs_.find(service);
+    if (found == hand_overs_.end()) {
+        return nullptr;
     }
+    const auto& [other, ends_at] = found->second;
+    if (now >= ends_at || !is_alive(other.id, other.life)) {
+        hand_overs_.erase(found);
+        return nullptr;
+    }
+    return &other;
 }
 
 // Groups whose dispatcher has disappeared are dispatched elsewhere at once.
 void stage_scheduler::update_fleet(time_point now) {
-    dispatcher_orders_.clear();
+    if (state_.current() == nullptr) {
+        return; // no requests yet
+    }
+    update_placement(now);
     for (const auto& [ticket, pending] : pending_groups_) {
         if (pending->dispatcher != state_.self_id() &&
             !is_alive(pending->dispatcher, pending->dispatcher_life)) {
@@ -234,10 +273,18 @@
 http::awaitable<group_outcome> stage_scheduler::dispatch_group(const catalog::service& service,
                                                                stages::piece_group group,
                                                                cancellation_source& cancellation) {
-    for (const auto& dispatcher : dispatchers(service.name)) {
+    std::set<std::string> asked;
+    while (asked.size() < max_dispatchers) {
         if (cancellation.cancelled()) {
             co_return group_cancelled{};
         }
+        // Selected again after each failure: the second choice may have disappeared meanwhile.
+        const auto next = dispatchers(service.name, asked);
+        if (next.empty()) {
+            break;
+        }
+        const auto& dispatcher = next.front();
+        asked.insert(dispatcher.id);
         auto outcome = co_await dispatch_remotely(dispatcher, service.name, group, cancellation);
         if (outcome) {
             co_return std::move(*outcome);
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -120,10 +120,6 @@
         time_point next_run_at{};                      // the queue is not run before
         std::uint64_t shares_hash{
             0}; // hash of the entries and endpoints that the shares are based on
-        // The other entry that has work for the service after a change of the dispatcher, and until
-        // when its calls are expected.
-        std::optional<wire::entry_info> handing_over_with;
-        time_point handed_over_at{};
         boost::asio::steady_timer run_timer;
     };
 
@@ -137,12 +133,14 @@
     void update_endpoints(time_point now);
     void update_endpoint_shares(service_queue& queue, time_point now);
     dispatching_entry self() const;
-    std::vector<wire::entry_info> dispatchers(const std::string& service);
-    const std::vector<std::string>& dispatcher_order(const std::string& service, time_point now);
-    void record_dispatcher(const std::string& service,
-                           const std::vector<placement::candidate>& candidates, time_point now);
+    std::vector<wire::entry_info> dispatchers(const std::string& service,
+                                              const std::set<std::string>& asked = {});
+    void update_placement(time_point now);
+    const std::vector<std::string>& dispatcher_order(const std::string& service);
+    void record_dispatcher(const std::string& service, time_point now);
     void begin_hand_over(const std::string& service, const placement::dispatcher_change& change,
                          time_point now);
+    const wire::entry_info* hand_over_partner(const std::string& service, time_point now);
     void update_fleet(time_point now);
     bool is_alive(const std::string& id, incarnation life) const;
     void record_late_dispatcher(const std::string& dispatcher, time_point now);
@@ -172,9 +170,23 @@
     std::string work_address_;
     // By service. One that has left the configuration keeps its queue for the requests under way.
     std::map<std::string, std::unique_ptr<service_queue>> queues_;
-    // Ids of all candidates by service, the preferred dispatcher first; of the present fleet.
+    // What the selection of dispatchers depends on.
+    struct placement_inputs {
+        bool defers{false}; // this entry dispatches for no other
+        std::vector<placement::candidate> candidates;
+        std::vector<std::string> stage_services;
+        bool operator==(const placement_inputs&) const = default;
+    };
+    std::optional<placement_inputs> placement_inputs_; // empty before the first selection
+    // Ids of all candidates by service, the preferred dispatcher first.
     std::map<std::string, std::vector<std::string>> dispatcher_orders_;
     placement::dispatcher_history dispatcher_history_;
+    // The other entry that has work for a service after a change of its dispatcher.
+    struct hand_over {
+        wire::entry_info other;
+        time_point ends_at{};
+    };
+    std::map<std::string, hand_over> hand_overs_; // by service
     std::map<std::uint64_t, std::shared_ptr<pending_group>>
         pending_groups_; // by ticket; shared with the waiting request
     // Tickets of groups whose results were accepted lately, and when.
--- /dev/null
+++ b/libs/gateway/tests/endpoint_shares_test.cpp
@@ -0,0 +1,63 @@
+#include "endpoint_shares.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace boragefront;
+using namespace boragefront::gateway;
+
+namespace {
+
+wire::entry_info make_entry(const std::string& id) {
+    wire::entry_info entry;
+    entry.id = id;
+    entry.processors = 0.5;
+    return entry;
+}
+
+std::vector<catalog::endpoint> make_endpoints() {
+    std::vector<catalog::endpoint> endpoints(17);
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+        endpoints[i].id = "endpoint-" + std::to_string(i);
+        endpoints[i].service = "stage";
+    }
+    return endpoints;
+}
+
+} // namespace
+
+// Guards against calls of both dispatchers at the same endpoints, and against a new dispatcher that
+// is left with a few endpoints because a data centre fell silent at the same time.
+TEST_CASE("two dispatchers divide the endpoints that are not left to silent entries") {
+    const auto endpoints = make_endpoints();
+    const auto former = make_entry("former");
+    const auto successor = make_entry("successor");
+    fleet_view fleet;
+    for (int i = 0; i < 8; ++i) {
+        auto& part = i < 4 ? fleet.alive : fleet.silent;
+        part.push_back(make_entry("entry-" + std::to_string(i)));
+    }
+    auto for_former = fleet;
+    for_former.alive.push_back(successor);
+    auto for_successor = fleet;
+    for_successor.alive.push_back(former);
+    const auto left_by_former =
+        endpoints_of_others(endpoints, "stage", {for_former, {"former", 0.5}, &successor});
+    const auto left_by_successor =
+        endpoints_of_others(endpoints, "stage", {for_successor, {"successor", 0.5}, &former});
+    const auto left_to_silent =
+        endpoints_of_others(endpoints, "stage", {for_former, {"former", 0.5}, nullptr});
+    for (const auto& endpoint : endpoints) {
+        const bool both =
+            left_by_former.contains(endpoint.id) && left_by_successor.contains(endpoint.id);
+        CHECK(both == left_to_silent.contains(endpoint.id));
+    }
+    CHECK(left_by_former.size() + left_by_successor.size() ==
+          endpoints.size() + left_to_silent.size());
+    CHECK(left_by_successor.size() < endpoints.size() * 4 / 5);
+    // The division ends with the hand-over, also while the same entries are known.
+    CHECK(sharing_hash(endpoints, "stage", {for_former, {"former", 0.5}, &successor}) !=
+          sharing_hash(endpoints, "stage", {for_former, {"former", 0.5}, nullptr}));
+    CHECK(sharing_hash(endpoints, "stage", {fleet_view{}, {"former", 0.5}, nullptr}) == 0);
+}
--- a/libs/placement/include/placement/dispatcher_order.hpp
+++ b/libs/placement/include/placement/dispatcher_order.hpp
@@ -15,6 +15,10 @@
 
 namespace boragefront::placement {
 
+/// An entry that has just started is still opening connections and reading the published state, and
+/// responds after the timeout of a dispatch request.
+inline constexpr milliseconds settling_time{2'000};
+
 /// An entry that may dispatch.
 struct candidate {
     std::string id;
@@ -22,6 +26,8 @@
     double link_mbps{0};         ///< bandwidth of its network link; 0: unknown
     milliseconds serving_for{0}; ///< how long it has accepted work; 0: unknown
     bool late{false};            ///< others observe that it responds late
+
+    bool operator==(const candidate&) const = default;
 };
 
 /// Whether all candidates have the same processors and the same bandwidth, as far as it is known.
--- a/libs/placement/src/dispatcher_order.cpp
+++ b/libs/placement/src/dispatcher_order.cpp
@@ -14,9 +14,6 @@
 // Of the best candidate's processors and bandwidth. A dispatcher's load does not depend on its own
 // size, so one that is far smaller than another is always the wrong choice.
 constexpr double min_relative_capacity = 0.5;
-// An entry that has just started is still opening connections and reading the published state, and
-// responds after the timeout of a dispatch request.
-constexpr milliseconds settling_time{2'000};
 
 enum class suitability : std::uint8_t { poor, capable, preferred };
 
