wire: a call may fail at once if its peer refuses the connection

Cause: the client tries a refused connection again until the timeout of the call, as the peer may be about to start. A request for dispatch to an entry that has ended therefore took 150 ms. Change: on_refused_connection::fail returns connect_failed at once; the default is as before.

--- a/libs/wire/include/wire/client.hpp
+++ b/libs/wire/include/wire/client.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -21,6 +22,10 @@
     counter& received;
 };
 
+/// What to do if the peer refuses the connection. One that is about to start accepts it soon; one
+/// that has ended is best replaced at once.
+enum class on_refused_connection : std::uint8_t { retry_until_timeout, fail };
+
 /// A client for one single-threaded executor. Each call has a connection of its own while it lasts;
 /// connections on which a call was answered are kept for a few seconds for the next call.
 class client {
@@ -38,10 +43,12 @@
     /// Sends a request and waits for its answer.
     /// \param address "ip:port"
     /// \param timeout for the whole call, connecting included.
-    /// \returns `deadline_exceeded`, `connection_lost`, `bad_request` for a malformed address or
+    /// \returns `deadline_exceeded`, `connection_lost`, `connect_failed` (only with
+    /// `on_refused_connection::fail`; nothing was sent), `bad_request` for a malformed address or
     /// answer, `unavailable` if the peer refused the request.
-    virtual boost::asio::awaitable<result<answer>> call(std::string address, request message,
-                                                        milliseconds timeout) = 0;
+    virtual boost::asio::awaitable<result<answer>>
+    call(std::string address, request message, milliseconds timeout,
+         on_refused_connection refused = on_refused_connection::retry_until_timeout) = 0;
 };
 
 } // namespace boragefront::wire
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -79,10 +79,10 @@
     return make_error(kind, address + ": " + failure.message());
 }
 
-// Connects to a peer, which may be about to start: until the deadline a refused connection is
-// tried again.
+// Connects to a peer.
 asio::awaitable<result<connection_ptr>> connect(asio::any_io_executor executor, std::string address,
-                                                time_point deadline) {
+                                                time_point deadline,
+                                                on_refused_connection refused) {
     BOOST_OUTCOME_CO_TRY(const auto remote, parse_address(address));
     for (;;) {
         auto made = std::make_unique<connection>(executor);
@@ -93,6 +93,9 @@
             detect_dead_peer(made->stream.socket());
             co_return made;
         }
+        if (refused == on_refused_connection::fail && failure != beast::error::timeout) {
+            co_return make_error(error_kind::connect_failed, address + ": " + failure.message());
+        }
         const auto retry_at = std::min(steady_clock::now() + reconnect_interval, deadline);
         asio::steady_timer timer{executor, retry_at};
         boost::system::error_code ignored;
@@ -161,21 +164,23 @@
     tcp_client(asio::any_io_executor executor, byte_counters bytes)
         : executor_{std::move(executor)}, bytes_{bytes} {}
 
-    asio::awaitable<result<answer>> call(std::string address, request message,
-                                         milliseconds timeout) override {
+    asio::awaitable<result<answer>> call(std::string address, request message, milliseconds timeout,
+                                         on_refused_connection refused) override {
         // Calls may outlive the client, and use nothing of it.
-        return run_call(executor_, idle_, bytes_, std::move(address), std::move(message), timeout);
+        return run_call(executor_, idle_, bytes_, std::move(address), std::move(message), timeout,
+                        refused);
     }
 
 private:
     static asio::awaitable<result<answer>> run_call(asio::any_io_executor executor,
                                                     std::shared_ptr<idle_connections> idle,
                                                     byte_counters bytes, std::string address,
-                                                    request message, milliseconds timeout) {
+                                                    request message, milliseconds timeout,
+                                                    on_refused_connection refused) {
         const auto deadline = steady_clock::now() + timeout;
         auto used = idle->acquire(address, steady_clock::now());
         if (used == nullptr) {
-            BOOST_OUTCOME_CO_TRY(used, co_await connect(executor, address, deadline));
+            BOOST_OUTCOME_CO_TRY(used, co_await connect(executor, address, deadline, refused));
         }
         auto encoded = encode(message);
         const auto sent_bytes = encoded.size() + framing_bytes;
@@ -185,8 +190,8 @@
         bytes.sent.add(sent_bytes);
         bytes.received.add(received.size() + framing_bytes);
         BOOST_OUTCOME_CO_TRY(auto read, decode_answer(received));
-        if (const auto* refused = std::get_if<refusal>(&read)) {
-            co_return make_error(error_kind::unavailable, address + ": " + refused->detail);
+        if (const auto* refusal_read = std::get_if<refusal>(&read)) {
+            co_return make_error(error_kind::unavailable, address + ": " + refusal_read->detail);
         }
         co_return read;
     }
--- a/libs/wire/tests/wire_test.cpp
+++ b/libs/wire/tests/wire_test.cpp
@@ -42,12 +42,14 @@
     fixture& operator=(const fixture&) = delete;
 
     std::future<result<answer>> begin_call(const std::string& address, request message,
-                                           milliseconds timeout) {
+                                           milliseconds timeout,
+                                           on_refused_connection refused = {}) {
         std::promise<result<answer>> promise;
         auto answered = promise.get_future();
-        asio::co_spawn(io_,
-                       fulfil(*client_, address, std::move(message), timeout, std::move(promise)),
-                       asio::detached);
+        asio::co_spawn(
+            io_,
+            fulfil(*client_, address, std::move(message), timeout, refused, std::move(promise)),
+            asio::detached);
         return answered;
     }
     result<answer> call(const std::string& address, request message,
@@ -59,9 +61,10 @@
 
 private:
     static asio::awaitable<void> fulfil(client& peer, std::string address, request message,
-                                        milliseconds timeout,
+                                        milliseconds timeout, on_refused_connection refused,
                                         std::promise<result<answer>> promise) {
-        auto answered = co_await peer.call(std::move(address), std::move(message), timeout);
+        auto answered =
+            co_await peer.call(std::move(address), std::move(message), timeout, refused);
         promise.set_value(std::move(answered));
     }
 
@@ -99,6 +102,19 @@
     REQUIRE(answered.error().kind == error_kind::deadline_exceeded);
 }
 
+// Guards against requests that wait for a dispatcher that has ended.
+TEST_CASE("a call that is not to be retried fails at once if nobody listens") {
+    fixture peers{[](const request&) -> answer { return pieces_done_answer{}; }};
+    const auto begun = steady_clock::now();
+    const auto answered = peers
+                              .begin_call("127.0.0.1:1", pieces_done_request{}, long_enough,
+                                          on_refused_connection::fail)
+                              .get();
+    REQUIRE_FALSE(answered);
+    CHECK(answered.error().kind == error_kind::connect_failed);
+    CHECK(steady_clock::now() - begun < long_enough / 2);
+}
+
 TEST_CASE("a malformed address is a bad request") {
     fixture peers{echo_status};
     const auto answered = peers.call("nowhere", status_request{}, milliseconds{100});
