gateway: after a restart few calls find their endpoint full

Cause: entries that start send to all endpoints until they know the others. Those that stayed up ask two entries that have ended, each for 150 ms, and then dispatch by themselves; 400 ms later they ask the same entries again while these are starting. Change: until an entry knows a peer, and for at most 1 s after it accepts work, it leaves all endpoints but its share to others, and for that second half of the room for results counts as used. In a fleet that is not uniform a refused connection fails at once, does not count as one of the two requests, and the entry is not asked again in the same incarnation for 2 s.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -318,6 +318,7 @@
 
 http::awaitable<void> control_loop::gossip_loop() {
     unsigned rounds_without_peers = 0;
+    publish_fleet(); // the traffic thread must know how many entries there are before any request
     for (;;) {
         const auto now = steady_clock::now();
         last_round_ = now.time_since_epoch().count();
--- a/libs/gateway/src/dispatch_order.cpp
+++ b/libs/gateway/src/dispatch_order.cpp
@@ -36,7 +36,7 @@
 std::vector<wire::entry_info>
 entries_to_ask(const std::vector<std::string>& order, const dispatching_entry& self,
                const fleet_view& fleet,
-               const std::function<bool(const std::string&)>& is_excluded) {
+               const std::function<bool(const wire::entry_info&)>& is_excluded) {
     std::vector<wire::entry_info> entries;
     for (const auto& id : order) {
         if (id == self.info.id || entries.size() == max_dispatchers) {
@@ -45,7 +45,7 @@
         const auto& others = other_candidates(self, fleet);
         const auto found = std::find_if(others.begin(), others.end(),
                                         [&](const auto& entry) { return entry.id == id; });
-        if (found != others.end() && !is_excluded(id)) {
+        if (found != others.end() && !is_excluded(*found)) {
             entries.push_back(*found);
         }
     }
--- a/libs/gateway/src/dispatch_order.hpp
+++ b/libs/gateway/src/dispatch_order.hpp
@@ -13,7 +13,8 @@
 
 namespace boragefront::gateway {
 
-/// Entries that are asked for a group before the entry dispatches locally.
+/// Entries that are asked for a group before the entry dispatches locally. In a fleet that is not
+/// uniform those that refuse a connection do not count.
 inline constexpr std::size_t max_dispatchers = 2;
 
 /// The entry that makes the selection.
@@ -42,6 +43,7 @@
 /// \param is_excluded whether an entry must not be asked at present
 std::vector<wire::entry_info>
 entries_to_ask(const std::vector<std::string>& order, const dispatching_entry& self,
-               const fleet_view& fleet, const std::function<bool(const std::string&)>& is_excluded);
+               const fleet_view& fleet,
+               const std::function<bool(const wire::entry_info&)>& is_excluded);
 
 } // namespace boragefront::gateway
--- a/libs/gateway/src/endpoint_shares.hpp
+++ b/libs/gateway/src/endpoint_shares.hpp
@@ -20,10 +20,23 @@
     const fleet_view& fleet;
     stages::weighted_entry self;
     const wire::entry_info* handing_over_with{nullptr}; ///< the other dispatcher; null: none
+    bool starting{false};                               ///< see `is_starting`
 };
 
-/// Endpoints that entries which are silent, or the other dispatcher in a hand-over, are likely to
-/// use. At least one endpoint of the service is left out.
+/// Whether an entry still has to assume that entries which it does not know use the endpoints.
+/// After a restart of many, each of them would otherwise send to all endpoints.
+///
+/// \param serving_since when the entry began to accept work
+bool is_starting(const fleet_view& fleet, time_point serving_since, time_point now);
+
+/// Whether endpoints may still hold results that the previous incarnation of this entry ordered.
+///
+/// \param serving_since when the entry began to accept work
+bool may_hold_former_results(const fleet_view& fleet, time_point serving_since, time_point now);
+
+/// Endpoints that other entries are likely to use: silent ones, the other dispatcher in a
+/// hand-over, and while the entry starts, unknown ones. At least one endpoint of the service is
+/// left out.
 std::set<std::string, std::less<>>
 endpoints_of_others(const std::vector<catalog::endpoint>& endpoints, std::string_view service,
                     const endpoint_sharing& sharing);
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -66,6 +66,7 @@
 // Applies the endpoints and capacities of the current snapshot.
 void stage_scheduler::update_endpoints(time_point now) {
     const auto& published = state_.current()->published;
+    serving_since_ = serving_since_.value_or(now);
     update_placement(now);
     for (auto& [service, queue] : queues_) {
         const auto found = published.config->services.find(service);
@@ -78,12 +79,13 @@
     }
 }
 
-// Reserves the share of a service's endpoints that entries which cannot be seen from here, or the
-// other dispatcher in a hand-over, may use.
+// Reserves the endpoints of a service that other dispatchers may use.
 void stage_scheduler::update_endpoint_shares(service_queue& queue, time_point now) {
     const auto& fleet = state_.fleet();
-    const endpoint_sharing sharing{
-        fleet, {state_.self_id(), state_.role().processors}, hand_over_partner(queue.service, now)};
+    const endpoint_sharing sharing{fleet,
+                                   {state_.self_id(), state_.role().processors},
+                                   hand_over_partner(queue.service, now),
+                                   serving_since_ && is_starting(fleet, *serving_since_, now)};
     const auto shares_hash = sharing_hash(state_.endpoints(), queue.service, sharing);
     if (shares_hash == queue.shares_hash) {
         return;
@@ -95,6 +97,7 @@
                {{"service", queue.service},
                 {"entries_seen", std::to_string(fleet.alive.size() + 1)},
                 {"entries_silent", std::to_string(fleet.silent.size())},
+                {"starting", sharing.starting ? "true" : "false"},
                 {"handing_over_with", partner == nullptr ? "" : partner->id},
                 {"contended_endpoints", std::to_string(contended.size())}});
     queue.queue.set_contended(std::move(contended));
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "base/exceptions.hpp"
 #include "base/logging.hpp"
 #include "dispatch_timeout.hpp"
+#include "endpoint_shares.hpp"
 #include "request_limits.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,6 +22,8 @@
 constexpr milliseconds dispatch_request_timeout{150};
 constexpr milliseconds min_backoff{400}; // gives a slow dispatcher time to work off its backlog
 constexpr milliseconds max_backoff{3'200};
+// Longer than it takes until a peer that has ended is not alive any more.
+constexpr milliseconds unreachable_retention{2'000};
 // For checks whether the dispatcher is still alive.
 constexpr milliseconds dispatcher_poll_interval{200};
 // The groups that a former dispatcher has are complete or expired within about this time.
@@ -79,6 +82,9 @@
         queue->queue.set_endpoints(state_.endpoints(), state_.current()->published.evacuated,
                                    service.name, now);
         update_endpoint_shares(*queue, now);
+        if (serving_since_ && may_hold_former_results(state_.fleet(), *serving_since_, now)) {
+            queue->queue.assume_unknown_results(now);
+        }
     }
     return *queue;
 }
@@ -106,9 +112,9 @@
         placement_inputs_->defers != defers_dispatch(entry, state_.fleet(), now)) {
         update_placement(now);
     }
-    const auto is_excluded = [&](const std::string& id) {
-        const auto late = late_dispatchers_.find(id);
-        return asked.contains(id) ||
+    const auto is_excluded = [&](const wire::entry_info& other) {
+        const auto late = late_dispatchers_.find(other.id);
+        return asked.contains(other.id) || is_unreachable(other, now) ||
                (late != late_dispatchers_.end() && now < late->second.skip_until);
     };
     return entries_to_ask(dispatcher_order(service), entry, state_.fleet(), is_excluded);
@@ -239,6 +245,18 @@
     late.skip_until = now + late.backoff;
 }
 
+// Whether the process of an entry does not listen any more. The entry is asked again after its next
+// start, or once the fleet must have noticed its end.
+bool stage_scheduler::is_unreachable(const wire::entry_info& entry, time_point now) const {
+    const auto found = unreachable_dispatchers_.find(entry.id);
+    return found != unreachable_dispatchers_.end() && found->second.life == entry.life &&
+           now - found->second.refused_at < unreachable_retention;
+}
+
+bool stage_scheduler::is_uniform() const {
+    return !placement_inputs_ || placement::is_uniform(placement_inputs_->candidates);
+}
+
 bool stage_scheduler::is_alive(const std::string& id, incarnation life) const {
     const auto& alive = state_.fleet().alive;
     return std::any_of(alive.begin(), alive.end(),
@@ -274,7 +292,8 @@
                                                                stages::piece_group group,
                                                                cancellation_source& cancellation) {
     std::set<std::string> asked;
-    while (asked.size() < max_dispatchers) {
+    std::size_t unanswered = 0;
+    while (unanswered < max_dispatchers) {
         if (cancellation.cancelled()) {
             co_return group_cancelled{};
         }
@@ -296,6 +315,7 @@
                      {{"service", service.name},
                       {"dispatcher", dispatcher.id},
                       {"request", group.pieces.front().request_id}});
+        unanswered += is_unreachable(dispatcher, steady_clock::now()) ? 0 : 1;
     }
     co_return co_await dispatch_locally(service, std::move(group), cancellation);
 }
@@ -320,8 +340,11 @@
                                       group,
                                       time_left(group.soft_deadline, asked_at),
                                       time_left(group.hard_deadline, asked_at)};
-    auto response =
-        co_await peers_.call(dispatcher.work_address, std::move(request), dispatch_request_timeout);
+    // With equal machines requests are sent as before.
+    const auto refused = is_uniform() ? wire::on_refused_connection::retry_until_timeout
+                                      : wire::on_refused_connection::fail;
+    auto response = co_await peers_.call(dispatcher.work_address, std::move(request),
+                                         dispatch_request_timeout, refused);
     const auto* const reply =
         response ? std::get_if<wire::make_pieces_answer>(&response.value()) : nullptr;
     if (!response && !counts_as_late(response.error().kind)) {
@@ -330,6 +353,12 @@
                      {{"dispatcher", dispatcher.id}, {"reason", response.error().detail}});
         co_return std::nullopt;
     }
+    if (!response && response.error().kind == error_kind::connect_failed) {
+        pending_groups_.erase(ticket);
+        unreachable_dispatchers_.insert_or_assign(
+            dispatcher.id, unreachable_dispatcher{dispatcher.life, steady_clock::now()});
+        co_return std::nullopt;
+    }
     if (reply == nullptr) {
         pending_groups_.erase(ticket);
         const auto now = steady_clock::now();
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -142,6 +142,8 @@
                          time_point now);
     const wire::entry_info* hand_over_partner(const std::string& service, time_point now);
     void update_fleet(time_point now);
+    bool is_unreachable(const wire::entry_info& entry, time_point now) const;
+    bool is_uniform() const;
     bool is_alive(const std::string& id, incarnation life) const;
     void record_late_dispatcher(const std::string& dispatcher, time_point now);
     http::awaitable<std::optional<group_outcome>>
@@ -177,6 +179,7 @@
         std::vector<std::string> stage_services;
         bool operator==(const placement_inputs&) const = default;
     };
+    std::optional<time_point> serving_since_;          // when the first snapshot was published
     std::optional<placement_inputs> placement_inputs_; // empty before the first selection
     // Ids of all candidates by service, the preferred dispatcher first.
     std::map<std::string, std::vector<std::string>> dispatcher_orders_;
@@ -200,6 +203,11 @@
         milliseconds backoff{0};
     };
     std::map<std::string, late_dispatcher> late_dispatchers_; // by id
+    struct unreachable_dispatcher {
+        incarnation life{0};
+        time_point refused_at{};
+    };
+    std::map<std::string, unreachable_dispatcher> unreachable_dispatchers_; // by id
     // Starts at a random value, so that a response to an earlier incarnation of this process
     // matches no ticket.
     std::uint64_t next_id_;
--- a/libs/gateway/tests/dispatch_order_test.cpp
+++ b/libs/gateway/tests/dispatch_order_test.cpp
@@ -11,7 +11,7 @@
 
 const time_point start{seconds{1'000}};
 
-bool none_excluded(const std::string& /*id*/) {
+bool none_excluded(const wire::entry_info& /*entry*/) {
     return false;
 }
 
@@ -22,9 +22,9 @@
     return entry;
 }
 
-std::vector<wire::entry_info> order_of(const dispatching_entry& self, const fleet_view& fleet,
-                                       const std::function<bool(const std::string&)>& is_excluded,
-                                       time_point now) {
+std::vector<wire::entry_info>
+order_of(const dispatching_entry& self, const fleet_view& fleet,
+         const std::function<bool(const wire::entry_info&)>& is_excluded, time_point now) {
     const auto candidates = dispatch_candidates(
         self, fleet, [](const auto& /*entry*/) { return false; }, now);
     return entries_to_ask(placement::dispatcher_order("stage", {"stage"}, candidates), self, fleet,
@@ -95,7 +95,7 @@
     const dispatching_entry self{{"e1", 0.2}, draining};
     const auto first = order_of(self, fleet, none_excluded, start).front().id;
     const auto order = order_of(
-        self, fleet, [&](const std::string& id) { return id == first; }, start);
+        self, fleet, [&](const auto& entry) { return entry.id == first; }, start);
     REQUIRE(order.size() == 2);
     CHECK(order[0].id != first);
     CHECK(order[1].id != first);
--- a/libs/gateway/tests/endpoint_shares_test.cpp
+++ b/libs/gateway/tests/endpoint_shares_test.cpp
@@ -61,3 +61,31 @@
           sharing_hash(endpoints, "stage", {for_former, {"former", 0.5}, nullptr}));
     CHECK(sharing_hash(endpoints, "stage", {fleet_view{}, {"former", 0.5}, nullptr}) == 0);
 }
+
+// Guards against restarted entries that all send to all endpoints, and against a deployment of one
+// entry, or an entry without reachable peers, that leaves endpoints unused.
+TEST_CASE("an entry that knows no other yet uses its share of the endpoints") {
+    const auto endpoints = make_endpoints();
+    const time_point start{seconds{1'000}};
+    fleet_view fleet;
+    CHECK_FALSE(is_starting(fleet, start, start));
+    CHECK_FALSE(may_hold_former_results(fleet, start, start));
+    fleet.max_entry_count = 25;
+    CHECK(is_starting(fleet, start, start + milliseconds{999}));
+    CHECK_FALSE(is_starting(fleet, start, start + seconds{1}));
+    std::set<std::string> used;
+    for (int i = 0; i < 25; ++i) {
+        const auto left = endpoints_of_others(
+            endpoints, "stage", {fleet, {"entry-" + std::to_string(i), 0.5}, nullptr, true});
+        REQUIRE(left.size() == endpoints.size() - 1);
+        for (const auto& endpoint : endpoints) {
+            if (!left.contains(endpoint.id)) {
+                used.insert(endpoint.id);
+            }
+        }
+    }
+    CHECK(used.size() > endpoints.size() / 2);
+    fleet.alive.push_back(make_entry("entry-1"));
+    CHECK_FALSE(is_starting(fleet, start, start));
+    CHECK(may_hold_former_results(fleet, start, start));
+}
