gateway: fewer selections of dispatchers, and queues run when their endpoints change

Cause: the time that starting entries have been serving made each gossip message of the 2 s after a start a new selection for all services. Pieces that waited while endpoints were left to others waited on until the next call ended after these became free.

--- a/libs/gateway/src/dispatch_order.cpp
+++ b/libs/gateway/src/dispatch_order.cpp
@@ -28,7 +28,8 @@
         candidates.push_back(self.info);
     }
     for (auto& one : candidates) {
-        one.serving_for = std::min(one.serving_for, placement::settling_time);
+        one.serving_for =
+            one.serving_for < placement::settling_time ? milliseconds{0} : placement::settling_time;
     }
     return candidates;
 }
--- a/libs/gateway/src/dispatch_order.hpp
+++ b/libs/gateway/src/dispatch_order.hpp
@@ -30,8 +30,8 @@
 /// The entries among which the dispatchers of services are selected. While no entry is serving, as
 /// in a restart of all entries, these are the draining ones: with separate queues they would send
 /// to the same endpoints without knowing of each other.
-/// How long they have been serving is told up to `placement::settling_time`, so that candidates
-/// differ only if a selection may.
+/// How long they have been serving is 0 or `placement::settling_time`, so that candidates differ
+/// only if a selection may: with hundreds of entries a new one is costly.
 /// \param is_late whether other entries observe that an entry responds late
 std::vector<placement::candidate>
 dispatch_candidates(const dispatching_entry& self, const fleet_view& fleet,
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -79,8 +79,8 @@
     }
 }
 
-// Reserves the endpoints of a service that other dispatchers may use.
-void stage_scheduler::update_endpoint_shares(service_queue& queue, time_point now) {
+// Reserves the endpoints of a service that other dispatchers may use. Returns whether they changed.
+bool stage_scheduler::update_endpoint_shares(service_queue& queue, time_point now) {
     const auto& fleet = state_.fleet();
     const endpoint_sharing sharing{fleet,
                                    {state_.self_id(), state_.role().processors},
@@ -88,7 +88,7 @@
                                    serving_since_ && is_starting(fleet, *serving_since_, now)};
     const auto shares_hash = sharing_hash(state_.endpoints(), queue.service, sharing);
     if (shares_hash == queue.shares_hash) {
-        return;
+        return false;
     }
     queue.shares_hash = shares_hash;
     auto contended = endpoints_of_others(state_.endpoints(), queue.service, sharing);
@@ -101,6 +101,7 @@
                 {"handing_over_with", partner == nullptr ? "" : partner->id},
                 {"contended_endpoints", std::to_string(contended.size())}});
     queue.queue.set_contended(std::move(contended));
+    return true;
 }
 
 milliseconds stage_scheduler::service_time(const catalog::service& service, std::size_t pieces) {
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -230,7 +230,10 @@
         }
     }
     for (auto& [service, queue] : queues_) {
-        update_endpoint_shares(*queue, now);
+        if (update_endpoint_shares(*queue, now)) {
+            run_queue(
+                service); // pieces may wait for endpoints that are not left to others any more
+        }
     }
 }
 
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -131,7 +131,7 @@
     service_queue& queue_for(const catalog::service& service);
     bool can_dispatch(const service_queue& queue, time_point now) const;
     void update_endpoints(time_point now);
-    void update_endpoint_shares(service_queue& queue, time_point now);
+    bool update_endpoint_shares(service_queue& queue, time_point now);
     dispatching_entry self() const;
     std::vector<wire::entry_info> dispatchers(const std::string& service,
                                               const std::set<std::string>& asked = {});
--- a/libs/gateway/tests/dispatch_order_test.cpp
+++ b/libs/gateway/tests/dispatch_order_test.cpp
@@ -100,3 +100,18 @@
     CHECK(order[0].id != first);
     CHECK(order[1].id != first);
 }
+
+// Guards against a selection with each gossip message while an entry starts.
+TEST_CASE("candidates change only as they settle") {
+    const std::optional<drain_plan> serving;
+    const auto candidates_at = [&](milliseconds serving_for) {
+        fleet_view fleet;
+        fleet.serving = {make_entry("e2")};
+        fleet.serving.front().serving_for = serving_for;
+        return dispatch_candidates(
+            {{"e1", 0.2}, serving}, fleet, [](const auto& /*entry*/) { return false; }, start);
+    };
+    CHECK(candidates_at(milliseconds{10}) == candidates_at(milliseconds{1'999}));
+    CHECK(candidates_at(milliseconds{1'999}) != candidates_at(milliseconds{2'000}));
+    CHECK(candidates_at(milliseconds{2'000}) == candidates_at(seconds{60}));
+}
