--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -3,6 +3,7 @@
 #include "base/exceptions.hpp"
 #include "base/logging.hpp"
 #include "dispatch_timeout.hpp"
+#include "endpoint_shares.hpp"
 #include "request_limits.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -21,8 +22,12 @@
 constexpr milliseconds dispatch_request_timeout{150};
 constexpr milliseconds min_backoff{400}; // gives a slow dispatcher time to work off its backlog
 constexpr milliseconds max_backoff{3'200};
+// Longer than it takes until a peer that has ended is not alive any more.
+constexpr milliseconds unreachable_retention{2'000};
 // For checks whether the dispatcher is still alive.
 constexpr milliseconds dispatcher_poll_interval{200};
+// The groups that a former dispatcher has are complete or expired within about this time.
+constexpr milliseconds hand_over_time{1'000};
 // The queue expires a group once it is useless. After this margin its completion counts as lost.
 constexpr milliseconds completion_margin{2'000};
 constexpr milliseconds notify_timeout{400};
@@ -55,6 +60,7 @@
       freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {
     freer_.on_freed([this](const auto& handles) { on_results_freed(handles); });
     state_.on_endpoints_changed([this](time_point now) { update_endpoints(now); });
+    state_.on_fleet_changed([this](time_point now) { update_fleet(now); });
 }
 
 // The stage service with this name in the configuration in force, null if there is none.
@@ -72,9 +78,13 @@
         queue->service = service.name;
         queue->queue = stages::stage_queue::make(configured == nullptr ? *service.stages
                                                                        : *configured->stages);
+        const auto now = steady_clock::now();
         queue->queue.set_endpoints(state_.endpoints(), state_.current()->published.evacuated,
-                                   service.name, steady_clock::now());
-        update_endpoint_shares(*queue);
+                                   service.name, now);
+        update_endpoint_shares(*queue, now);
+        if (serving_since_ && may_hold_former_results(state_.fleet(), *serving_since_, now)) {
+            queue->queue.assume_unknown_results(now);
+        }
     }
     return *queue;
 }
@@ -86,17 +96,145 @@
 }
 
 dispatching_entry stage_scheduler::self() const {
-    return {state_.self_id(), state_.role().processors, state_.draining};
+    const auto& role = state_.role();
+    const auto& info = state_.fleet().self;
+    const bool late = state_.is_late(state_.self_id(), info.life, steady_clock::now());
+    return {{state_.self_id(), role.processors, role.link_mbps, info.serving_for, late},
+            state_.draining};
 }
 
 // The entries to ask to dispatch for a service. If none responds, this one dispatches locally.
-std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service) const {
+std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service,
+                                                           const std::set<std::string>& asked) {
     const auto now = steady_clock::now();
-    const auto is_late = [&](const std::string& id) {
-        const auto late = late_dispatchers_.find(id);
-        return late != late_dispatchers_.end() && now < late->second.skip_until;
+    const auto entry = self();
+    if (!placement_inputs_ ||
+        placement_inputs_->defers != defers_dispatch(entry, state_.fleet(), now)) {
+        update_placement(now);
+    }
+    const auto is_excluded = [&](const wire::entry_info& other) {
+        const auto late = late_dispatchers_.find(other.id);
+        return asked.contains(other.id) || is_unreachable(other, now) ||
+               (late != late_dispatchers_.end() && now < late->second.skip_until);
     };
-    return dispatch_order(service, self(), state_.fleet(), is_late, now);
+    return entries_to_ask(dispatcher_order(service), entry, state_.fleet(), is_excluded);
+}
+
+// Selects the dispatchers of all services anew if the fleet, the configuration or the drain of this
+// entry has changed. Not left to the next request: an entry without requests of its own may become
+// a dispatcher, and must know of the former one.
+void stage_scheduler::update_placement(time_point now) {
+    const auto entry = self();
+    placement_inputs inputs;
+    inputs.defers = defers_dispatch(entry, state_.fleet(), now);
+    inputs.candidates = dispatch_candidates(
+        entry, state_.fleet(),
+        [&](const auto& other) { return state_.is_late(other.id, other.life, now); }, now);
+    for (const auto& [name, configured] : state_.current()->published.config->services) {
+        if (configured.stages) {
+            inputs.stage_services.push_back(name);
+        }
+    }
+    if (placement_inputs_ == inputs) {
+        return;
+    }
+    placement_inputs_ = std::move(inputs);
+    dispatcher_orders_.clear();
+    for (const auto& service : placement_inputs_->stage_services) {
+        record_dispatcher(service, now);
+    }
+}
+
+// Valid until the next selection.
+const std::vector<std::string>& stage_scheduler::dispatcher_order(const std::string& service) {
+    auto [order, is_new] = dispatcher_orders_.try_emplace(service);
+    if (is_new) {
+        order->second = placement::dispatcher_order(service, placement_inputs_->stage_services,
+                                                    placement_inputs_->candidates);
+    }
+    return order->second;
+}
+
+void stage_scheduler::record_dispatcher(const std::string& service, time_point now) {
+    const auto& order = dispatcher_order(service);
+    if (order.empty()) {
+        return;
+    }
+    std::vector<std::string> alive{state_.self_id()};
+    for (const auto& entry : state_.fleet().alive) {
+        alive.push_back(entry.id);
+    }
+    const auto change =
+        dispatcher_history_.update(service, order.front(), placement_inputs_->candidates, alive);
+    if (!change) {
+        return;
+    }
+    const std::string reason{placement::to_string(change->reason)};
+    log_change("placement", "dispatcher_changed",
+               {{"service", service},
+                {"before", change->before},
+                {"after", change->after},
+                {"reason", reason}});
+    state_.metrics()
+        .get_counter("boragefront_dispatcher_changes_total",
+                     "service=\"" + service + "\",reason=\"" + reason + '"')
+        .add();
+    begin_hand_over(service, *change, now);
+}
+
+// The former dispatcher completes the groups that it has, so for some time two queues use the
+// endpoints of the service.
+void stage_scheduler::begin_hand_over(const std::string& service,
+                                      const placement::dispatcher_change& change, time_point now) {
+    const bool takes_over = change.after == state_.self_id();
+    if (!takes_over && change.before != state_.self_id()) {
+        return;
+    }
+    const auto& other = takes_over ? change.before : change.after;
+    const auto& alive = state_.fleet().alive;
+    const auto found = std::find_if(alive.begin(), alive.end(),
+                                    [&](const auto& entry) { return entry.id == other; });
+    // A former dispatcher that has restarted meanwhile has no groups.
+    const bool restarted =
+        takes_over && found != alive.end() && found->serving && found->serving_for < hand_over_time;
+    if (found != alive.end() && !restarted) {
+        hand_overs_.insert_or_assign(service, hand_over{*found, now + hand_over_time});
+    }
+}
+
+// The other dispatcher of a hand-over that is in progress, null if there is none.
+const wire::entry_info* stage_scheduler::hand_over_partner(const std::string& service,
+                                                           time_point now) {
+    const auto found = hand_overs_.find(service);
+    if (found == hand_overs_.end()) {
+        return nullptr;
+    }
+    const auto& [other, ends_at] = found->second;
+    if (now >= ends_at || !is_alive(other.id, other.life)) {
+        hand_overs_.erase(found);
+        return nullptr;
+    }
+    return &other;
+}
+
+// Groups whose dispatcher has disappeared are dispatched elsewhere at once.
+void stage_scheduler::update_fleet(time_point now) {
+    if (state_.current() == nullptr) {
+        return; // no requests yet
+    }
+    update_placement(now);
+    for (const auto& [ticket, pending] : pending_groups_) {
+        if (pending->dispatcher != state_.self_id() &&
+            !is_alive(pending->dispatcher, pending->dispatcher_life)) {
+            pending->done.cancel();
+        }
+    }
+    for (auto& [service, queue] : queues_) {
+        if (update_endpoint_shares(*queue, now)) {
+            run_queue(
+                service); // pieces may wait for endpoints that are not left to others any more
+        }
+    }
 }
 
 // A dispatcher that does not respond in time is skipped by all requests for an increasing time.
@@ -110,11 +248,22 @@
     late.skip_until = now + late.backoff;
 }
 
-bool stage_scheduler::is_alive(const wire::entry_info& dispatcher) const {
+// Whether the process of an entry does not listen any more. The entry is asked again after its next
+// start, or once the fleet must have noticed its end.
+bool stage_scheduler::is_unreachable(const wire::entry_info& entry, time_point now) const {
+    const auto found = unreachable_dispatchers_.find(entry.id);
+    return found != unreachable_dispatchers_.end() && found->second.life == entry.life &&
+           now - found->second.refused_at < unreachable_retention;
+}
+
+bool stage_scheduler::is_uniform() const {
+    return !placement_inputs_ || placement::is_uniform(placement_inputs_->candidates);
+}
+
+bool stage_scheduler::is_alive(const std::string& id, incarnation life) const {
     const auto& alive = state_.fleet().alive;
-    return std::any_of(alive.begin(), alive.end(), [&](const auto& entry) {
-        return entry.id == dispatcher.id && entry.life == dispatcher.life;
-    });
+    return std::any_of(alive.begin(), alive.end(),
+                       [&](const auto& entry) { return entry.id == id && entry.life == life; });
 }
 
 void stage_scheduler::record_expected_time(const std::string& service, milliseconds expected) {
@@ -145,10 +294,19 @@
 http::awaitable<group_outcome> stage_scheduler::dispatch_group(const catalog::service& service,
                                                                stages::piece_group group,
                                                                cancellation_source& cancellation) {
-    for (const auto& dispatcher : dispatchers(service.name)) {
+    std::set<std::string> asked;
+    std::size_t unanswered = 0;
+    while (unanswered < max_dispatchers) {
         if (cancellation.cancelled()) {
             co_return group_cancelled{};
         }
+        // Selected again after each failure: the second choice may have disappeared meanwhile.
+        const auto next = dispatchers(service.name, asked);
+        if (next.empty()) {
+            break;
+        }
+        const auto& dispatcher = next.front();
+        asked.insert(dispatcher.id);
         auto outcome = co_await dispatch_remotely(dispatcher, service.name, group, cancellation);
         if (outcome) {
             co_return std::move(*outcome);
@@ -160,6 +318,7 @@
                      {{"service", service.name},
                       {"dispatcher", dispatcher.id},
                       {"request", group.pieces.front().request_id}});
+        unanswered += is_unreachable(dispatcher, steady_clock::now()) ? 0 : 1;
     }
     co_return co_await dispatch_locally(service, std::move(group), cancellation);
 }
@@ -173,6 +332,7 @@
     const auto ticket = next_id_++;
     auto pending = std::make_shared<pending_group>(executor_);
     pending->dispatcher = dispatcher.id;
+    pending->dispatcher_life = dispatcher.life;
     pending->pieces = group.pieces.size();
     pending_groups_[ticket] = pending;
     const auto asked_at = steady_clock::now();
@@ -183,8 +343,11 @@
                                       group,
                                       time_left(group.soft_deadline, asked_at),
                                       time_left(group.hard_deadline, asked_at)};
-    auto response =
-        co_await peers_.call(dispatcher.work_address, std::move(request), dispatch_request_timeout);
+    // With equal machines requests are sent as before.
+    const auto refused = is_uniform() ? wire::on_refused_connection::retry_until_timeout
+                                      : wire::on_refused_connection::fail;
+    auto response = co_await peers_.call(dispatcher.work_address, std::move(request),
+                                         dispatch_request_timeout, refused);
     const auto* const reply =
         response ? std::get_if<wire::make_pieces_answer>(&response.value()) : nullptr;
     if (!response && !counts_as_late(response.error().kind)) {
@@ -193,9 +356,18 @@
                      {{"dispatcher", dispatcher.id}, {"reason", response.error().detail}});
         co_return std::nullopt;
     }
+    if (!response && response.error().kind == error_kind::connect_failed) {
+        pending_groups_.erase(ticket);
+        unreachable_dispatchers_.insert_or_assign(
+            dispatcher.id, unreachable_dispatcher{dispatcher.life, steady_clock::now()});
+        co_return std::nullopt;
+    }
     if (reply == nullptr) {
         pending_groups_.erase(ticket);
-        record_late_dispatcher(dispatcher.id, steady_clock::now());
+        const auto now = steady_clock::now();
+        record_late_dispatcher(dispatcher.id, now);
+        state_.response_monitor().record_missed({dispatcher.id, dispatcher.life},
+                                                dispatch_request_timeout, now);
         // The dispatcher may still accept the pieces later.
         asio::co_spawn(executor_,
                        notify_peer(dispatcher.work_address,
@@ -204,14 +376,17 @@
         co_return std::nullopt;
     }
     late_dispatchers_.erase(dispatcher.id);
+    const auto responded_at = steady_clock::now();
+    state_.response_monitor().record_response({dispatcher.id, dispatcher.life},
+                                              responded_at - asked_at, responded_at);
     if (!reply->accepted) {
         pending_groups_.erase(ticket);
         co_return group_outcome{group_refused{reply->retry_after}};
     }
     record_expected_time(service, reply->expected);
     const auto overdue_at = asked_at + dispatch_timeout(reply->expected);
-    while (!pending->result && !cancellation.cancelled() && is_alive(dispatcher) &&
-           steady_clock::now() < overdue_at) {
+    while (!pending->result && !cancellation.cancelled() &&
+           is_alive(dispatcher.id, dispatcher.life) && steady_clock::now() < overdue_at) {
         boost::system::error_code interrupted;
         pending->done.expires_after(dispatcher_poll_interval);
         cancellation.add(pending->done);
