stages: a lasting shortage of room for results is tried ever more seldom

Cause: nobody frees the results of an entry that was killed, so they take up room until they expire after 4 s. The queue took the room for free again within 1 s: in the 5 s after 15 of 25 entries had been killed, 3,836 pieces were sent to endpoints without room. Change: a shortage that comes back doubles the time in which it is forgotten, up to the lifetime of results. The test failed without the change (46 pieces in the second period, 30 in the first).

--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -147,6 +147,7 @@
         std::uint64_t pending_bytes{0};     // of results of calls in progress
         std::uint64_t unaccounted_bytes{0}; // of results that this queue does not track
         time_point unaccounted_at{};        // time of the last update of unaccounted_bytes
+        milliseconds unaccounted_lifetime{1'000}; // in which unaccounted_bytes decays to 0
         double slowdown{1}; // duration of its calls relative to the nominal duration
         time_point slowdown_at{};
     };
--- a/libs/stages/src/result_room.cpp
+++ b/libs/stages/src/result_room.cpp
@@ -7,14 +7,14 @@
 namespace boragefront::stages {
 namespace {
 
-constexpr seconds unaccounted_lifetime{1}; // results are read and freed within about a second
+constexpr milliseconds min_unaccounted_lifetime{1'000}; // results are read and freed within this
 
 } // namespace
 
 // Memory still used by results that this queue does not track; decays linearly.
 std::uint64_t stage_queue::unaccounted_now(const endpoint_state& endpoint, time_point now) const {
-    const auto age =
-        std::chrono::duration<double>(now - endpoint.unaccounted_at) / unaccounted_lifetime;
+    const auto age = std::chrono::duration<double>(now - endpoint.unaccounted_at) /
+                     endpoint.unaccounted_lifetime;
     return static_cast<std::uint64_t>(static_cast<double>(endpoint.unaccounted_bytes) *
                                       std::max(1 - age, 0.0));
 }
@@ -33,8 +33,17 @@
         endpoint.backoff_until = now + full_backoff;
         return;
     }
+    // Nobody frees the results of an entry that was killed, so a shortage that comes back may last
+    // for the lifetime of results.
+    const bool comes_back = endpoint.unaccounted_bytes > 0 &&
+                            now - endpoint.unaccounted_at < 2 * endpoint.unaccounted_lifetime;
+    const auto max_lifetime =
+        std::max<milliseconds>(capacity_.result_lifetime, min_unaccounted_lifetime);
     endpoint.unaccounted_bytes =
         std::min(unaccounted_now(endpoint, now) + shortage, capacity_.result_memory_bytes);
+    endpoint.unaccounted_lifetime = comes_back
+                                        ? std::min(endpoint.unaccounted_lifetime * 2, max_lifetime)
+                                        : min_unaccounted_lifetime;
     endpoint.unaccounted_at = now;
 }
 
--- a/libs/stages/tests/result_room_test.cpp
+++ b/libs/stages/tests/result_room_test.cpp
@@ -204,3 +204,54 @@
     REQUIRE(calls.size() == 1);
     CHECK(calls[0].pieces.size() == capacity.batch);
 }
+
+// Results of entries that were killed are freed by nobody and take up room until they expire.
+// With room estimated to be free again after a second, most calls to such an endpoint found
+// none.
+TEST_CASE("a lasting shortage of room is tried ever more seldom, and one that has ended is "
+          "forgotten") {
+    catalog::stage_capacity capacity;
+    capacity.batch = 8;
+    capacity.call_time = milliseconds{150};
+    capacity.result_memory_bytes = 8 * result_bytes;
+    capacity.result_lifetime = seconds{4};
+    auto queue = stage_queue::make(capacity);
+    time_point now{seconds{1'000}};
+    queue.set_endpoints(make_endpoints(1), {}, "stage", now);
+    std::uint64_t next_id = 1;
+    const auto offer = [&] {
+        piece_group group;
+        group.id = next_id++;
+        group.pieces = {{std::to_string(group.id), 0, 0, "key", {}}};
+        group.result_bytes = result_bytes;
+        group.soft_deadline = group.hard_deadline = now + seconds{60};
+        REQUIRE(queue.offer(std::move(group), now).accepted);
+    };
+    // Runs calls for a time and returns the number of pieces that were sent.
+    const auto run = [&](seconds time, piece_outcome outcome) {
+        std::size_t sent = 0;
+        for (const auto until = now + time; now < until; now += milliseconds{25}) {
+            for (const auto& call : queue.next_calls(now)) {
+                sent += call.pieces.size();
+                now += milliseconds{150};
+                const std::vector<piece_result> results(
+                    call.pieces.size(),
+                    {outcome,
+                     outcome == piece_outcome::made ? "h/" + std::to_string(call.id) : ""});
+                queue.call_ended(call.id, call_outcome::answered, results, now);
+                (void)queue.release({"h/" + std::to_string(call.id)});
+            }
+            (void)queue.take_finished(now);
+        }
+        return sent;
+    };
+    for (int i = 0; i < 40; ++i) {
+        offer();
+    }
+    const auto first = run(seconds{4}, piece_outcome::no_room);
+    const auto second = run(seconds{4}, piece_outcome::no_room);
+    CHECK(second * 2 <= first);
+    run(seconds{9}, piece_outcome::made); // the results have expired
+    offer();
+    CHECK(run(seconds{1}, piece_outcome::made) == 1);
+}
