--- a/libs/placement/src/dispatcher_order.cpp
+++ b/libs/placement/src/dispatcher_order.cpp
@@ -14,6 +14,9 @@
 // Of the best candidate's processors and bandwidth. A dispatcher's load does not depend on its own
 // size, so one that is far smaller than another is always the wrong choice.
 constexpr double min_relative_capacity = 0.5;
+// Entries that start together count as settled together. After a restart of all of them, the
+// dispatchers would otherwise change with each one that reaches the settling time.
+constexpr milliseconds start_spread{1'000};
 
 enum class suitability : std::uint8_t { poor, capable, preferred };
 
@@ -36,15 +39,16 @@
         return one.processors >= max_processors * min_relative_capacity &&
                (one.link_mbps <= 0 || one.link_mbps >= max_link * min_relative_capacity);
     };
-    // After a restart of all of them, none has been serving for long, and any will do.
-    const bool any_settled =
-        std::any_of(candidates.begin(), candidates.end(), [&](const auto& one) {
-            return is_capable(one) && one.serving_for >= settling_time;
-        });
+    milliseconds longest_serving{0};
+    for (const auto& one : candidates) {
+        longest_serving =
+            std::max(longest_serving, is_capable(one) ? one.serving_for : milliseconds{0});
+    }
     std::vector<ranked_candidate> ranked;
     ranked.reserve(candidates.size());
     for (const auto& one : candidates) {
-        const bool settled = one.serving_for >= settling_time || !any_settled;
+        const bool settled =
+            one.serving_for >= std::min(settling_time, longest_serving - start_spread);
         auto suitable = suitability::preferred;
         if (!uniform && !is_capable(one)) {
             suitable = suitability::poor;
--- a/libs/placement/tests/dispatcher_order_test.cpp
+++ b/libs/placement/tests/dispatcher_order_test.cpp
@@ -121,6 +121,14 @@
     }
     CHECK(dispatcher("embed", fleet) == before);
     CHECK(dispatchers(fleet).size() == services.size());
+    const auto at_restart = dispatchers(fleet);
+    // Nor do the dispatchers change while one entry after the other reaches the settling time.
+    for (int round = 0; round < 30; ++round) {
+        for (std::size_t i = 0; i < 8; ++i) {
+            fleet[i].serving_for += milliseconds{100};
+        }
+        CHECK(dispatchers(fleet) == at_restart);
+    }
 }
 
 // Guards against a dispatcher that changes, with a hand-over, although nothing relevant did.
