--- a/libs/gateway/tests/dispatch_order_test.cpp
+++ b/libs/gateway/tests/dispatch_order_test.cpp
@@ -1,8 +1,10 @@
+#include "base/hash.hpp"
 #include "dispatch_order.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <random>
 
 using namespace boragefront;
 using namespace boragefront::gateway;
@@ -115,3 +117,45 @@
     CHECK(candidates_at(milliseconds{1'999}) != candidates_at(milliseconds{2'000}));
     CHECK(candidates_at(milliseconds{2'000}) == candidates_at(seconds{60}));
 }
+
+// Guards against other decisions where all machines are equal. The expected order is that of the
+// former program: entries with a higher score than this one, at most two.
+TEST_CASE("with equal machines the entries to ask are those of before") {
+    std::mt19937 random{7};
+    for (int round = 0; round < 200; ++round) {
+        std::optional<drain_plan> draining;
+        if (random() % 3 == 0) {
+            draining = drain_plan::make(start, seconds{8});
+        }
+        fleet_view fleet;
+        for (unsigned i = 1; i < 2 + random() % 30; ++i) {
+            auto entry = make_entry("e" + std::to_string(i));
+            entry.serving_for = milliseconds{random() % 4'000};
+            (random() % 4 == 0 ? fleet.alive : fleet.serving).push_back(entry);
+        }
+        fleet.alive.insert(fleet.alive.end(), fleet.serving.begin(), fleet.serving.end());
+        const auto excluded = "e" + std::to_string(random() % 10);
+        const auto now = start + seconds{random() % 8};
+        const auto score = [](const std::string& id) {
+            return weighted_rendezvous_score("stage", id, 0.2);
+        };
+        const bool all_draining = draining && fleet.serving.empty();
+        const bool defers = draining && (!all_draining || now >= draining->withdrawn_at());
+        std::vector<std::string> expected;
+        for (const auto& entry : all_draining ? fleet.alive : fleet.serving) {
+            if (entry.id != excluded && (defers || score(entry.id) > score("self"))) {
+                expected.push_back(entry.id);
+            }
+        }
+        std::sort(expected.begin(), expected.end(),
+                  [&](const auto& a, const auto& b) { return score(a) > score(b); });
+        expected.resize(std::min<std::size_t>(expected.size(), 2));
+        std::vector<std::string> order;
+        for (const auto& entry : order_of(
+                 {{"self", 0.2}, draining}, fleet,
+                 [&](const auto& one) { return one.id == excluded; }, now)) {
+            order.push_back(entry.id);
+        }
+        CHECK(order == expected);
+    }
+}
