stages: a workspace that uses far more than its share is deferred

Cause: all groups of a priority compete by size and deadline alone. Change: the rank of a group contains the position of its workspace, after lateness and priority, and puts the groups of a starved priority first. Started pieces are charged to their workspace.

--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -8,6 +8,7 @@
 
 #include "base/time.hpp"
 #include "catalog/types.hpp"
+#include "fairness/dispatch_shares.hpp"
 #include "stages/overload_detector.hpp"
 #include "stages/piece.hpp"
 
@@ -55,11 +56,12 @@
 
 /// Orders groups by whether some of their pieces are running or complete (these come first, as
 /// their results take up memory until the others are complete), then by whether they can still meet
-/// their soft deadline (those that cannot come last), then by priority, then by waiting pieces,
-/// then by soft deadline. In an overload that lasts, late groups are dropped. Batches groups into
-/// full calls and assigns each call to the endpoint that is expected to finish it first. A group
-/// whose data is expensive to transfer waits for an endpoint near that data while its soft deadline
-/// permits. Reads no clock.
+/// their soft deadline (those that cannot come last), then by priority, then by whether their
+/// workspace used far more than its share, then by waiting pieces, then by soft deadline. Waiting
+/// groups of a starved priority precede all but those of the first kind. In an overload that lasts,
+/// late groups are dropped. Batches groups into full calls and assigns each call to the endpoint
+/// that is expected to finish it first. A group whose data is expensive to transfer waits for an
+/// endpoint near that data while its soft deadline permits. Reads no clock.
 class stage_queue {
 public:
     /// \returns an empty queue. Batch size and concurrent calls of the capacity are raised to at
@@ -113,6 +115,14 @@
     /// need.
     time_point next_wakeup(time_point now) const;
 
+    /// Number of groups that have waited while others went first, as their workspace had used more
+    /// than its share.
+    std::uint64_t deferred_groups() const { return deferred_groups_; }
+
+    /// Shares of the workspaces, for logs and dumps.
+    fairness::dispatch_shares& shares() { return shares_; }
+    const fairness::dispatch_shares& shares() const { return shares_; }
+
     /// Whether an endpoint is in service, even if it takes no call at present.
     bool has_endpoint_in_service(time_point now) const;
 
@@ -156,6 +166,8 @@
         std::vector<unsigned> attempts;
         std::size_t unfinished{0};     // pieces without a result
         bool goal_was_feasible{false}; // at its arrival, on an idle endpoint
+        bool deferred{false};          // its workspace used more than its share
+        bool counted_as_deferred{false};
         // Whether some of its pieces are running or complete.
         bool begun() const { return waiting.size() < group.pieces.size(); }
     };
@@ -186,6 +198,9 @@
     double capacity_endpoints(time_point now) const;
     milliseconds time_to_first_call(time_point now) const;
     milliseconds queue_time(std::size_t pieces, time_point now) const;
+    double piece_cost(const piece_group& group) const;
+    fairness::flow_order flow_order(time_point now);
+    void count_deferred(const std::vector<group_state*>& left_waiting);
     std::vector<group_state*> groups_by_rank(time_point now);
     std::size_t batch_space(const group_state& state, std::size_t taken, std::uint64_t room) const;
     bool exceeds_one_call(const group_state& state) const;
@@ -233,6 +248,8 @@
     std::uint64_t next_call_{1};
     time_point next_hopeless_check_{};
     overload_detector overload_;
+    fairness::dispatch_shares shares_;
+    std::uint64_t deferred_groups_{0};
 };
 
 } // namespace boragefront::stages
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -31,16 +31,47 @@
     return now + own > state.group.soft_deadline;
 }
 
+// Cost of a piece of a group in ms of an endpoint, see `fairness::piece_cost`.
+double stage_queue::piece_cost(const piece_group& group) const {
+    const auto memory = static_cast<double>(capacity_.result_memory_bytes);
+    const auto full_call = capacity_.call_time + capacity_.piece_time * capacity_.batch;
+    return fairness::piece_cost({full_call / capacity_.batch,
+                                 memory > 0 ? static_cast<double>(group.result_bytes) / memory : 0,
+                                 capacity_.batch});
+}
+
+fairness::flow_order stage_queue::flow_order(time_point now) {
+    std::set<fairness::flow_view> waiting;
+    for (const auto& [id, state] : groups_) {
+        if (!state.waiting.empty()) {
+            waiting.emplace(state.group.priority, state.group.workspace);
+        }
+    }
+    return shares_.order(waiting, static_cast<double>(service_time(capacity_.batch).count()), now);
+}
+
+void stage_queue::count_deferred(const std::vector<group_state*>& left_waiting) {
+    for (auto* const state : left_waiting) {
+        if (state->deferred && !std::exchange(state->counted_as_deferred, true)) {
+            ++deferred_groups_;
+        }
+    }
+}
+
 std::vector<stage_queue::group_state*> stage_queue::groups_by_rank(time_point now) {
-    using rank = std::tuple<bool, bool, int, std::size_t, time_point, std::uint64_t>;
+    using rank = std::tuple<bool, bool, bool, int, double, std::size_t, time_point, std::uint64_t>;
     const auto min_call = min_call_time();
+    const auto flows = flow_order(now);
     std::vector<std::pair<rank, group_state*>> ranked;
     ranked.reserve(groups_.size());
     for (auto& [id, state] : groups_) {
         if (!state.waiting.empty()) {
-            ranked.emplace_back(rank{!state.begun(), is_late(state, min_call, now),
-                                     state.group.priority, state.waiting.size(),
-                                     state.group.soft_deadline, id},
+            const auto priority = state.group.priority;
+            const auto position = flows.position({priority, state.group.workspace});
+            state.deferred = position > 0 && !state.begun();
+            ranked.emplace_back(rank{!state.begun(), !flows.is_starved(priority),
+                                     is_late(state, min_call, now), priority, position,
+                                     state.waiting.size(), state.group.soft_deadline, id},
                                 &state);
         }
     }
@@ -179,6 +210,7 @@
     call.timeout = scaled(expected, timeout_factor) + timeout_margin;
     for (const auto& piece : pieces) {
         auto& state = groups_.at(piece.group);
+        shares_.charge({state.group.priority, state.group.workspace}, piece_cost(state.group), now);
         ++state.attempts[piece.index];
         call.pieces.push_back(state.group.pieces[piece.index]);
         call.time_left.push_back(std::chrono::floor<milliseconds>(
@@ -251,6 +283,7 @@
             free_at + scaled(nominal, slowdown_now(*target, now));
         reserved.insert(reserved.end(), batch.begin(), batch.end());
     }
+    count_deferred(order);
     for (const auto& piece : reserved) {
         groups_.at(piece.group).waiting.push_back({piece.index});
     }
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -133,6 +133,8 @@
 }
 
 admission stage_queue::offer(piece_group group, time_point now) {
+    shares_.record_arrival(group.priority,
+                           piece_cost(group) * static_cast<double>(group.pieces.size()), now);
     const auto own = service_time(group.pieces.size());
     std::size_t ahead = 0;
     for (const auto& [id, state] : groups_) {
