gateway: log, metric and dump of deferred workspaces

Cause: operators cannot see which workspace is served after others, and for how long. The lines were not produced in a run of the daemon yet.

--- a/libs/fairness/include/fairness/fair_share.hpp
+++ b/libs/fairness/include/fairness/fair_share.hpp
@@ -45,7 +45,7 @@
     /// What a flow used lately, as a part of all use; between 0 and 1.
     double used_part(std::string_view flow, time_point now) const;
 
-    /// The same of all flows that are remembered.
+    /// The same of each flow whose use has not decayed.
     std::map<std::string, double> used_parts(time_point now) const;
 
     /// Forgets flows whose use has decayed.
--- a/libs/fairness/src/fair_share.cpp
+++ b/libs/fairness/src/fair_share.cpp
@@ -72,7 +72,9 @@
 std::map<std::string, double> fair_share::used_parts(time_point now) const {
     std::map<std::string, double> parts;
     for (const auto& [flow, use] : flows_) {
-        parts.emplace(flow, used_part(flow, now));
+        if (use.value(now) >= negligible_cost) {
+            parts.emplace(flow, used_part(flow, now));
+        }
     }
     return parts;
 }
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/co_spawn.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace boragefront::gateway {
 namespace {
@@ -188,6 +190,7 @@
         deliver(queue, std::move(ended));
     }
     freer_.free(queue.queue.take_orphaned_results());
+    report_deferrals(queue, now);
     const auto next = queue.queue.next_wakeup(now);
     const auto ended_at = steady_clock::now();
     queue.next_run_at =
@@ -195,6 +198,24 @@
     schedule_queue(queue, std::max(next, queue.next_run_at));
 }
 
+void stage_scheduler::report_deferrals(service_queue& queue, time_point now) {
+    for (const auto& change : queue.queue.shares().take_changes(now)) {
+        log_change("stages", change.deferred ? "workspace_deferred" : "workspace_restored",
+                   {{"service", queue.service},
+                    {"workspace", change.workspace},
+                    {"priority", std::to_string(change.priority)},
+                    {"used_percent", std::to_string(std::lround(change.used_part * 100))},
+                    {"waiting", std::to_string(queue.queue.waiting_pieces())}});
+    }
+    const auto deferred = queue.queue.deferred_groups();
+    if (deferred > queue.reported_deferrals) {
+        state_.metrics()
+            .get_counter("boragefront_fair_share_deferrals_total",
+                         "service=\"" + queue.service + '"')
+            .add(deferred - std::exchange(queue.reported_deferrals, deferred));
+    }
+}
+
 void stage_scheduler::schedule_queue(service_queue& queue, time_point when) {
     queue.run_timer.expires_at(when);
     queue.run_timer.async_wait([this, service = queue.service](boost::system::error_code failure) {
@@ -370,12 +391,22 @@
     }
 }
 
-std::vector<std::string> stage_scheduler::describe(time_point /*now*/) const {
+std::vector<std::string> stage_scheduler::describe(time_point now) const {
     std::vector<std::string> lines;
     for (const auto& [service, queue] : queues_) {
         lines.push_back(service + " waiting=" + std::to_string(queue->queue.waiting_pieces()) +
                         " calls=" + std::to_string(queue->queue.calls_in_progress()) +
-                        " endpoints=" + std::to_string(queue->queue.endpoint_count()));
+                        " endpoints=" + std::to_string(queue->queue.endpoint_count()) +
+                        " deferred=" + std::to_string(queue->queue.deferred_groups()));
+        for (const auto& use : queue->queue.shares().uses(now)) {
+            if (use.workspace.empty()) {
+                continue;
+            }
+            lines.push_back(service + " workspace=" + use.workspace +
+                            " priority=" + std::to_string(use.priority) +
+                            " used_percent=" + std::to_string(std::lround(use.used_part * 100)) +
+                            " deferred=" + (use.deferred ? "true" : "false"));
+        }
     }
     return lines;
 }
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -117,6 +117,7 @@
         std::string service;
         stages::stage_queue queue;
         std::map<std::uint64_t, group_origin> origins; // by group id
+        std::uint64_t reported_deferrals{0};           // groups that the metric counts
         time_point next_run_at{};                      // the queue is not run before
         std::uint64_t shares_hash{
             0}; // hash of the entries and endpoints that the shares are based on
@@ -154,6 +155,7 @@
                                                     cancellation_source& cancellation);
     stages::admission enqueue(service_queue& queue, stages::piece_group group, group_origin origin);
     void run_queue(const std::string& service);
+    void report_deferrals(service_queue& queue, time_point now);
     void schedule_queue(service_queue& queue, time_point when);
     void deliver(service_queue& queue, stages::finished_group ended);
     void complete_group(std::uint64_t ticket, const std::string& dispatcher,
