--- a/libs/fairness/tests/fairness_test.cpp
+++ b/libs/fairness/tests/fairness_test.cpp
@@ -42,6 +42,25 @@
     CHECK(piece_cost({milliseconds{35}, 0.1, 8}) == 135);
 }
 
+// A flow that alternates around its limit would fill the log.
+TEST_CASE("a deferral is reported once when it begins, and when it has been over for 2 s") {
+    dispatch_shares shares;
+    shares.charge({0, "large"}, 8'000, start);
+    shares.charge({0, "small"}, 500, start);
+    const std::set<flow_view> waiting{{0, "large"}, {0, "small"}};
+    for (const auto at : {start, start + milliseconds{50}}) {
+        CHECK(shares.order(waiting, full_call, at).position({0, "large"}) > 0);
+    }
+    const auto begun = shares.take_changes(start + milliseconds{50});
+    REQUIRE(begun.size() == 1);
+    CHECK((begun[0].workspace == "large" && begun[0].deferred && begun[0].used_part > 0.9));
+    CHECK(shares.uses(start).at(0).deferred);
+    CHECK(shares.take_changes(start + seconds{1}).empty());
+    const auto ended = shares.take_changes(start + seconds{3});
+    REQUIRE(ended.size() == 1);
+    CHECK_FALSE(ended[0].deferred);
+}
+
 // Urgent work takes all capacity, with strict priorities nothing less urgent is ever started.
 TEST_CASE("a starved priority is served a quarter as often as all work, over 10 s") {
     dispatch_shares shares;
--- a/libs/stages/tests/fair_share_test.cpp
+++ b/libs/stages/tests/fair_share_test.cpp
@@ -204,8 +204,8 @@
     }
 }
 
-// Urgent work takes all capacity; without the bound, 5 of 284 of the less urgent groups were made
-// on time.
+// Urgent work takes all capacity; without the bound, 6 to 17 of about 280 less urgent groups were
+// made.
 TEST_CASE("less urgent work is made at least a quarter as often as all work", "[load]") {
     const auto seed = GENERATE(1U, 2U, 3U, 4U);
     const std::vector<caller> callers{{steady(1.1 * service_rate)},
