--- a/libs/stages/tests/fair_share_test.cpp
+++ b/libs/stages/tests/fair_share_test.cpp
@@ -191,11 +191,12 @@
 // Demand of three data centres varies from 0.45 to 1.55 of the mean within 13 s. A workspace at its
 // peak may use what the others leave.
 TEST_CASE("waves out of phase lose nothing to shares", "[load]") {
-    std::vector<caller> callers;
-    for (int i = 0; i < 3; ++i) {
-        callers.push_back({[=](double at) {
-            return service_rate * 1.05 / 3 * (1 + 0.55 * std::sin(2 * M_PI * (at / 13 + i / 3.0)));
-        }});
+    std::vector<caller> callers(3);
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        const auto phase = static_cast<double>(i) / 3;
+        callers[i].groups_per_second = [=](double at) {
+            return service_rate * 1.05 / 3 * (1 + 0.55 * std::sin(2 * M_PI * (at / 13 + phase)));
+        };
     }
     const auto before = simulation{callers, false}.run(seconds{39});
     const auto fair = simulation{callers, true}.run(seconds{39});
