platform, balancing: the slowness that endpoints report is decoded

Cause: some services report a fourth figure with their load, how long work takes there now in percent of usual, and it was passed over. Nothing decides by it yet.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -35,6 +35,8 @@
     unsigned running{0};
     unsigned waiting{0};
     unsigned slots{0};
+    /// How long work takes there now, in percent of usual; empty if the endpoint reports none.
+    std::optional<unsigned> slowness_percent{};
 };
 
 /// Constraints and preferences for choosing an endpoint.
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -22,7 +22,7 @@
 constexpr unsigned first_redirect = 300;
 
 balancing::reported_load to_reported_load(const platform::endpoint_load& load) {
-    return {load.running, load.waiting, load.slots};
+    return {load.running, load.waiting, load.slots, load.slowness_percent};
 }
 
 } // namespace
