balancing: the cost of an endpoint follows its estimated speed and load

Cause: the cost of an endpoint took its latency from a slow average, and a load that was not reported in the last 400 ms for none. It counted only this entry's prompts at an engine. Change: for services whose endpoints report their slowness, the cost is the typical latency divided by the estimated speed, with the requests that all callers are expected to have there; those beyond the estimated concurrency count as queueing, and at engines what waits for all callers counts. Services without that figure are served as before. Each cost is computed once per choice.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -6,6 +6,7 @@
 #include "balancing/entry_group.hpp"
 #include "base/random.hpp"
 #include "base/time.hpp"
+#include "capacity/endpoint_estimates.hpp"
 #include "catalog/types.hpp"
 
 #include <deque>
@@ -31,13 +32,7 @@
 };
 
 /// Load as reported by an endpoint.
-struct reported_load {
-    unsigned running{0};
-    unsigned waiting{0};
-    unsigned slots{0};
-    /// How long work takes there now, in percent of usual; empty if the endpoint reports none.
-    std::optional<unsigned> slowness_percent{};
-};
+using reported_load = capacity::load_observation;
 
 /// Constraints and preferences for choosing an endpoint.
 struct choice_request {
@@ -74,6 +69,8 @@
     std::optional<milliseconds> load_age; ///< empty: no load report received
     milliseconds latency{0};              ///< typical time to the first byte; 0: unknown
     double failure_rate{0};
+    /// Empty if the service's endpoints do not report their slowness.
+    std::optional<capacity::endpoint_estimate> estimate{};
 };
 
 /// Why no endpoint can be chosen.
@@ -124,6 +121,13 @@
     void on_retry_after(const std::string& id, milliseconds retry_after, time_point now);
     void on_load_report(const std::string& id, reported_load load, time_point now);
 
+    /// What other entries are to know of the endpoints' speed; empty if they do not report their
+    /// slowness.
+    std::vector<capacity::estimate_report> capacity_reports(time_point now) const;
+
+    /// Merges what another entry knows of endpoints, of this service and of others.
+    void merge_capacity(const std::vector<capacity::estimate_report>& reports, time_point now);
+
     /// Typical time to the first byte of an answer, over all endpoints; empty before the first one.
     std::optional<milliseconds> typical_latency() const;
 
@@ -158,19 +162,25 @@
     static bool is_healthy(const tracked_endpoint& candidate, time_point now);
     bool is_eligible(const tracked_endpoint& candidate, const choice_request& request) const;
     std::optional<time_point> first_backoff_end(time_point now) const;
+    struct ranked_endpoint {
+        const tracked_endpoint* endpoint;
+        double cost_ms;
+    };
     double cost_ms(const tracked_endpoint& candidate, const choice_request& request,
                    time_point now) const;
+    double service_cost_ms(const tracked_endpoint& candidate, time_point now) const;
+    double estimated_cost_ms(const tracked_endpoint& candidate, time_point now) const;
     double queue_depth(const tracked_endpoint& candidate, time_point now) const;
     void back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now);
     void assume_restart(tracked_endpoint& candidate, time_point now);
-    std::vector<const tracked_endpoint*>
-    filter_by_data_centre(const std::vector<const tracked_endpoint*>& ready,
-                          const choice_request& request, time_point now) const;
-    const tracked_endpoint* choose_by_affinity(const std::vector<const tracked_endpoint*>& ready,
+    static std::vector<ranked_endpoint>
+    filter_by_data_centre(const std::vector<ranked_endpoint>& ready, const choice_request& request);
+    const tracked_endpoint* choose_by_affinity(const std::vector<ranked_endpoint>& ready,
                                                const choice_request& request, time_point now) const;
 
     std::map<std::string, tracked_endpoint> endpoints_;
     catalog::service service_;
+    capacity::endpoint_estimates estimates_;
     std::optional<double> typical_latency_ms_;
     std::uint64_t next_ticket_{1};
 };
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -42,6 +42,19 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+double slot_count(const catalog::endpoint& endpoint) {
+    return std::max(1.0, static_cast<double>(endpoint.slots));
+}
+
+// Number of requests without a first byte that were sent after a point in time.
+template <typename Requests>
+double prefilling_since(const Requests& requests, time_point since) {
+    return static_cast<double>(
+        std::count_if(requests.begin(), requests.end(), [since](const auto& sent) {
+            return !sent.second.first_byte_received && sent.second.sent_at > since;
+        }));
+}
+
 } // namespace
 
 void endpoint_pool::set_endpoints(const std::vector<catalog::endpoint>& endpoints,
@@ -72,6 +85,7 @@
                     registration_status::withdrawn &&
                 candidate.second.requests.empty());
     });
+    estimates_.retain(listed);
 }
 
 bool endpoint_pool::is_eligible(const tracked_endpoint& candidate,
@@ -91,20 +105,49 @@
                     static_cast<double>(candidate.load.running + candidate.load.waiting));
 }
 
-double endpoint_pool::cost_ms(const tracked_endpoint& candidate, const choice_request& request,
-                              time_point now) const {
-    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
-    const double latency = candidate.latency_ms.value_or(typical);
-    const double slots = std::max(1.0, static_cast<double>(candidate.endpoint.slots));
-    double cost = latency * (1 + queue_depth(candidate, now) / slots);
+// Expected time at an endpoint of a service without estimates.
+double endpoint_pool::service_cost_ms(const tracked_endpoint& candidate, time_point now) const {
+    const double latency =
+        candidate.latency_ms.value_or(typical_latency_ms_.value_or(unknown_latency_ms));
     if (service_.engine) {
         // Prompts are processed one after another. Requests that already generate tokens hardly
         // delay the next one.
-        const auto prefilling =
-            std::count_if(candidate.requests.begin(), candidate.requests.end(),
-                          [](const auto& sent) { return !sent.second.first_byte_received; });
-        cost = latency * (1 + prefill_queue_weight * static_cast<double>(prefilling));
+        return latency * (1 + prefill_queue_weight * prefilling_since(candidate.requests, {}));
     }
+    return latency * (1 + queue_depth(candidate, now) / slot_count(candidate.endpoint));
+}
+
+// Expected time at an endpoint of a service whose endpoints report their slowness.
+double endpoint_pool::estimated_cost_ms(const tracked_endpoint& candidate, time_point now) const {
+    const auto known = estimates_.estimate(candidate.endpoint.id, now);
+    const double latency = typical_latency_ms_.value_or(unknown_latency_ms) / known.speed_now;
+    const double depth = std::max(
+        static_cast<double>(candidate.requests.size()),
+        known.expected_load + prefilling_since(candidate.requests, candidate.load_reported_at));
+    double queueing = depth / slot_count(candidate.endpoint);
+    if (service_.engine) {
+        // Prompts of other entries wait as well. Those that this entry sent after the report are
+        // not part of it.
+        const bool has_report = now - candidate.load_reported_at <= load_report_lifetime;
+        const double reported =
+            has_report ? static_cast<double>(candidate.load.waiting) +
+                             prefilling_since(candidate.requests, candidate.load_reported_at)
+                       : 0;
+        queueing =
+            prefill_queue_weight * std::max(prefilling_since(candidate.requests, {}), reported);
+    }
+    if (known.concurrency > 0) {
+        const double beyond = depth + 1 - static_cast<double>(known.concurrency);
+        queueing += std::max(beyond, 0.0) / static_cast<double>(known.concurrency);
+    }
+    return latency * (1 + queueing);
+}
+
+double endpoint_pool::cost_ms(const tracked_endpoint& candidate, const choice_request& request,
+                              time_point now) const {
+    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
+    double cost = estimates_.slowness_reported() ? estimated_cost_ms(candidate, now)
+                                                 : service_cost_ms(candidate, now);
     cost += candidate.failure_rate * milliseconds_of(request.failure_cost);
     // A request without a first byte for this long counts as stalled.
     const double stall_threshold =
@@ -127,17 +170,16 @@
 }
 
 // The endpoints of the preferred data centre, or all if those are much slower than others.
-std::vector<const endpoint_pool::tracked_endpoint*>
-endpoint_pool::filter_by_data_centre(const std::vector<const tracked_endpoint*>& ready,
-                                     const choice_request& request, time_point now) const {
-    std::vector<const tracked_endpoint*> kept;
+std::vector<endpoint_pool::ranked_endpoint>
+endpoint_pool::filter_by_data_centre(const std::vector<ranked_endpoint>& ready,
+                                     const choice_request& request) {
+    std::vector<ranked_endpoint> kept;
     double min_cost = std::numeric_limits<double>::max();
     double min_kept_cost = min_cost;
-    for (const auto* candidate : ready) {
-        const double cost = cost_ms(*candidate, request, now);
-        min_cost = std::min(min_cost, cost);
-        if (candidate->endpoint.data_centre == request.affinity_data_centre) {
-            min_kept_cost = std::min(min_kept_cost, cost);
+    for (const auto& candidate : ready) {
+        min_cost = std::min(min_cost, candidate.cost_ms);
+        if (candidate.endpoint->endpoint.data_centre == request.affinity_data_centre) {
+            min_kept_cost = std::min(min_kept_cost, candidate.cost_ms);
             kept.push_back(candidate);
         }
     }
@@ -147,23 +189,22 @@
 // Ranks the endpoints for a prompt, in the same order at all entries, and returns the first one
 // that is not overloaded.
 const endpoint_pool::tracked_endpoint*
-endpoint_pool::choose_by_affinity(const std::vector<const tracked_endpoint*>& ready,
+endpoint_pool::choose_by_affinity(const std::vector<ranked_endpoint>& ready,
                                   const choice_request& request, time_point now) const {
     double total = 0;
     double min_cost = std::numeric_limits<double>::max();
-    for (const auto* candidate : ready) {
-        total += queue_depth(*candidate, now);
-        min_cost = std::min(min_cost, cost_ms(*candidate, request, now));
+    for (const auto& candidate : ready) {
+        total += queue_depth(*candidate.endpoint, now);
+        min_cost = std::min(min_cost, candidate.cost_ms);
     }
     const double mean = total / static_cast<double>(ready.size());
     const double bound = mean * affinity_load_factor + affinity_load_slack;
     const tracked_endpoint* best = nullptr;
     using affinity_rank = std::pair<bool, std::uint64_t>;
     affinity_rank best_rank;
-    for (const auto* candidate : ready) {
+    for (const auto& [candidate, cost] : ready) {
         const affinity_rank rank{candidate->endpoint.data_centre == request.affinity_data_centre,
                                  rendezvous_score(request.affinity, candidate->endpoint.id)};
-        const double cost = cost_ms(*candidate, request, now);
         const bool within_bounds =
             cost <= milliseconds_of(request.affinity_max_wait) ||
             (queue_depth(*candidate, now) <= bound && cost <= min_cost * affinity_cost_factor);
@@ -199,21 +240,25 @@
         }
     }
     const auto& reachable = listed.empty() ? missing : listed;
-    const auto& all = reachable.empty() ? avoided : reachable;
-    if (all.empty()) {
+    const auto& eligible = reachable.empty() ? avoided : reachable;
+    if (eligible.empty()) {
         return std::nullopt;
     }
+    std::vector<ranked_endpoint> all;
+    all.reserve(eligible.size());
+    for (const auto* candidate : eligible) {
+        all.push_back({candidate, cost_ms(*candidate, request, now)});
+    }
     const tracked_endpoint* best =
         request.affinity.empty() ? nullptr : choose_by_affinity(all, request, now);
     if (best == nullptr) {
-        const auto ready = filter_by_data_centre(all, request, now);
         std::uniform_real_distribution<double> jitter{1 - choice_jitter, 1 + choice_jitter};
         double min_cost = std::numeric_limits<double>::max();
-        for (const auto* candidate : ready) {
-            const double cost = cost_ms(*candidate, request, now) * jitter(random);
+        for (const auto& candidate : filter_by_data_centre(all, request)) {
+            const double cost = candidate.cost_ms * jitter(random);
             if (cost < min_cost) {
                 min_cost = cost;
-                best = candidate;
+                best = candidate.endpoint;
             }
         }
     }
@@ -319,6 +364,11 @@
     };
     update_average(candidate.latency_ms, took, latency_weight);
     update_average(typical_latency_ms_, took, latency_weight / 4);
+    if (estimates_.slowness_reported()) {
+        const auto depth = std::max(queue_depth(candidate, now), 1.0);
+        estimates_.on_latency(id, candidate.endpoint.incarnation, now - sent->second.sent_at,
+                              static_cast<unsigned>(depth), now);
+    }
 }
 
 void endpoint_pool::back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now) {
@@ -359,6 +409,9 @@
     case send_outcome::refused:
         update_failure_rate(1);
         candidate.backoff_until = std::max(candidate.backoff_until, now + initial_backoff / 8);
+        if (estimates_.slowness_reported()) {
+            estimates_.on_refused(id, candidate.endpoint.incarnation, now);
+        }
         break;
     case send_outcome::replaced:
         back_off(candidate, max_backoff, now);
@@ -397,7 +450,24 @@
     if (found != endpoints_.end()) {
         found->second.load = load;
         found->second.load_reported_at = now;
+        if (load.slowness_percent || estimates_.slowness_reported()) {
+            estimates_.on_load(id, found->second.endpoint.incarnation, load, now);
+        }
+    }
+}
+
+std::vector<capacity::estimate_report> endpoint_pool::capacity_reports(time_point now) const {
+    return estimates_.slowness_reported() ? estimates_.report(now)
+                                          : std::vector<capacity::estimate_report>{};
+}
+
+void endpoint_pool::merge_capacity(const std::vector<capacity::estimate_report>& reports,
+                                   time_point now) {
+    std::map<std::string, std::uint64_t> incarnations;
+    for (const auto& [id, candidate] : endpoints_) {
+        incarnations[id] = candidate.endpoint.incarnation;
     }
+    estimates_.merge(reports, incarnations, now);
 }
 
 std::optional<milliseconds> endpoint_pool::typical_latency() const {
@@ -435,7 +505,9 @@
                            : std::optional{std::chrono::floor<milliseconds>(
                                  now - candidate.load_reported_at)},
                        milliseconds{static_cast<std::int64_t>(candidate.latency_ms.value_or(0))},
-                       candidate.failure_rate});
+                       candidate.failure_rate,
+                       estimates_.slowness_reported() ? std::optional{estimates_.estimate(id, now)}
+                                                      : std::nullopt});
     }
     return all;
 }
--- a/libs/capacity/include/capacity/endpoint_estimates.hpp
+++ b/libs/capacity/include/capacity/endpoint_estimates.hpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,9 @@
     double speed{1};         ///< usual speed; 1: as the median of its peers, 0.5: half as fast
     double speed_now{1};     ///< current speed, the usual one without a recent report
     unsigned concurrency{0}; ///< requests up to which it slows down little; 0: unknown
+    /// Requests of all callers that are expected there now: the last report, and the more the older
+    /// that is, the mean of the service.
+    double expected_load{0};
     std::optional<milliseconds> age{}; ///< of the evidence; empty: there is none
 };
 
@@ -82,7 +86,7 @@
     class slowness_history {
     public:
         void record(double slowness, time_point now);
-        double median(time_point now) const;
+        double median() const;
 
     private:
         struct sample {
@@ -96,9 +100,13 @@
         std::uint64_t incarnation{0};
         load_observation load;
         time_point load_at{};
-        slowness_history reported;
-        double residual{1}; // latency relative to peers, beyond what the reports explain
-        std::optional<time_point> residual_at;
+        slowness_history reports;
+        double reported_now{1};
+        double reported_usual{1};
+        time_point reported_at{};
+        // Latencies relative to peers, beyond what the reports explain; the newest ones.
+        std::deque<std::pair<time_point, double>> ratios;
+        double residual{1};                    // their median
         std::optional<time_point> evidence_at; // newest observation by this entry
         load_curve curve;
         unsigned refused_load{0};
@@ -111,7 +119,8 @@
     tracked_endpoint& track(const std::string& endpoint, std::uint64_t incarnation);
     static bool uses_received(const tracked_endpoint& endpoint, time_point now);
     static double residual_now(const tracked_endpoint& endpoint, time_point now);
-    double own_slowness(const tracked_endpoint& endpoint, time_point now) const;
+    static double reported_usual_now(const tracked_endpoint& endpoint, time_point now);
+    static double own_slowness(const tracked_endpoint& endpoint, time_point now);
     double usual_slowness(const tracked_endpoint& endpoint, time_point now) const;
     double current_slowness(const tracked_endpoint& endpoint, time_point now) const;
     static unsigned concurrency(const tracked_endpoint& endpoint, time_point now);
@@ -119,7 +128,8 @@
 
     std::map<std::string, tracked_endpoint, std::less<>> endpoints_;
     bool slowness_reported_{false};
-    std::optional<double> typical_latency_ms_; // at usual speed, over all endpoints
+    load_curve service_curve_; // latency in ms at usual speed, over all endpoints
+    double mean_load_{0};      // requests at an endpoint, over all reports
     double median_slowness_{1};
     time_point median_at_{};
 };
--- a/libs/capacity/include/capacity/load_curve.hpp
+++ b/libs/capacity/include/capacity/load_curve.hpp
@@ -18,7 +18,17 @@
     /// observations do not show that latency rises with load.
     double concurrency() const;
 
+    /// The latency to expect; without a clear rise with load it is the mean. Undefined before the
+    /// first observation.
+    double latency_at(unsigned in_progress) const;
+
 private:
+    struct line {
+        double intercept;
+        double slope; // 0 if the observations show no rise
+    };
+    line fit() const;
+
     double weight_{0};
     double load_{0}; // weighted sums
     double load_squared_{0};
--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -9,15 +9,19 @@
 namespace {
 
 constexpr milliseconds report_lifetime{400}; // of a reported slowness, for the current speed
-constexpr milliseconds own_precedence{1'000};
+constexpr milliseconds recent_evidence{1'000};
+// A received estimate counts only after this entry's own has mostly returned to 1. With 1 s, all
+// entries followed the few that still sent requests, and left an endpoint idle for seconds.
+constexpr milliseconds own_precedence{6'000};
 constexpr double decay_time_s = 6; // without evidence an estimate returns to 1
 constexpr milliseconds history_period{100};
-// A lasting change of latency is to be followed within 2 s: a time constant of a third of that, and
-// a bound on the weight of a single latency, which depends on the request as well.
-constexpr double residual_time_s = 0.7;
-constexpr double min_residual_weight = 0.04;
-constexpr double max_residual_weight = 0.3;
-constexpr double typical_weight = 0.02;
+// A lasting change of latency is to be followed within 2 s. A slow period of half a second is the
+// smaller part of this time and does not change the median.
+constexpr milliseconds ratio_lifetime{1'500};
+constexpr std::size_t max_ratios = 24;
+constexpr std::size_t prior_ratios = 2; // of 1: single latencies depend on the request as well
+constexpr double load_weight = 0.05;
+constexpr double load_decay_s = 0.2; // half of the lifetime of a report
 constexpr double min_slowness = 0.2;
 constexpr double max_slowness = 20;
 constexpr milliseconds median_interval{100};
@@ -31,7 +35,7 @@
 
 // The value after some time without evidence, counted from when it stopped being recent.
 double relaxed(double value, time_point evidence_at, time_point now) {
-    const double idle = std::max(seconds_of(now - evidence_at - own_precedence), 0.0);
+    const double idle = std::max(seconds_of(now - evidence_at - recent_evidence), 0.0);
     return 1 + (value - 1) * std::exp(-idle / decay_time_s);
 }
 
@@ -51,16 +55,16 @@
     samples_.at(static_cast<std::size_t>(period) % period_count) = {period, slowness};
 }
 
-// A slow period of half a second is the smaller part of the history, and does not change it.
-double endpoint_estimates::slowness_history::median(time_point now) const {
-    const auto period = now.time_since_epoch() / history_period;
-    const auto newest = std::max_element(samples_.begin(), samples_.end(),
-                                         [](auto& a, auto& b) { return a.period < b.period; });
-    // The history ends at the newest report, as silence says nothing about the speed.
-    const auto end = std::min(period, newest->period);
+// A slow period of half a second is the smaller part of the history, and does not change it. The
+// history ends at the newest report, as silence says nothing about the speed.
+double endpoint_estimates::slowness_history::median() const {
+    const auto newest =
+        std::max_element(samples_.begin(), samples_.end(), [](const auto& a, const auto& b) {
+            return a.period < b.period;
+        })->period;
     std::vector<double> values;
     for (const auto& one : samples_) {
-        if (one.period >= 0 && one.period > end - static_cast<std::int64_t>(period_count)) {
+        if (one.period >= 0 && one.period > newest - static_cast<std::int64_t>(period_count)) {
             values.push_back(one.slowness);
         }
     }
@@ -86,10 +90,14 @@
     auto& tracked = track(endpoint, incarnation);
     tracked.load = load;
     tracked.load_at = now;
+    mean_load_ += load_weight * (load.running + load.waiting - mean_load_);
     if (load.slowness_percent) {
         slowness_reported_ = true;
-        tracked.reported.record(
-            std::clamp(*load.slowness_percent / percent, min_slowness, max_slowness), now);
+        tracked.reported_now =
+            std::clamp(*load.slowness_percent / percent, min_slowness, max_slowness);
+        tracked.reported_at = now;
+        tracked.reports.record(tracked.reported_now, now);
+        tracked.reported_usual = tracked.reports.median();
         tracked.evidence_at = now;
         update_median(now);
     }
@@ -98,27 +106,28 @@
 void endpoint_estimates::on_latency(const std::string& endpoint, std::uint64_t incarnation,
                                     duration elapsed, unsigned in_progress, time_point now) {
     auto& tracked = track(endpoint, incarnation);
-    const bool has_report =
-        tracked.load.slowness_percent && now - tracked.load_at <= report_lifetime;
-    const double reported =
-        has_report ? *tracked.load.slowness_percent / percent : tracked.reported.median(now);
-    const double elapsed_ms = seconds_of(elapsed) * 1'000;
+    const double reported = now - tracked.reported_at <= report_lifetime
+                                ? tracked.reported_now
+                                : reported_usual_now(tracked, now);
     // What the latency would have been at the speed that the endpoint reports as usual.
-    const double usual_ms = elapsed_ms / std::clamp(reported, min_slowness, max_slowness);
-    if (!typical_latency_ms_) {
-        typical_latency_ms_ = usual_ms;
-    }
-    *typical_latency_ms_ += typical_weight * (usual_ms - *typical_latency_ms_);
+    const double usual_ms = seconds_of(elapsed) * 1'000 / reported;
+    // Compared with what the service's endpoints take under such load: a busy endpoint is not slow.
+    service_curve_.record(in_progress, usual_ms, now);
     const double ratio =
-        std::clamp(usual_ms / std::max(*typical_latency_ms_, 0.001), min_slowness, max_slowness);
-    const double before = residual_now(tracked, now);
-    const double since = tracked.residual_at ? seconds_of(now - *tracked.residual_at) : 1;
-    const double weight = std::clamp(1 - std::exp(-std::max(since, 0.0) / residual_time_s),
-                                     min_residual_weight, max_residual_weight);
-    tracked.residual = before + weight * (ratio - before);
-    tracked.residual_at = now;
+        std::clamp(usual_ms / std::max(service_curve_.latency_at(in_progress), 0.001), min_slowness,
+                   max_slowness);
+    tracked.ratios.emplace_back(now, ratio);
+    while (tracked.ratios.size() > max_ratios ||
+           now - tracked.ratios.front().first > ratio_lifetime) {
+        tracked.ratios.pop_front();
+    }
+    std::vector<double> values(prior_ratios, 1.0);
+    for (const auto& [at, value] : tracked.ratios) {
+        values.push_back(value);
+    }
+    tracked.residual = median_of(values);
     tracked.evidence_at = now;
-    tracked.curve.record(std::max(in_progress, 1U), ratio, now);
+    tracked.curve.record(in_progress, usual_ms, now);
     update_median(now);
 }
 
@@ -132,13 +141,17 @@
 }
 
 double endpoint_estimates::residual_now(const tracked_endpoint& endpoint, time_point now) {
-    return endpoint.residual_at ? relaxed(endpoint.residual, *endpoint.residual_at, now) : 1;
+    return endpoint.ratios.empty() ? 1
+                                   : relaxed(endpoint.residual, endpoint.ratios.back().first, now);
+}
+
+double endpoint_estimates::reported_usual_now(const tracked_endpoint& endpoint, time_point now) {
+    return relaxed(endpoint.reported_usual, endpoint.reported_at, now);
 }
 
 // Usual slowness by this entry's own observations; 1 is what the service's latencies average to.
-double endpoint_estimates::own_slowness(const tracked_endpoint& endpoint, time_point now) const {
-    const double slowness = endpoint.reported.median(now) * residual_now(endpoint, now);
-    return endpoint.evidence_at ? relaxed(slowness, *endpoint.evidence_at, now) : 1;
+double endpoint_estimates::own_slowness(const tracked_endpoint& endpoint, time_point now) {
+    return reported_usual_now(endpoint, now) * residual_now(endpoint, now);
 }
 
 bool endpoint_estimates::uses_received(const tracked_endpoint& endpoint, time_point now) {
@@ -159,11 +172,9 @@
 
 double endpoint_estimates::current_slowness(const tracked_endpoint& endpoint,
                                             time_point now) const {
-    if (!endpoint.load.slowness_percent || now - endpoint.load_at > report_lifetime) {
-        return usual_slowness(endpoint, now);
-    }
-    return std::clamp(*endpoint.load.slowness_percent / percent, min_slowness, max_slowness) *
-           residual_now(endpoint, now) / median_slowness_;
+    return now - endpoint.reported_at > report_lifetime
+               ? usual_slowness(endpoint, now)
+               : endpoint.reported_now * residual_now(endpoint, now) / median_slowness_;
 }
 
 unsigned endpoint_estimates::concurrency(const tracked_endpoint& endpoint, time_point now) {
@@ -197,13 +208,19 @@
 endpoint_estimate endpoint_estimates::estimate(const std::string& endpoint, time_point now) const {
     const auto found = endpoints_.find(endpoint);
     if (found == endpoints_.end()) {
-        return {};
+        endpoint_estimate unknown;
+        unknown.expected_load = mean_load_;
+        return unknown;
     }
     const auto& tracked = found->second;
     endpoint_estimate known;
     known.speed = 1 / usual_slowness(tracked, now);
     known.speed_now = 1 / current_slowness(tracked, now);
     known.concurrency = concurrency(tracked, now);
+    const double trust = std::exp(-seconds_of(now - tracked.load_at) / load_decay_s);
+    const double last = tracked.load.running + tracked.load.waiting;
+    const double assumed = mean_load_ * std::min(known.speed, 1.0);
+    known.expected_load = assumed + trust * (last - assumed);
     const auto newest = uses_received(tracked, now) ? tracked.received_at : tracked.evidence_at;
     if (newest) {
         known.age = std::chrono::floor<milliseconds>(now - *newest);
@@ -214,7 +231,7 @@
 std::vector<estimate_report> endpoint_estimates::report(time_point now) const {
     std::vector<estimate_report> reports;
     for (const auto& [id, endpoint] : endpoints_) {
-        if (!endpoint.evidence_at || now - *endpoint.evidence_at >= own_precedence) {
+        if (!endpoint.evidence_at || now - *endpoint.evidence_at >= recent_evidence) {
             continue;
         }
         const double speed = median_slowness_ / own_slowness(endpoint, now);
