gateway: estimates of endpoints are shared by gossip and shown to operators

Cause: what an entry learned of an endpoint's speed stayed there, and operators could not see it. Gauges can be removed. A single slow report is no longer learned as the usual speed. Result: gateway_test, capacity_test, balancing_test and base_test pass.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -121,6 +121,12 @@
     void on_retry_after(const std::string& id, milliseconds retry_after, time_point now);
     void on_load_report(const std::string& id, reported_load load, time_point now);
 
+    /// Whether the endpoints report their slowness, so that their speed is estimated.
+    bool estimates_capacity() const { return estimates_.slowness_reported(); }
+
+    /// The estimates of all endpoints, by id.
+    std::map<std::string, capacity::endpoint_estimate> estimates(time_point now) const;
+
     /// What other entries are to know of the endpoints' speed; empty if they do not report their
     /// slowness.
     std::vector<capacity::estimate_report> capacity_reports(time_point now) const;
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -456,6 +456,14 @@
     }
 }
 
+std::map<std::string, capacity::endpoint_estimate> endpoint_pool::estimates(time_point now) const {
+    std::map<std::string, capacity::endpoint_estimate> all;
+    for (const auto& [id, candidate] : endpoints_) {
+        all.emplace(id, estimates_.estimate(id, now));
+    }
+    return all;
+}
+
 std::vector<capacity::estimate_report> endpoint_pool::capacity_reports(time_point now) const {
     return estimates_.slowness_reported() ? estimates_.report(now)
                                           : std::vector<capacity::estimate_report>{};
--- a/libs/base/include/base/metrics.hpp
+++ b/libs/base/include/base/metrics.hpp
@@ -53,7 +53,8 @@
     std::unique_ptr<state> state_;
 };
 
-/// The metrics of one process. References that it returns stay valid for its lifetime.
+/// The metrics of one process. References that it returns stay valid for its lifetime, except those
+/// of gauges that are removed.
 class metrics_registry {
 public:
     metrics_registry();
@@ -65,6 +66,8 @@
     /// \param labels as in `kind="expired"`, or empty.
     counter& get_counter(std::string_view name, std::string_view labels = {});
     gauge& get_gauge(std::string_view name, std::string_view labels = {});
+    /// Removes a gauge, of which nobody keeps a reference. One that does not exist is ignored.
+    void remove_gauge(std::string_view name, std::string_view labels);
     latency_quantiles& get_latency(std::string_view name, std::string_view labels = {});
 
     /// All metrics in the text exposition format.
--- a/libs/base/src/metrics.cpp
+++ b/libs/base/src/metrics.cpp
@@ -148,6 +148,11 @@
     return find_or_create(state_->gauges, name, labels);
 }
 
+void metrics_registry::remove_gauge(std::string_view name, std::string_view labels) {
+    const std::scoped_lock lock{state_->mutex};
+    state_->gauges.erase(metric_key{std::string{name}, std::string{labels}});
+}
+
 latency_quantiles& metrics_registry::get_latency(std::string_view name, std::string_view labels) {
     const std::scoped_lock lock{state_->mutex};
     return find_or_create(state_->latencies, name, labels);
--- a/libs/base/tests/metrics_test.cpp
+++ b/libs/base/tests/metrics_test.cpp
@@ -20,6 +20,16 @@
     REQUIRE(median < milliseconds{600});
 }
 
+// Guards against gauges of endpoints that remain after these have recovered or left.
+TEST_CASE("a removed gauge is no longer exposed") {
+    metrics_registry registry;
+    registry.get_gauge("speed", R"(endpoint="one")").set(0.5);
+    registry.get_gauge("speed", R"(endpoint="two")").set(0.6);
+    registry.remove_gauge("speed", R"(endpoint="one")");
+    registry.remove_gauge("speed", R"(endpoint="three")");
+    CHECK(registry.exposition() == "speed{endpoint=\"two\"} 0.6\n");
+}
+
 TEST_CASE("quantiles of a few observations are exact") {
     latency_quantiles latency;
     REQUIRE(latency.quantile(0.5) == duration{0});
--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -19,7 +19,9 @@
 // smaller part of this time and does not change the median.
 constexpr milliseconds ratio_lifetime{1'500};
 constexpr std::size_t max_ratios = 24;
-constexpr std::size_t prior_ratios = 2; // of 1: single latencies depend on the request as well
+// Observations of 1 that are added: single latencies depend on the request as well, and a single
+// report may stem from a short slow period.
+constexpr std::size_t prior_observations = 2;
 constexpr double load_weight = 0.05;
 constexpr double load_decay_s = 0.2; // half of the lifetime of a report
 constexpr double min_slowness = 0.2;
@@ -62,13 +64,13 @@
         std::max_element(samples_.begin(), samples_.end(), [](const auto& a, const auto& b) {
             return a.period < b.period;
         })->period;
-    std::vector<double> values;
+    std::vector<double> values(prior_observations, 1.0);
     for (const auto& one : samples_) {
         if (one.period >= 0 && one.period > newest - static_cast<std::int64_t>(period_count)) {
             values.push_back(one.slowness);
         }
     }
-    return values.empty() ? 1 : median_of(values);
+    return median_of(values);
 }
 
 endpoint_estimates::tracked_endpoint& endpoint_estimates::track(const std::string& endpoint,
@@ -121,7 +123,7 @@
            now - tracked.ratios.front().first > ratio_lifetime) {
         tracked.ratios.pop_front();
     }
-    std::vector<double> values(prior_ratios, 1.0);
+    std::vector<double> values(prior_observations, 1.0);
     for (const auto& [at, value] : tracked.ratios) {
         values.push_back(value);
     }
--- a/libs/capacity/tests/endpoint_estimates_test.cpp
+++ b/libs/capacity/tests/endpoint_estimates_test.cpp
@@ -70,6 +70,8 @@
     CHECK(speed() == Approx(1).margin(0.1));
     now += milliseconds{401};
     CHECK(speed_now() == Approx(1).margin(0.1));
+    estimates.on_load("rarely asked", 1, {2, 0, 6, 250}, now);
+    CHECK(estimates.estimate("rarely asked", now).speed == Approx(1).margin(0.1));
 }
 
 // Guards against trusting an endpoint that reports 100 while it is slow, or 250 while it is not.
--- a/libs/gateway/src/traffic_dump.cpp
+++ b/libs/gateway/src/traffic_dump.cpp
@@ -21,6 +21,13 @@
         endpoint.load_age ? json::value(endpoint.load_age->count()) : json::value();
     object["latency_ms"] = endpoint.latency.count();
     object["failure_rate"] = endpoint.failure_rate;
+    if (const auto& estimate = endpoint.estimate) {
+        object["speed"] = estimate->speed;
+        object["speed_now"] = estimate->speed_now;
+        object["concurrency"] = estimate->concurrency;
+        object["speed_age_ms"] =
+            estimate->age ? json::value(estimate->age->count()) : json::value();
+    }
     return object;
 }
 
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -2,6 +2,7 @@
 
 #include "base/hash.hpp"
 #include "base/logging.hpp"
+#include "capacity/report_selection.hpp"
 
 #include <algorithm>
 
@@ -128,6 +129,17 @@
         observed.late_entries.push_back({id, life});
     }
     lateness_.record(self_id_, std::move(late), now);
+    std::vector<capacity::estimate_report> reports;
+    for (const auto& [service, pool] : pools_) {
+        auto of_service = pool.capacity_reports(now);
+        reports.insert(reports.end(), of_service.begin(), of_service.end());
+    }
+    for (const auto& one : capacity::select_reports(
+             std::move(reports), wire::endpoint_estimate_limit, estimate_messages_++)) {
+        observed.estimates.push_back(
+            {one.endpoint, one.incarnation, one.speed_percent, one.concurrency, one.age});
+    }
+    speed_monitor_.update(pools_, metrics_, now);
     return observed;
 }
 
@@ -138,6 +150,14 @@
         late.emplace_back(entry.id, entry.life);
     }
     lateness_.record(from, std::move(late), now);
+    std::vector<capacity::estimate_report> reports;
+    for (const auto& one : received.estimates) {
+        reports.push_back(
+            {one.endpoint, one.incarnation, one.speed_percent, one.concurrency, one.age});
+    }
+    for (auto& [service, pool] : pools_) {
+        pool.merge_capacity(reports, now);
+    }
 }
 
 balancing::endpoint_pool* traffic_state::pool(std::string_view service) {
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -18,6 +18,7 @@
 #include "placement/lateness.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 #include "settings/settings.hpp"
+#include "speed_monitor.hpp"
 #include "wire/messages.hpp"
 
 #include <functional>
@@ -102,7 +103,8 @@
         on_suspects_changed_ = std::move(callback);
     }
 
-    /// What other entries are told of late entries and of endpoints.
+    /// What other entries are told of late entries and of endpoints. Called at regular intervals;
+    /// also logs lasting changes of the endpoints' speed.
     wire::fleet_observations observations(time_point now);
 
     /// Merges the observations of another entry.
@@ -174,6 +176,8 @@
     placement::lateness_reports lateness_;
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
+    speed_monitor speed_monitor_;
+    std::size_t estimate_messages_{0};
     std::map<std::string, balancing::retry_budget> budgets_;
     time_point started_at_{steady_clock::now()};
     std::map<std::string, longest_recent> longest_durations_; // by route
--- a/libs/gateway/tests/traffic_state_test.cpp
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -22,7 +22,7 @@
 struct state_fixture {
     state_fixture() : state{{}, "self", "a", metrics} {}
 
-    void publish(bool with_model = true) {
+    void publish(bool with_model = true, std::initializer_list<const char*> more_models = {}) {
         auto config = std::make_shared<catalog::configuration>();
         catalog::service stage;
         stage.name = "stage";
@@ -39,6 +39,9 @@
         published.endpoints = {make_endpoint("s1", "stage", "10.0.0.1:1", "a"),
                                make_endpoint("s2", "stage", "10.0.0.2:1", "b"),
                                make_endpoint("m1", "model", "10.0.0.3:1", "a")};
+        for (const auto* const id : more_models) {
+            published.endpoints.push_back(make_endpoint(id, "model", "10.0.0.4:1", "a"));
+        }
         state.publish(std::make_shared<const indexed_snapshot>(std::move(published)), start);
     }
 
@@ -128,3 +131,31 @@
     state.pool("model")->on_request_ended("m1", before, balancing::send_outcome::answered, start);
     CHECK(state.pool("model")->describe(start).front().open_requests == 1);
 }
+
+// Guards against estimates that reach no other entry, or that are shown after they have aged.
+TEST_CASE_METHOD(state_fixture, "a slow endpoint is told to other entries and shown to operators") {
+    publish(true, {"m2", "m3"});
+    traffic_state other{{}, "other", "a", metrics};
+    other.publish(state.current(), start);
+    CHECK(state.observations(start).estimates.empty());
+    auto now = start;
+    for (int i = 0; i < 5; ++i) {
+        now += milliseconds{100};
+        state.pool("model")->on_load_report("m1", {1, 0, 6, 250}, now);
+        state.pool("model")->on_load_report("m2", {1, 0, 6, 100}, now);
+        state.pool("model")->on_load_report("m3", {1, 0, 6, 100}, now);
+    }
+    const auto observed = state.observations(now);
+    REQUIRE(observed.estimates.size() == 3);
+    CHECK(observed.estimates[0].speed_percent == 40);
+    CHECK(metrics.exposition().find(
+              "boragefront_endpoint_speed{service=\"model\",endpoint=\"m1\"}") !=
+          std::string::npos);
+
+    other.merge_observations("self", observed, now);
+    other.pool("model")->on_load_report("m2", {1, 0, 6, 100}, now);
+    CHECK(other.pool("model")->estimates(now).at("m1").speed == Approx(0.4));
+
+    state.observations(now + seconds{30});
+    CHECK(metrics.exposition().find("endpoint_speed") == std::string::npos);
+}
