--- a/libs/gateway/src/speed_monitor.cpp
+++ b/libs/gateway/src/speed_monitor.cpp
@@ -13,6 +13,15 @@
     return std::to_string(std::lround(speed * 100));
 }
 
+std::string labels_of(const std::string& service, const std::string& endpoint) {
+    std::string labels = "service=\"";
+    labels += service;
+    labels += "\",endpoint=\"";
+    labels += endpoint;
+    labels += '"';
+    return labels;
+}
+
 } // namespace
 
 void speed_monitor::update(
@@ -36,7 +45,7 @@
             }
             using capacity::speed_watch;
             if (speed_watch::range_of(estimate.speed) != speed_watch::speed_range::usual) {
-                const auto labels = "service=\"" + service + "\",endpoint=\"" + id + '"';
+                const auto labels = labels_of(service, id);
                 metrics.get_gauge(speed_gauge, labels).set(estimate.speed);
                 gauges.insert(labels);
             }
