capacity: a restarted endpoint begins without its predecessor's estimate

Cause: the estimate of a former incarnation was dropped only at the first response of the new one. Until then a restarted endpoint was avoided, and shown to operators, for the slowness of its predecessor. Change: retain takes the incarnations of the listed endpoints and drops estimates of others. Result: capacity_test passes.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -61,12 +61,12 @@
                                   const std::set<std::string, std::less<>>& evacuated,
                                   const catalog::service& service, time_point now) {
     service_ = service;
-    std::set<std::string> listed;
+    std::map<std::string, std::uint64_t> listed; // incarnations by id
     for (const auto& candidate : endpoints) {
         if (candidate.service != service.name) {
             continue;
         }
-        listed.insert(candidate.id);
+        listed[candidate.id] = candidate.incarnation;
         auto& kept = endpoints_[candidate.id];
         if (kept.endpoint.id.empty() || kept.endpoint.incarnation != candidate.incarnation ||
             kept.endpoint.address != candidate.address) {
--- a/libs/capacity/include/capacity/endpoint_estimates.hpp
+++ b/libs/capacity/include/capacity/endpoint_estimates.hpp
@@ -10,7 +10,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,8 +50,9 @@
 /// incarnation discards what was known.
 class endpoint_estimates {
 public:
-    /// Drops all endpoints but these.
-    void retain(const std::set<std::string>& endpoints);
+    /// Drops all endpoints but these, and those of which another incarnation is known.
+    /// \param incarnations of the endpoints of this service, by id.
+    void retain(const std::map<std::string, std::uint64_t>& incarnations);
 
     void on_load(const std::string& endpoint, std::uint64_t incarnation,
                  const load_observation& load, time_point now);
--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -83,8 +83,11 @@
     return tracked;
 }
 
-void endpoint_estimates::retain(const std::set<std::string>& endpoints) {
-    std::erase_if(endpoints_, [&](const auto& one) { return !endpoints.contains(one.first); });
+void endpoint_estimates::retain(const std::map<std::string, std::uint64_t>& incarnations) {
+    std::erase_if(endpoints_, [&](const auto& one) {
+        const auto found = incarnations.find(one.first);
+        return found == incarnations.end() || found->second != one.second.incarnation;
+    });
 }
 
 void endpoint_estimates::on_load(const std::string& endpoint, std::uint64_t incarnation,
--- a/libs/capacity/tests/endpoint_estimates_test.cpp
+++ b/libs/capacity/tests/endpoint_estimates_test.cpp
@@ -121,3 +121,15 @@
     CHECK(estimates.estimate("odd", now).age == milliseconds{100});
     CHECK(estimates.report(now).empty());
 }
+
+// Guards against keeping estimates of endpoints that are gone, and against avoiding a restarted
+// endpoint, which nobody has asked since, for the slowness of its predecessor.
+TEST_CASE_METHOD(estimates_fixture, "only the listed incarnations are retained") {
+    run(
+        seconds{3}, [](milliseconds) { return 2.0; }, [](milliseconds) { return 200U; });
+    CHECK(speed() == Approx(0.5).margin(0.05));
+    estimates.retain({{"a", 1}, {"odd", 2}});
+    CHECK(speed() == 1);
+    CHECK_FALSE(estimates.estimate("odd", now).age);
+    CHECK(estimates.report(now).size() == 1);
+}
