capacity: estimates end when no endpoint reports its slowness any more

Cause: one load report with a fourth figure switched a service to estimates until the entry ended, also after all its endpoints had been replaced by ones that report three figures. Such services are to be served as before. Change: retain, called when the endpoints change, checks whether any last report has the figure.

--- a/libs/capacity/include/capacity/endpoint_estimates.hpp
+++ b/libs/capacity/include/capacity/endpoint_estimates.hpp
@@ -69,7 +69,8 @@
     /// The estimate of an endpoint; that of an unknown one has speed 1 and no evidence.
     endpoint_estimate estimate(const std::string& endpoint, time_point now) const;
 
-    /// Whether an endpoint has reported its slowness. Estimates are used only for such services.
+    /// Whether the last load report of an endpoint contained its slowness. Estimates are used only
+    /// for such services. That no endpoint reports it any more is noticed by `retain`.
     bool slowness_reported() const { return slowness_reported_; }
 
     /// This entry's own estimates with recent evidence, for other entries.
--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -88,6 +88,9 @@
         const auto found = incarnations.find(one.first);
         return found == incarnations.end() || found->second != one.second.incarnation;
     });
+    slowness_reported_ = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
+        return one.second.load.slowness_percent.has_value();
+    });
 }
 
 void endpoint_estimates::on_load(const std::string& endpoint, std::uint64_t incarnation,
--- a/libs/capacity/tests/endpoint_estimates_test.cpp
+++ b/libs/capacity/tests/endpoint_estimates_test.cpp
@@ -133,3 +133,15 @@
     CHECK_FALSE(estimates.estimate("odd", now).age);
     CHECK(estimates.report(now).size() == 1);
 }
+
+// Guards against estimates in use after all endpoints were replaced by ones that report no
+// slowness.
+TEST_CASE_METHOD(estimates_fixture, "estimates are used while an endpoint reports its slowness") {
+    CHECK_FALSE(estimates.slowness_reported());
+    run(seconds{1}, as_usual, reports_usual);
+    estimates.retain({{"a", 1}, {"odd", 1}});
+    CHECK(estimates.slowness_reported());
+    estimates.on_load("a", 2, {1, 0, 6, std::nullopt}, now);
+    estimates.retain({{"a", 2}, {"odd", 2}});
+    CHECK_FALSE(estimates.slowness_reported());
+}
