balancing: estimated cost keeps the entry's own latency

Cause: the cost from the typical latency and the estimated speed lost what an entry's own latencies tell of the usual queue at an endpoint. Change: the cost is the own latency, which returns to the typical one 6 s after the last response, times current by usual slowness, with the load of all callers against the concurrency or the slots.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -155,6 +155,7 @@
         bool evacuated{false};
         std::map<std::uint64_t, open_request> requests;
         std::optional<double> latency_ms; // time to the first byte, exponentially weighted
+        time_point latency_at{};          // newest observation
         double failure_rate{0};           // exponentially weighted
         unsigned consecutive_failures{0};
         time_point backoff_until{}; // no new requests before
@@ -176,6 +177,8 @@
                    time_point now) const;
     double service_cost_ms(const tracked_endpoint& candidate, time_point now) const;
     double estimated_cost_ms(const tracked_endpoint& candidate, time_point now) const;
+    double expected_latency_ms(const tracked_endpoint& candidate, double speed,
+                               time_point now) const;
     double queue_depth(const tracked_endpoint& candidate, time_point now) const;
     void back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now);
     void assume_restart(tracked_endpoint& candidate, time_point now);
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -28,6 +28,12 @@
 constexpr double affinity_load_slack = 4; // requests
 constexpr double affinity_cost_factor = 2.5;
 constexpr double prefill_queue_weight = 0.5; // per queued prompt, as about half of them are small
+// The recent latency contains the usual queue already.
+constexpr double reported_load_weight = 0.5;
+// An endpoint that was slow is chosen again some time after its last response. With 1 s, entries
+// that send few requests to each endpoint forget what they know too soon.
+constexpr milliseconds recent_latency{6'000};
+constexpr milliseconds latency_decay_time{6'000}; // time constant, after that
 // Well above the time on an idle link, as links are shared.
 constexpr double transfer_ms_per_byte = 10e-6;
 constexpr double choice_jitter = 0.1; // keeps entries from all choosing the same endpoint
@@ -117,30 +123,30 @@
     return latency * (1 + queue_depth(candidate, now) / slot_count(candidate.endpoint));
 }
 
+// The recent latency at an endpoint, which contains its usual load. It returns to the typical one
+// without observations, and is then what other entries observe.
+double endpoint_pool::expected_latency_ms(const tracked_endpoint& candidate, double speed,
+                                          time_point now) const {
+    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
+    const auto age = now - candidate.latency_at;
+    if (!candidate.latency_ms) {
+        return typical / speed;
+    }
+    const double idle_ms = std::max(milliseconds_of(age - recent_latency), 0.0);
+    return typical + (*candidate.latency_ms - typical) *
+                         std::exp(-idle_ms / milliseconds_of(latency_decay_time));
+}
+
 // Expected time at an endpoint of a service whose endpoints report their slowness.
 double endpoint_pool::estimated_cost_ms(const tracked_endpoint& candidate, time_point now) const {
     const auto known = estimates_.estimate(candidate.endpoint.id, now);
-    const double latency = typical_latency_ms_.value_or(unknown_latency_ms) / known.speed_now;
-    const double depth = std::max(
-        static_cast<double>(candidate.requests.size()),
-        known.expected_load + prefilling_since(candidate.requests, candidate.load_reported_at));
-    double queueing = depth / slot_count(candidate.endpoint);
-    if (service_.engine) {
-        // Prompts of other entries wait as well. Those that this entry sent after the report are
-        // not part of it.
-        const bool has_report = now - candidate.load_reported_at <= load_report_lifetime;
-        const double reported =
-            has_report ? static_cast<double>(candidate.load.waiting) +
-                             prefilling_since(candidate.requests, candidate.load_reported_at)
-                       : 0;
-        queueing =
-            prefill_queue_weight * std::max(prefilling_since(candidate.requests, {}), reported);
-    }
-    if (known.concurrency > 0) {
-        const double beyond = depth + 1 - static_cast<double>(known.concurrency);
-        queueing += std::max(beyond, 0.0) / static_cast<double>(known.concurrency);
-    }
-    return latency * (1 + queueing);
+    const double latency = expected_latency_ms(candidate, known.speed, now);
+    double queueing = prefill_queue_weight * prefilling_since(candidate.requests, {});
+    // Of all callers, running and waiting. Those beyond what the endpoint takes well queue.
+    const double slots = slot_count(candidate.endpoint);
+    const double limit = known.concurrency > 0 ? std::min<double>(known.concurrency, slots) : slots;
+    queueing += reported_load_weight * known.expected_load / limit;
+    return latency * known.speed / known.speed_now * (1 + queueing);
 }
 
 double endpoint_pool::cost_ms(const tracked_endpoint& candidate, const choice_request& request,
@@ -363,6 +369,7 @@
         mean = mean ? *mean + weight * (value - *mean) : value;
     };
     update_average(candidate.latency_ms, took, latency_weight);
+    candidate.latency_at = now;
     update_average(typical_latency_ms_, took, latency_weight / 4);
     if (estimates_.slowness_reported()) {
         const auto depth = std::max(queue_depth(candidate, now), 1.0);
--- a/libs/balancing/tests/chooser_model.hpp
+++ b/libs/balancing/tests/chooser_model.hpp
@@ -22,6 +22,7 @@
     std::size_t choosers{25};
     double utilisation{0.6}; ///< at usual speed
     unsigned slots{6};
+    bool engine{false};
     /// Duration of work relative to the usual one.
     std::function<double(std::size_t endpoint, unsigned running, double at_s)> slowness =
         [](std::size_t, unsigned, double) { return 1.0; };
@@ -43,6 +44,7 @@
           servers_(pattern_.endpoints), choosers_(pattern_.choosers) {
         catalog::service service;
         service.name = "model";
+        service.engine = pattern_.engine ? std::optional{catalog::engine_capacity{}} : std::nullopt;
         std::vector<catalog::endpoint> listed(pattern_.endpoints);
         for (std::size_t i = 0; i < listed.size(); ++i) {
             listed[i].id = std::to_string(i);
--- a/libs/balancing/tests/endpoint_capacity_test.cpp
+++ b/libs/balancing/tests/endpoint_capacity_test.cpp
@@ -76,7 +76,7 @@
 }
 
 // Guards against an oscillation: entries that followed each other's estimates at once left single
-// endpoints idle for seconds, and the mean latency was 2.5 s in place of 0.15 s.
+// endpoints idle for seconds, and the mean latency was 2.5 s in place of 0.15 s (trial).
 TEST_CASE("pattern: all endpoints slow down from a third of their slots on, near their limit") {
     load_pattern pattern;
     pattern.utilisation = 0.3;
@@ -103,6 +103,17 @@
     check_better(pattern, 0.98);
 }
 
+// Guards against a cost that is worse than the previous one where each entry sees little of each
+// endpoint: a latency that was forgotten after 1 s cost 109 ms on average in place of 95.
+TEST_CASE("pattern: 50 engines that read one prompt after another") {
+    load_pattern pattern;
+    pattern.engine = true;
+    pattern.endpoints = 50;
+    pattern.slots = 1;
+    pattern.utilisation = 0.7;
+    check_better(pattern, 1);
+}
+
 // With few choosers each knows most of the load, and least requests does nearly as well.
 TEST_CASE("pattern: three choosers instead of 25") {
     load_pattern pattern;
