capacity: one malformed load report leaves the load assumed elsewhere as it is

Cause: the mean load of a service took each report as it came. A report of 4e9 requests raised it for hundreds of further reports, and all endpoints without a recent report were avoided for that time. The sum of running and waiting requests could overflow. Change: a report counts in the mean with at most twice the mean and ten requests; the sum is a double.

--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -23,7 +23,10 @@
 // report may stem from a short slow period.
 constexpr std::size_t prior_observations = 2;
 constexpr double load_weight = 0.05;
-constexpr double load_decay_s = 0.2; // half of the lifetime of a report
+// A single absurd report must not raise the load that is assumed at all other endpoints.
+constexpr double load_outlier_factor = 2;
+constexpr double load_outlier_slack = 10; // requests
+constexpr double load_decay_s = 0.2;      // half of the lifetime of a report
 constexpr double min_slowness = 0.2;
 constexpr double max_slowness = 20;
 constexpr milliseconds median_interval{100};
@@ -98,7 +101,9 @@
     auto& tracked = track(endpoint, incarnation);
     tracked.load = load;
     tracked.load_at = now;
-    mean_load_ += load_weight * (load.running + load.waiting - mean_load_);
+    const double reported = static_cast<double>(load.running) + load.waiting;
+    const double most = load_outlier_factor * mean_load_ + load_outlier_slack;
+    mean_load_ += load_weight * (std::min(reported, most) - mean_load_);
     if (load.slowness_percent) {
         slowness_reported_ = true;
         tracked.reported_now =
@@ -226,7 +231,7 @@
     known.speed_now = 1 / current_slowness(tracked, now);
     known.concurrency = concurrency(tracked, now);
     const double trust = std::exp(-seconds_of(now - tracked.load_at) / load_decay_s);
-    const double last = tracked.load.running + tracked.load.waiting;
+    const double last = static_cast<double>(tracked.load.running) + tracked.load.waiting;
     const double assumed = mean_load_ * std::min(known.speed, 1.0);
     known.expected_load = assumed + trust * (last - assumed);
     const auto newest = uses_received(tracked, now) ? tracked.received_at : tracked.evidence_at;
--- a/libs/capacity/tests/endpoint_estimates_test.cpp
+++ b/libs/capacity/tests/endpoint_estimates_test.cpp
@@ -145,3 +145,13 @@
     estimates.retain({{"a", 2}, {"odd", 2}});
     CHECK_FALSE(estimates.slowness_reported());
 }
+
+// Guards against endpoints without a recent report that are avoided as one report was malformed.
+TEST_CASE_METHOD(estimates_fixture, "an absurd load of one endpoint is not assumed at others") {
+    run(seconds{2}, as_usual, reports_usual);
+    const auto before = estimates.estimate("unknown", now).expected_load;
+    estimates.on_load("odd", 1, {4'000'000'000U, 400'000'000U, 6, 1'000'000'000U}, now);
+    CHECK(estimates.estimate("odd", now).expected_load > 4e9);
+    CHECK(estimates.estimate("odd", now).speed_now >= 0.04);
+    CHECK(estimates.estimate("unknown", now).expected_load < before + 1);
+}
