capacity: a silent endpoint returns to the median of its peers

Cause: without evidence the reported slowness and the residual returned to 1, but the median of the service did not. In a service that reports 200 at all endpoints, one that nobody asked for 30 s had a speed of 1.98; after a pause all had, and were logged as fast. A speed without evidence is to be 1. Change: the slowness at the last observation, relative to the median, returns to 1.

--- a/libs/capacity/include/capacity/endpoint_estimates.hpp
+++ b/libs/capacity/include/capacity/endpoint_estimates.hpp
@@ -121,7 +121,7 @@
     static bool uses_received(const tracked_endpoint& endpoint, time_point now);
     static double residual_now(const tracked_endpoint& endpoint, time_point now);
     static double reported_usual_now(const tracked_endpoint& endpoint, time_point now);
-    static double own_slowness(const tracked_endpoint& endpoint, time_point now);
+    static double own_slowness(const tracked_endpoint& endpoint);
     double usual_slowness(const tracked_endpoint& endpoint, time_point now) const;
     double current_slowness(const tracked_endpoint& endpoint, time_point now) const;
     static unsigned concurrency(const tracked_endpoint& endpoint, time_point now);
--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -162,9 +162,11 @@
     return relaxed(endpoint.reported_usual, endpoint.reported_at, now);
 }
 
-// Usual slowness by this entry's own observations; 1 is what the service's latencies average to.
-double endpoint_estimates::own_slowness(const tracked_endpoint& endpoint, time_point now) {
-    return reported_usual_now(endpoint, now) * residual_now(endpoint, now);
+// Usual slowness when this entry last observed the endpoint, which it has; 1 is what the service's
+// latencies average to.
+double endpoint_estimates::own_slowness(const tracked_endpoint& endpoint) {
+    const auto at = *endpoint.evidence_at;
+    return reported_usual_now(endpoint, at) * residual_now(endpoint, at);
 }
 
 bool endpoint_estimates::uses_received(const tracked_endpoint& endpoint, time_point now) {
@@ -176,11 +178,14 @@
            (!endpoint.evidence_at || *endpoint.received_at > *endpoint.evidence_at);
 }
 
-// Relative to the median of the peers.
+// Relative to the median of the peers, to which it returns without evidence.
 double endpoint_estimates::usual_slowness(const tracked_endpoint& endpoint, time_point now) const {
-    return uses_received(endpoint, now)
-               ? relaxed(endpoint.received_slowness, *endpoint.received_at, now)
-               : own_slowness(endpoint, now) / median_slowness_;
+    if (uses_received(endpoint, now)) {
+        return relaxed(endpoint.received_slowness, *endpoint.received_at, now);
+    }
+    return endpoint.evidence_at
+               ? relaxed(own_slowness(endpoint) / median_slowness_, *endpoint.evidence_at, now)
+               : 1;
 }
 
 double endpoint_estimates::current_slowness(const tracked_endpoint& endpoint,
@@ -211,8 +216,8 @@
     std::vector<double> values;
     values.reserve(endpoints_.size());
     for (const auto& [id, endpoint] : endpoints_) {
-        if (endpoint.evidence_at) {
-            values.push_back(own_slowness(endpoint, now));
+        if (endpoint.evidence_at && now - *endpoint.evidence_at <= own_precedence) {
+            values.push_back(own_slowness(endpoint));
         }
     }
     median_slowness_ = values.empty() ? 1 : median_of(values);
@@ -247,7 +252,7 @@
         if (!endpoint.evidence_at || now - *endpoint.evidence_at >= recent_evidence) {
             continue;
         }
-        const double speed = median_slowness_ / own_slowness(endpoint, now);
+        const double speed = median_slowness_ / own_slowness(endpoint);
         reports.push_back({stable_hash(id), endpoint.incarnation,
                            static_cast<unsigned>(std::lround(speed * percent)),
                            concurrency(endpoint, now),
--- a/libs/capacity/tests/endpoint_estimates_test.cpp
+++ b/libs/capacity/tests/endpoint_estimates_test.cpp
@@ -155,3 +155,23 @@
     CHECK(estimates.estimate("odd", now).speed_now >= 0.04);
     CHECK(estimates.estimate("unknown", now).expected_load < before + 1);
 }
+
+// Guards against a service that is slow as a whole: its endpoints that nobody asks must not count
+// as twice as fast as the others, nor all as fast after a pause.
+TEST_CASE_METHOD(estimates_fixture, "a silent endpoint returns to the median of its peers") {
+    for (; now < start + seconds{2}; now += milliseconds{50}) {
+        for (const auto* const id : {"a", "b", "c", "d", "e", "odd"}) {
+            answer(id, 2, 200);
+        }
+    }
+    CHECK(speed() == Approx(1).margin(0.1));
+    for (int i = 0; i < 300; ++i, now += milliseconds{100}) {
+        for (const auto* const id : {"a", "b", "c", "d", "e"}) {
+            answer(id, 2, 200);
+        }
+    }
+    CHECK(speed() == Approx(1).margin(0.1));
+    CHECK(estimates.estimate("a", now + seconds{60}).speed == Approx(1).margin(0.1));
+    estimates.on_load("new", 1, {1, 0, 6, std::nullopt}, now);
+    CHECK(estimates.estimate("new", now).speed == Approx(1).margin(0.1));
+}
