balancing: an old latency gives way to the estimates of other entries

Cause: after seconds without responses from an endpoint, its expected latency returned to the typical one of the service, also if other entries observe that it is slow. What they report was ignored unless this entry had never had a response from there. Change: it returns to the typical latency divided by the estimated speed.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -128,13 +128,14 @@
 double endpoint_pool::expected_latency_ms(const tracked_endpoint& candidate, double speed,
                                           time_point now) const {
     const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
-    const auto age = now - candidate.latency_at;
+    const double unobserved = typical / speed;
     if (!candidate.latency_ms) {
-        return typical / speed;
+        return unobserved;
     }
+    const auto age = now - candidate.latency_at;
     const double idle_ms = std::max(milliseconds_of(age - recent_latency), 0.0);
-    return typical + (*candidate.latency_ms - typical) *
-                         std::exp(-idle_ms / milliseconds_of(latency_decay_time));
+    return unobserved + (*candidate.latency_ms - unobserved) *
+                            std::exp(-idle_ms / milliseconds_of(latency_decay_time));
 }
 
 // Expected time at an endpoint of a service whose endpoints report their slowness.
--- a/libs/balancing/tests/endpoint_capacity_test.cpp
+++ b/libs/balancing/tests/endpoint_capacity_test.cpp
@@ -1,3 +1,4 @@
+#include "base/hash.hpp"
 #include "chooser_model.hpp"
 
 #include <catch2/catch.hpp>
@@ -186,3 +187,33 @@
         CHECK(pool.choose({}, {}, {"self", {"self"}}, now, random)->id == "idle");
     }
 }
+
+// Guards against an entry that ignores what others observe of an endpoint because it had responses
+// from there long ago.
+TEST_CASE("an old latency gives way to the estimates of other entries") {
+    catalog::service service;
+    service.name = "model";
+    std::vector<catalog::endpoint> listed(2);
+    listed[0].id = "slow";
+    listed[1].id = "usual";
+    time_point now{seconds{1'000}};
+    const entry_group group{"self", {"self"}};
+    for (auto& one : listed) {
+        one.service = "model";
+        one.slots = 8;
+    }
+    endpoint_pool pool;
+    pool.set_endpoints(listed, {}, service, now);
+    for (const auto& one : listed) {
+        const auto ticket = pool.on_request_sent(one.id, {}, group, now);
+        pool.on_load_report(one.id, {1, 0, 8, 100}, now);
+        pool.on_first_byte(one.id, ticket, now + milliseconds{40});
+        pool.on_request_ended(one.id, ticket, send_outcome::answered, now + milliseconds{40});
+    }
+    now += seconds{40};
+    pool.merge_capacity({{stable_hash("slow"), 0, 40, 0, milliseconds{0}}}, now);
+    random_source random{3};
+    for (int i = 0; i < 50; ++i) {
+        CHECK(pool.choose({}, {}, group, now, random)->id == "usual");
+    }
+}
