balancing: prompts sent at the start of the clock count as waiting

Cause: the number of prompts without a first byte was taken from those sent after the clock's epoch. Change: the number does not depend on when they were sent; nothing else used the time. The new test was not run on the code before.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -52,13 +52,12 @@
     return std::max(1.0, static_cast<double>(endpoint.slots));
 }
 
-// Number of requests without a first byte that were sent after a point in time.
+// Number of requests without a first byte.
 template <typename Requests>
-double prefilling_since(const Requests& requests, time_point since) {
+double prefilling(const Requests& requests) {
     return static_cast<double>(
-        std::count_if(requests.begin(), requests.end(), [since](const auto& sent) {
-            return !sent.second.first_byte_received && sent.second.sent_at > since;
-        }));
+        std::count_if(requests.begin(), requests.end(),
+                      [](const auto& sent) { return !sent.second.first_byte_received; }));
 }
 
 } // namespace
@@ -118,7 +117,7 @@
     if (service_.engine) {
         // Prompts are processed one after another. Requests that already generate tokens hardly
         // delay the next one.
-        return latency * (1 + prefill_queue_weight * prefilling_since(candidate.requests, {}));
+        return latency * (1 + prefill_queue_weight * prefilling(candidate.requests));
     }
     return latency * (1 + queue_depth(candidate, now) / slot_count(candidate.endpoint));
 }
@@ -142,7 +141,7 @@
 double endpoint_pool::estimated_cost_ms(const tracked_endpoint& candidate, time_point now) const {
     const auto known = estimates_.estimate(candidate.endpoint.id, now);
     const double latency = expected_latency_ms(candidate, known.speed, now);
-    double queueing = prefill_queue_weight * prefilling_since(candidate.requests, {});
+    double queueing = prefill_queue_weight * prefilling(candidate.requests);
     // Of all callers, running and waiting. Those beyond what the endpoint takes well queue.
     const double slots = slot_count(candidate.endpoint);
     const double limit = known.concurrency > 0 ? std::min<double>(known.concurrency, slots) : slots;
--- a/libs/balancing/tests/endpoint_capacity_test.cpp
+++ b/libs/balancing/tests/endpoint_capacity_test.cpp
@@ -217,3 +217,24 @@
         CHECK(pool.choose({}, {}, group, now, random)->id == "usual");
     }
 }
+
+// Guards against prompts that are not counted as they were sent at the start of the clock.
+TEST_CASE("prompts that wait at an engine count from the first moment on") {
+    catalog::service service;
+    service.name = "model";
+    service.engine = catalog::engine_capacity{};
+    std::vector<catalog::endpoint> listed(2);
+    listed[0].id = "busy";
+    listed[1].id = "idle";
+    for (auto& one : listed) {
+        one.service = "model";
+    }
+    endpoint_pool pool;
+    pool.set_endpoints(listed, {}, service, {});
+    const entry_group group{"self", {"self"}};
+    pool.on_request_sent("busy", {}, group, {});
+    random_source random{3};
+    for (int i = 0; i < 50; ++i) {
+        CHECK(pool.choose({}, {}, group, {}, random)->id == "idle");
+    }
+}
