--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -28,6 +28,12 @@
 constexpr double affinity_load_slack = 4; // requests
 constexpr double affinity_cost_factor = 2.5;
 constexpr double prefill_queue_weight = 0.5; // per queued prompt, as about half of them are small
+// The recent latency contains the usual queue already.
+constexpr double reported_load_weight = 0.5;
+// An endpoint that was slow is chosen again some time after its last response. With 1 s, entries
+// that send few requests to each endpoint forget what they know too soon.
+constexpr milliseconds recent_latency{6'000};
+constexpr milliseconds latency_decay_time{6'000}; // time constant, after that
 // Well above the time on an idle link, as links are shared.
 constexpr double transfer_ms_per_byte = 10e-6;
 constexpr double choice_jitter = 0.1; // keeps entries from all choosing the same endpoint
@@ -42,18 +48,30 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+double slot_count(const catalog::endpoint& endpoint) {
+    return std::max(1.0, static_cast<double>(endpoint.slots));
+}
+
+// Number of requests without a first byte.
+template <typename Requests>
+double prefilling(const Requests& requests) {
+    return static_cast<double>(
+        std::count_if(requests.begin(), requests.end(),
+                      [](const auto& sent) { return !sent.second.first_byte_received; }));
+}
+
 } // namespace
 
 void endpoint_pool::set_endpoints(const std::vector<catalog::endpoint>& endpoints,
                                   const std::set<std::string, std::less<>>& evacuated,
                                   const catalog::service& service, time_point now) {
     service_ = service;
-    std::set<std::string> listed;
+    std::map<std::string, std::uint64_t> listed; // incarnations by id
     for (const auto& candidate : endpoints) {
         if (candidate.service != service.name) {
             continue;
         }
-        listed.insert(candidate.id);
+        listed[candidate.id] = candidate.incarnation;
         auto& kept = endpoints_[candidate.id];
         if (kept.endpoint.id.empty() || kept.endpoint.incarnation != candidate.incarnation ||
             kept.endpoint.address != candidate.address) {
@@ -72,6 +90,7 @@
                     registration_status::withdrawn &&
                 candidate.second.requests.empty());
     });
+    estimates_.retain(listed);
 }
 
 bool endpoint_pool::is_eligible(const tracked_endpoint& candidate,
@@ -91,20 +110,50 @@
                     static_cast<double>(candidate.load.running + candidate.load.waiting));
 }
 
-double endpoint_pool::cost_ms(const tracked_endpoint& candidate, const choice_request& request,
-                              time_point now) const {
-    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
-    const double latency = candidate.latency_ms.value_or(typical);
-    const double slots = std::max(1.0, static_cast<double>(candidate.endpoint.slots));
-    double cost = latency * (1 + queue_depth(candidate, now) / slots);
+// Expected time at an endpoint of a service without estimates.
+double endpoint_pool::service_cost_ms(const tracked_endpoint& candidate, time_point now) const {
+    const double latency =
+        candidate.latency_ms.value_or(typical_latency_ms_.value_or(unknown_latency_ms));
     if (service_.engine) {
         // Prompts are processed one after another. Requests that already generate tokens hardly
         // delay the next one.
-        const auto prefilling =
-            std::count_if(candidate.requests.begin(), candidate.requests.end(),
-                          [](const auto& sent) { return !sent.second.first_byte_received; });
-        cost = latency * (1 + prefill_queue_weight * static_cast<double>(prefilling));
+        return latency * (1 + prefill_queue_weight * prefilling(candidate.requests));
     }
+    return latency * (1 + queue_depth(candidate, now) / slot_count(candidate.endpoint));
+}
+
+// The recent latency at an endpoint, which contains its usual load. It returns to the typical one
+// without observations, and is then what other entries observe.
+double endpoint_pool::expected_latency_ms(const tracked_endpoint& candidate, double speed,
+                                          time_point now) const {
+    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
+    const double unobserved = typical / speed;
+    if (!candidate.latency_ms) {
+        return unobserved;
+    }
+    const auto age = now - candidate.latency_at;
+    const double idle_ms = std::max(milliseconds_of(age - recent_latency), 0.0);
+    return unobserved + (*candidate.latency_ms - unobserved) *
+                            std::exp(-idle_ms / milliseconds_of(latency_decay_time));
+}
+
+// Expected time at an endpoint of a service whose endpoints report their slowness.
+double endpoint_pool::estimated_cost_ms(const tracked_endpoint& candidate, time_point now) const {
+    const auto known = estimates_.estimate(candidate.endpoint.id, now);
+    const double latency = expected_latency_ms(candidate, known.speed, now);
+    double queueing = prefill_queue_weight * prefilling(candidate.requests);
+    // Of all callers, running and waiting. Those beyond what the endpoint takes well queue.
+    const double slots = slot_count(candidate.endpoint);
+    const double limit = known.concurrency > 0 ? std::min<double>(known.concurrency, slots) : slots;
+    queueing += reported_load_weight * known.expected_load / limit;
+    return latency * known.speed / known.speed_now * (1 + queueing);
+}
+
+double endpoint_pool::cost_ms(const tracked_endpoint& candidate, const choice_request& request,
+                              time_point now) const {
+    const double typical = typical_latency_ms_.value_or(unknown_latency_ms);
+    double cost = estimates_.slowness_reported() ? estimated_cost_ms(candidate, now)
+                                                 : service_cost_ms(candidate, now);
     cost += candidate.failure_rate * milliseconds_of(request.failure_cost);
     // A request without a first byte for this long counts as stalled.
     const double stall_threshold =
@@ -127,17 +176,16 @@
 }
 
 // The endpoints of the preferred data centre, or all if those are much slower than others.
-std::vector<const endpoint_pool::tracked_endpoint*>
-endpoint_pool::filter_by_data_centre(const std::vector<const tracked_endpoint*>& ready,
-                                     const choice_request& request, time_point now) const {
-    std::vector<const tracked_endpoint*> kept;
+std::vector<endpoint_pool::ranked_endpoint>
+endpoint_pool::filter_by_data_centre(const std::vector<ranked_endpoint>& ready,
+                                     const choice_request& request) {
+    std::vector<ranked_endpoint> kept;
     double min_cost = std::numeric_limits<double>::max();
     double min_kept_cost = min_cost;
-    for (const auto* candidate : ready) {
-        const double cost = cost_ms(*candidate, request, now);
-        min_cost = std::min(min_cost, cost);
-        if (candidate->endpoint.data_centre == request.affinity_data_centre) {
-            min_kept_cost = std::min(min_kept_cost, cost);
+    for (const auto& candidate : ready) {
+        min_cost = std::min(min_cost, candidate.cost_ms);
+        if (candidate.endpoint->endpoint.data_centre == request.affinity_data_centre) {
+            min_kept_cost = std::min(min_kept_cost, candidate.cost_ms);
             kept.push_back(candidate);
         }
     }
@@ -147,23 +195,22 @@
 // Ranks the endpoints for a prompt, in the same order at all entries, and returns the first one
 // that is not overloaded.
 const endpoint_pool::tracked_endpoint*
-endpoint_pool::choose_by_affinity(const std::vector<const tracked_endpoint*>& ready,
+endpoint_pool::choose_by_affinity(const std::vector<ranked_endpoint>& ready,
                                   const choice_request& request, time_point now) const {
     double total = 0;
     double min_cost = std::numeric_limits<double>::max();
-    for (const auto* candidate : ready) {
-        total += queue_depth(*candidate, now);
-        min_cost = std::min(min_cost, cost_ms(*candidate, request, now));
+    for (const auto& candidate : ready) {
+        total += queue_depth(*candidate.endpoint, now);
+        min_cost = std::min(min_cost, candidate.cost_ms);
     }
     const double mean = total / static_cast<double>(ready.size());
     const double bound = mean * affinity_load_factor + affinity_load_slack;
     const tracked_endpoint* best = nullptr;
     using affinity_rank = std::pair<bool, std::uint64_t>;
     affinity_rank best_rank;
-    for (const auto* candidate : ready) {
+    for (const auto& [candidate, cost] : ready) {
         const affinity_rank rank{candidate->endpoint.data_centre == request.affinity_data_centre,
                                  rendezvous_score(request.affinity, candidate->endpoint.id)};
-        const double cost = cost_ms(*candidate, request, now);
         const bool within_bounds =
             cost <= milliseconds_of(request.affinity_max_wait) ||
             (queue_depth(*candidate, now) <= bound && cost <= min_cost * affinity_cost_factor);
@@ -199,21 +246,25 @@
         }
     }
     const auto& reachable = listed.empty() ? missing : listed;
-    const auto& all = reachable.empty() ? avoided : reachable;
-    if (all.empty()) {
+    const auto& eligible = reachable.empty() ? avoided : reachable;
+    if (eligible.empty()) {
         return std::nullopt;
     }
+    std::vector<ranked_endpoint> all;
+    all.reserve(eligible.size());
+    for (const auto* candidate : eligible) {
+        all.push_back({candidate, cost_ms(*candidate, request, now)});
+    }
     const tracked_endpoint* best =
         request.affinity.empty() ? nullptr : choose_by_affinity(all, request, now);
     if (best == nullptr) {
-        const auto ready = filter_by_data_centre(all, request, now);
         std::uniform_real_distribution<double> jitter{1 - choice_jitter, 1 + choice_jitter};
         double min_cost = std::numeric_limits<double>::max();
-        for (const auto* candidate : ready) {
-            const double cost = cost_ms(*candidate, request, now) * jitter(random);
+        for (const auto& candidate : filter_by_data_centre(all, request)) {
+            const double cost = candidate.cost_ms * jitter(random);
             if (cost < min_cost) {
                 min_cost = cost;
-                best = candidate;
+                best = candidate.endpoint;
             }
         }
     }
@@ -318,7 +369,13 @@
         mean = mean ? *mean + weight * (value - *mean) : value;
     };
     update_average(candidate.latency_ms, took, latency_weight);
+    candidate.latency_at = now;
     update_average(typical_latency_ms_, took, latency_weight / 4);
+    if (estimates_.slowness_reported()) {
+        const auto depth = std::max(queue_depth(candidate, now), 1.0);
+        estimates_.on_latency(id, candidate.endpoint.incarnation, now - sent->second.sent_at,
+                              static_cast<unsigned>(depth), now);
+    }
 }
 
 void endpoint_pool::back_off(tracked_endpoint& candidate, milliseconds base_delay, time_point now) {
@@ -359,6 +416,9 @@
     case send_outcome::refused:
         update_failure_rate(1);
         candidate.backoff_until = std::max(candidate.backoff_until, now + initial_backoff / 8);
+        if (estimates_.slowness_reported()) {
+            estimates_.on_refused(id, candidate.endpoint.incarnation, now);
+        }
         break;
     case send_outcome::replaced:
         back_off(candidate, max_backoff, now);
@@ -397,7 +457,32 @@
     if (found != endpoints_.end()) {
         found->second.load = load;
         found->second.load_reported_at = now;
+        if (load.slowness_percent || estimates_.slowness_reported()) {
+            estimates_.on_load(id, found->second.endpoint.incarnation, load, now);
+        }
+    }
+}
+
+std::map<std::string, capacity::endpoint_estimate> endpoint_pool::estimates(time_point now) const {
+    std::map<std::string, capacity::endpoint_estimate> all;
+    for (const auto& [id, candidate] : endpoints_) {
+        all.emplace(id, estimates_.estimate(id, now));
+    }
+    return all;
+}
+
+std::vector<capacity::estimate_report> endpoint_pool::capacity_reports(time_point now) const {
+    return estimates_.slowness_reported() ? estimates_.report(now)
+                                          : std::vector<capacity::estimate_report>{};
+}
+
+void endpoint_pool::merge_capacity(const std::vector<capacity::estimate_report>& reports,
+                                   time_point now) {
+    std::map<std::string, std::uint64_t> incarnations;
+    for (const auto& [id, candidate] : endpoints_) {
+        incarnations[id] = candidate.endpoint.incarnation;
     }
+    estimates_.merge(reports, incarnations, now);
 }
 
 std::optional<milliseconds> endpoint_pool::typical_latency() const {
@@ -435,7 +520,9 @@
                            : std::optional{std::chrono::floor<milliseconds>(
                                  now - candidate.load_reported_at)},
                        milliseconds{static_cast<std::int64_t>(candidate.latency_ms.value_or(0))},
-                       candidate.failure_rate});
+                       candidate.failure_rate,
+                       estimates_.slowness_reported() ? std::optional{estimates_.estimate(id, now)}
+                                                      : std::nullopt});
     }
     return all;
 }
