stages: admission by expected completion

Cause: the overload detector could not tell a queue that drains slowly from one that stands, and let 2.5 s of late work pass first. Callers were refused without an overload, or told only after 3,165 ms. Change: a group that misses its soft deadline in the queue is decided on once. The queue commits to it, and starts it in time for its hard deadline, unless more work arrived over 5 s than the service can process. Capacity is what was measured while work waited. Retry-After is at least one call, at most 5 s, and spread by request. Refusals carry a reason. Planning orders only the groups that it reads.

--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -8,8 +8,10 @@
 
 #include "base/time.hpp"
 #include "catalog/types.hpp"
+#include "stages/lazily_sorted.hpp"
 #include "stages/overload_detector.hpp"
 #include "stages/piece.hpp"
+#include "stages/service_load.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -17,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -49,17 +52,20 @@
 /// Result of offering a group.
 struct admission {
     bool accepted{false};
-    milliseconds expected{0};    ///< time until its last piece is completed
-    milliseconds retry_after{0}; ///< if refused: when it would be accepted
+    milliseconds expected{0};                       ///< time until its last piece is completed
+    milliseconds retry_after{0};                    ///< if refused: when it would be accepted
+    refusal_reason reason{refusal_reason::no_time}; ///< if refused
 };
 
 /// Orders groups by whether some of their pieces are running or complete (these come first, as
 /// their results take up memory until the others are complete), then by whether they can still meet
 /// their soft deadline (those that cannot come last), then by priority, then by waiting pieces,
-/// then by soft deadline. In an overload that lasts, late groups are dropped. Batches groups into
-/// full calls and assigns each call to the endpoint that is expected to finish it first. A group
-/// whose data is expensive to transfer waits for an endpoint near that data while its soft deadline
-/// permits. Reads no clock.
+/// then by soft deadline. A group that misses its soft deadline is either dropped then, in an
+/// overload that lasts, or the queue commits to it: it is started early enough to meet its hard
+/// deadline, before other groups if necessary, and is dropped only if endpoints are lost. Batches
+/// groups into full calls and assigns each call to the endpoint that is expected to finish it
+/// first. A group whose data is expensive to transfer waits for an endpoint near that data while
+/// its soft deadline permits. Reads no clock.
 class stage_queue {
 public:
     /// \returns an empty queue. Batch size and concurrent calls of the capacity are raised to at
@@ -154,11 +160,21 @@
         std::vector<waiting_piece> waiting;
         std::vector<piece_result> results;
         std::vector<unsigned> attempts;
-        std::size_t unfinished{0};     // pieces without a result
-        bool goal_was_feasible{false}; // at its arrival, on an idle endpoint
+        std::size_t unfinished{0};    // pieces without a result
+        bool committed{false};        // late, and to be served by its hard deadline
+        double endpoints_expected{0}; // capacity when it was accepted or committed to
         // Whether some of its pieces are running or complete.
         bool begun() const { return waiting.size() < group.pieces.size(); }
     };
+    // See `groups_by_rank`.
+    using group_rank =
+        std::tuple<bool, bool, int, time_point, std::size_t, time_point, std::uint64_t>;
+    using ranked_groups = lazily_sorted<group_rank, group_state*>;
+    // Waiting pieces of one priority.
+    struct waiting_work {
+        std::size_t pieces{0};
+        std::size_t committed{0}; // of committed groups
+    };
     struct call_piece {
         std::uint64_t group;
         std::size_t index;
@@ -178,20 +194,27 @@
         std::set<std::string, std::less<>> near;      // data centres with a usable endpoint
         std::map<std::string, time_point> busy_until; // endpoints that got a call in this run
         std::set<std::string> skipped;                // endpoints for which no group is suitable
+        std::uint64_t min_result_bytes{0};            // of a piece of any waiting group
     };
 
     static bool in_service(const endpoint_state& endpoint, time_point now);
     void update_avoided(time_point now);
     double slowdown_now(const endpoint_state& endpoint, time_point now) const;
+    double usable_endpoints(time_point now) const;
     double capacity_endpoints(time_point now) const;
+    double pieces_per_second(double endpoints) const;
     milliseconds time_to_first_call(time_point now) const;
-    milliseconds queue_time(std::size_t pieces, time_point now) const;
-    std::vector<group_state*> groups_by_rank(time_point now);
+    milliseconds queue_time(std::size_t pieces, double endpoints) const;
+    milliseconds full_call_time() const;
+    service_load current_load(time_point now) const;
+    std::vector<group_state*> committed_by_deadline();
+    std::set<const group_state*> urgent_groups(time_point now);
+    ranked_groups groups_by_rank(time_point now);
     std::size_t batch_space(const group_state& state, std::size_t taken, std::uint64_t room) const;
     bool exceeds_one_call(const group_state& state) const;
-    std::vector<call_piece> fill_batch(std::vector<group_state*>& order,
-                                       const endpoint_state& target, std::uint64_t room,
-                                       const planning_pass& plan) const;
+    std::uint64_t min_result_bytes() const;
+    std::vector<call_piece> fill_batch(ranked_groups& order, const endpoint_state& target,
+                                       std::uint64_t room, const planning_pass& plan) const;
     bool waits_for_nearer(const group_state& state, const endpoint_state& target,
                           const planning_pass& plan) const;
     bool is_idle(const endpoint_state& endpoint, time_point now) const;
@@ -208,11 +231,21 @@
     void expire_overdue(time_point now);
     void expire_hopeless(time_point now);
     void expire_infeasible(time_point now);
-    void expire_late(time_point now);
+    void expire_unservable_commitments(time_point now);
+    void decide_on_late(time_point now);
+    std::vector<group_state*> undecided_late_groups(time_point now);
+    std::map<int, waiting_work> waiting_by_priority() const;
+    bool can_commit(const group_state& state, const service_load& load,
+                    const std::map<int, waiting_work>& waiting, time_point now) const;
+    void commit(group_state& state, time_point now) const;
+    bool fits_next_calls(std::size_t pieces, time_point now) const;
+    bool has_lost_endpoints(const group_state& state, time_point now) const;
+    refusal_reason reason_without_time(const group_state& state, time_point now) const;
     milliseconds min_call_time() const;
     bool is_late(const group_state& state, milliseconds min_call_time, time_point now) const;
-    void expire_group(std::uint64_t id, milliseconds retry_after);
-    milliseconds retry_after(milliseconds expected, const piece_group& group, time_point now) const;
+    void expire_group(std::uint64_t id, refusal_reason reason, milliseconds room_expected_in);
+    milliseconds time_beyond(milliseconds expected, const piece_group& group, time_point now) const;
+    milliseconds retry_after(const piece_group& group, milliseconds room_expected_in) const;
     void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
     void uncount_attempt(std::uint64_t group, std::size_t index);
     void retry_piece(std::uint64_t group, std::size_t index, piece_outcome reason);
@@ -232,6 +265,8 @@
     std::set<std::string, std::less<>> avoided_data_centres_;
     std::uint64_t next_call_{1};
     time_point next_hopeless_check_{};
+    arrival_estimator arrivals_;
+    throughput_estimator throughput_;
     overload_detector overload_;
 };
 
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -3,6 +3,7 @@
 #include "stages/stage_queue.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -31,26 +32,59 @@
     return now + own > state.group.soft_deadline;
 }
 
-std::vector<stage_queue::group_state*> stage_queue::groups_by_rank(time_point now) {
-    using rank = std::tuple<bool, bool, int, std::size_t, time_point, std::uint64_t>;
+// Committed groups with waiting pieces, the nearest hard deadline first.
+std::vector<stage_queue::group_state*> stage_queue::committed_by_deadline() {
+    std::vector<group_state*> committed;
+    for (auto& [id, state] : groups_) {
+        if (state.committed && !state.waiting.empty()) {
+            committed.push_back(&state);
+        }
+    }
+    std::sort(committed.begin(), committed.end(), [](const auto* left, const auto* right) {
+        return std::tie(left->group.hard_deadline, left->group.id) <
+               std::tie(right->group.hard_deadline, right->group.id);
+    });
+    return committed;
+}
+
+// Committed groups that miss their hard deadline if they wait for other groups any longer.
+std::set<const stage_queue::group_state*> stage_queue::urgent_groups(time_point now) {
+    const auto endpoints = capacity_endpoints(now);
+    // An endpoint may have begun a call, and the group's own call is a full one.
+    const auto reserve = full_call_time() * 2;
+    std::set<const group_state*> urgent;
+    std::size_t ahead = 0;
+    std::vector<const group_state*> before;
+    for (const auto* const state : committed_by_deadline()) {
+        ahead += state->waiting.size();
+        before.push_back(state);
+        if (now + queue_time(ahead, endpoints) + reserve >= state->group.hard_deadline) {
+            // Those with nearer deadlines take up its time.
+            urgent.insert(before.begin(), before.end());
+            before.clear();
+        }
+    }
+    return urgent;
+}
+
+stage_queue::ranked_groups stage_queue::groups_by_rank(time_point now) {
     const auto min_call = min_call_time();
-    std::vector<std::pair<rank, group_state*>> ranked;
+    const auto urgent = urgent_groups(now);
+    std::vector<std::pair<group_rank, group_state*>> ranked;
     ranked.reserve(groups_.size());
     for (auto& [id, state] : groups_) {
-        if (!state.waiting.empty()) {
-            ranked.emplace_back(rank{!state.begun(), is_late(state, min_call, now),
-                                     state.group.priority, state.waiting.size(),
-                                     state.group.soft_deadline, id},
-                                &state);
+        if (state.waiting.empty()) {
+            continue;
         }
+        const bool is_urgent = urgent.contains(&state);
+        const bool waits_for_others = !is_urgent && is_late(state, min_call, now);
+        const auto urgent_until = is_urgent ? state.group.hard_deadline : time_point::max();
+        ranked.emplace_back(group_rank{!state.begun(), waits_for_others, state.group.priority,
+                                       urgent_until, state.waiting.size(),
+                                       state.group.soft_deadline, id},
+                            &state);
     }
-    std::sort(ranked.begin(), ranked.end());
-    std::vector<group_state*> order;
-    order.reserve(ranked.size());
-    for (const auto& [key, state] : ranked) {
-        order.push_back(state);
-    }
-    return order;
+    return ranked_groups{std::move(ranked)};
 }
 
 bool stage_queue::is_idle(const endpoint_state& endpoint, time_point now) const {
@@ -97,11 +131,21 @@
            (capacity_.result_memory_bytes > 0 && bytes > capacity_.result_memory_bytes);
 }
 
+std::uint64_t stage_queue::min_result_bytes() const {
+    auto least = std::numeric_limits<std::uint64_t>::max();
+    for (const auto& [id, state] : groups_) {
+        if (!state.waiting.empty()) {
+            least = std::min(least, state.group.result_bytes);
+        }
+    }
+    return least;
+}
+
 // Fills one call in rank order. A group that does not fit is skipped in favour of smaller ones, so
 // that its pieces stay together. A group is split only if it does not fit into any single call, or
 // if the skipped pieces would fill another call: then the service is saturated, and an unfilled
 // call costs more than the split.
-std::vector<stage_queue::call_piece> stage_queue::fill_batch(std::vector<group_state*>& order,
+std::vector<stage_queue::call_piece> stage_queue::fill_batch(ranked_groups& order,
                                                              const endpoint_state& target,
                                                              std::uint64_t room,
                                                              const planning_pass& plan) const {
@@ -116,7 +160,14 @@
     };
     std::size_t skipped_pieces = 0;
     group_state* first_skipped = nullptr;
-    for (auto* const state : order) {
+    // Once nothing fits any more, the remaining groups make no difference.
+    const bool limited = capacity_.result_memory_bytes > 0;
+    for (std::size_t i = 0;
+         batch.size() < capacity_.batch && !(limited && room < plan.min_result_bytes); ++i) {
+        auto* const state = order.at(i);
+        if (state == nullptr) {
+            break;
+        }
         if (waits_for_nearer(*state, target, plan)) {
             continue;
         }
@@ -133,7 +184,7 @@
         const auto space = batch_space(*first_skipped, batch.size(), room);
         take(*first_skipped, std::min(space, first_skipped->waiting.size()));
     }
-    std::erase_if(order, [](const group_state* state) { return state->waiting.empty(); });
+    order.erase_read_if([](const group_state* state) { return state->waiting.empty(); });
     return batch;
 }
 
@@ -212,12 +263,13 @@
         std::count_if(endpoints_.begin(), endpoints_.end(),
                       [&](const auto& item) { return is_idle(item.second, now); }));
     std::vector<stage_call> started;
-    auto pieces = idle == 0 ? 0 : waiting_pieces();
-    if (pieces == 0) {
+    auto pieces = waiting_pieces();
+    if (idle == 0 || pieces == 0) {
+        throughput_.record_backlog(pieces >= capacity_.batch, now);
         return started;
     }
     auto order = groups_by_rank(now);
-    planning_pass plan{now, near_data_centres(now), {}, {}};
+    planning_pass plan{now, near_data_centres(now), {}, {}, min_result_bytes()};
     std::vector<call_piece> reserved;
     for (std::size_t step = 0; step < 2 * endpoints_.size() && idle > 0 && !order.empty(); ++step) {
         auto* const target = earliest_finishing_endpoint(std::min(pieces, capacity_.batch), plan);
@@ -254,9 +306,11 @@
     for (const auto& piece : reserved) {
         groups_.at(piece.group).waiting.push_back({piece.index});
     }
+    const auto left_waiting = pieces + reserved.size();
     for (auto& call : started) {
-        call.left_waiting = pieces + reserved.size();
+        call.left_waiting = left_waiting;
     }
+    throughput_.record_backlog(left_waiting >= capacity_.batch, now);
     return started;
 }
 
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -26,6 +26,15 @@
 constexpr milliseconds capacity_backoff_limit{
     500}; // an endpoint with a shorter back-off counts as capacity
 
+constexpr double min_endpoints = 0.5; // assumed while there are none, as some may return
+constexpr double min_call_seconds = 0.001;
+
+std::size_t count_made(const std::vector<piece_result>& results) {
+    return static_cast<std::size_t>(
+        std::count_if(results.begin(), results.end(),
+                      [](const auto& result) { return result.outcome == piece_outcome::made; }));
+}
+
 } // namespace
 
 stage_queue stage_queue::make(const catalog::stage_capacity& capacity) {
@@ -53,12 +62,17 @@
         if (kept.descriptor.incarnation != endpoint.incarnation ||
             kept.descriptor.address != endpoint.address) {
             kept = endpoint_state{};
+            throughput_.reset();
         }
         kept.descriptor = endpoint;
         kept.contended = contended_.contains(endpoint.id);
         kept.evacuated = evacuated.contains(endpoint.data_centre);
     }
-    std::erase_if(endpoints_, [&](const auto& item) { return !listed.contains(item.first); });
+    if (std::erase_if(endpoints_, [&](const auto& item) { return !listed.contains(item.first); }) >
+        0) {
+        next_hopeless_check_ = now;
+        throughput_.reset();
+    }
     update_avoided(now);
 }
 
@@ -100,8 +114,8 @@
     return 1 + (endpoint.slowdown - 1) * std::exp(-age / decay_time);
 }
 
-// Capacity of the service as a number of endpoints at nominal speed.
-double stage_queue::capacity_endpoints(time_point now) const {
+// Number of endpoints at nominal speed that the endpoints in service amount to.
+double stage_queue::usable_endpoints(time_point now) const {
     double sum = 0;
     for (const auto& [id, endpoint] : endpoints_) {
         const bool usable = in_service(endpoint, now) && !endpoint.avoided && !endpoint.contended;
@@ -112,12 +126,37 @@
     return sum;
 }
 
-// Time in which the service processes this number of pieces in full calls.
-milliseconds stage_queue::queue_time(std::size_t pieces, time_point now) const {
-    const double endpoints = std::max(capacity_endpoints(now), 0.5) * capacity_.calls;
+// Pieces that this number of endpoints at nominal speed processes in full calls.
+double stage_queue::pieces_per_second(double endpoints) const {
+    const auto full_call = capacity_.call_time + capacity_.piece_time * capacity_.batch;
+    const double call_seconds = std::chrono::duration<double>(full_call).count();
+    return std::max(endpoints, min_endpoints) * capacity_.calls *
+           static_cast<double>(capacity_.batch) / std::max(call_seconds, min_call_seconds);
+}
+
+// Capacity of the service as a number of endpoints at nominal speed. Less than the usable ones if
+// they were seen to process less while work waited.
+double stage_queue::capacity_endpoints(time_point now) const {
+    const double usable = usable_endpoints(now);
+    const auto measured = throughput_.pieces_per_second(full_call_time(), now);
+    return measured ? std::min(1.0, *measured / pieces_per_second(usable)) * usable : usable;
+}
+
+milliseconds stage_queue::full_call_time() const {
+    return service_time(capacity_.batch);
+}
+
+// Time in which this number of endpoints at nominal speed processes pieces in full calls.
+milliseconds stage_queue::queue_time(std::size_t pieces, double endpoints) const {
     const double calls = static_cast<double>(pieces) / static_cast<double>(capacity_.batch);
     const auto full_call = capacity_.call_time + capacity_.piece_time * capacity_.batch;
-    return scaled(full_call, calls / endpoints);
+    return scaled(full_call, calls / (std::max(endpoints, min_endpoints) * capacity_.calls));
+}
+
+service_load stage_queue::current_load(time_point now) const {
+    return {pieces_per_second(capacity_endpoints(now)), waiting_pieces(),
+            arrivals_.arrived(service_load::lasting_period, now),
+            arrivals_.arrived(service_load::recent_period, now)};
 }
 
 // Time until an endpoint in service is no longer backed off; 0 if none is in service, as one may
@@ -133,20 +172,25 @@
 }
 
 admission stage_queue::offer(piece_group group, time_point now) {
+    arrivals_.record(group.pieces.size(), group.priority, now);
     const auto own = service_time(group.pieces.size());
-    std::size_t ahead = 0;
-    for (const auto& [id, state] : groups_) {
-        ahead += state.waiting.size();
-    }
-    const auto expected = std::max(queue_time(ahead, now), time_to_first_call(now)) + own;
+    const auto endpoints = capacity_endpoints(now);
+    const auto first_call_in = time_to_first_call(now);
+    const auto expected = std::max(queue_time(waiting_pieces(), endpoints), first_call_in) + own;
     if (now + expected > group.hard_deadline) {
-        return {false, expected, retry_after(expected, group, now)};
+        const auto room_expected_in =
+            time_beyond(expected, group, now) + current_load(now).time_to_process_excess();
+        // Until an endpoint takes calls again, a retry would be refused too.
+        return {false, expected,
+                std::max(retry_after(group, room_expected_in),
+                         time_beyond(first_call_in + own, group, now)),
+                refusal_reason::no_time};
     }
     group_state state;
     state.results.resize(group.pieces.size());
     state.attempts.resize(group.pieces.size());
     state.unfinished = group.pieces.size();
-    state.goal_was_feasible = now + own <= group.soft_deadline;
+    state.endpoints_expected = usable_endpoints(now);
     for (std::size_t i = 0; i < group.pieces.size(); ++i) {
         state.waiting.push_back({i});
     }
@@ -268,6 +312,7 @@
     }
     const bool answered =
         outcome == call_outcome::answered && results.size() == ended.pieces.size();
+    throughput_.record_completed(count_made(results), now);
     std::uint64_t pieces_without_room = 0;
     for (std::size_t i = 0; i < ended.pieces.size(); ++i) {
         const auto& [group, index] = ended.pieces[i];
