--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -122,7 +122,7 @@
     /// Whether an endpoint is in service, even if it takes no call at present.
     bool has_endpoint_in_service(time_point now) const;
 
-    std::size_t waiting_pieces() const;
+    std::size_t waiting_pieces() const { return waiting_pieces_; }
     std::size_t calls_in_progress() const { return calls_.size(); }
     std::size_t endpoint_count() const { return endpoints_.size(); }
 
@@ -214,7 +214,7 @@
     bool exceeds_one_call(const group_state& state) const;
     std::uint64_t min_result_bytes() const;
     std::vector<call_piece> fill_batch(ranked_groups& order, const endpoint_state& target,
-                                       std::uint64_t room, const planning_pass& plan) const;
+                                       std::uint64_t room, const planning_pass& plan);
     bool waits_for_nearer(const group_state& state, const endpoint_state& target,
                           const planning_pass& plan) const;
     bool is_idle(const endpoint_state& endpoint, time_point now) const;
@@ -237,12 +237,14 @@
     std::map<int, waiting_work> waiting_by_priority() const;
     bool can_commit(const group_state& state, const service_load& load,
                     const std::map<int, waiting_work>& waiting, time_point now) const;
-    void commit(group_state& state, time_point now) const;
+    void commit(group_state& state, time_point now);
     bool fits_next_calls(std::size_t pieces, time_point now) const;
     bool has_lost_endpoints(const group_state& state, time_point now) const;
     refusal_reason reason_without_time(const group_state& state, time_point now) const;
     milliseconds min_call_time() const;
     bool is_late(const group_state& state, milliseconds min_call_time, time_point now) const;
+    bool may_be_infeasible(time_point now) const;
+    void erase_group(std::map<std::uint64_t, group_state>::iterator found);
     void expire_group(std::uint64_t id, refusal_reason reason, milliseconds room_expected_in);
     milliseconds time_beyond(milliseconds expected, const piece_group& group, time_point now) const;
     milliseconds retry_after(const piece_group& group, milliseconds room_expected_in) const;
@@ -255,6 +257,8 @@
     catalog::stage_capacity capacity_;
     std::map<std::string, endpoint_state> endpoints_;
     std::map<std::uint64_t, group_state> groups_;
+    std::size_t waiting_pieces_{0};   // of all groups
+    std::size_t committed_groups_{0}; // of all groups
     std::map<std::uint64_t, call_state> calls_;
     std::vector<finished_group> finished_;
     std::vector<std::string> orphaned_results_;
--- a/libs/stages/src/stage_expiry.cpp
+++ b/libs/stages/src/stage_expiry.cpp
@@ -40,7 +40,7 @@
                          state.group.pieces.front().request_id,
                          retry_after(state.group, room_expected_in),
                          reason});
-    groups_.erase(found);
+    erase_group(found);
 }
 
 bool stage_queue::has_lost_endpoints(const group_state& state, time_point now) const {
@@ -53,9 +53,10 @@
 }
 
 void stage_queue::expire_overdue(time_point now) {
+    const auto least_time = service_time(1);
     for (auto next = groups_.begin(); next != groups_.end();) {
         const auto& [id, state] = *next++;
-        if (!state.waiting.empty() && now + service_time(1) > state.group.hard_deadline) {
+        if (!state.waiting.empty() && now + least_time > state.group.hard_deadline) {
             const auto endpoints = capacity_endpoints(now);
             expire_group(id, reason_without_time(state, now),
                          queue_time(waiting_pieces(), endpoints) +
@@ -76,10 +77,24 @@
     decide_on_late(now);
 }
 
+// Whether a group would miss its hard deadline behind all others. Ordering them is only then worth
+// its cost.
+bool stage_queue::may_be_infeasible(time_point now) const {
+    const auto last = now + queue_time(waiting_pieces(), capacity_endpoints(now));
+    return std::any_of(groups_.begin(), groups_.end(), [&](const auto& item) {
+        const auto& state = item.second;
+        return !state.waiting.empty() && !state.committed &&
+               last + service_time(state.waiting.size()) > state.group.hard_deadline;
+    });
+}
+
 // Drops groups that cannot meet their hard deadline because of the groups ahead of them. Later
 // arrivals can only delay them further, so their callers are told now and not at the deadline.
 // Committed groups do not wait for the others.
 void stage_queue::expire_infeasible(time_point now) {
+    if (!may_be_infeasible(now)) {
+        return;
+    }
     const auto endpoints = capacity_endpoints(now);
     const auto excess = current_load(now).time_to_process_excess();
     auto order = groups_by_rank(now);
@@ -201,8 +216,9 @@
     }
 }
 
-void stage_queue::commit(group_state& state, time_point now) const {
+void stage_queue::commit(group_state& state, time_point now) {
     state.committed = true;
+    ++committed_groups_;
     state.endpoints_expected = usable_endpoints(now);
 }
 
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -28,13 +28,19 @@
 // Whether a group misses its soft deadline even if it is started now.
 bool stage_queue::is_late(const group_state& state, milliseconds min_call_time,
                           time_point now) const {
-    const auto own = std::max(service_time(state.waiting.size()), min_call_time);
+    const bool in_full_call =
+        state.waiting.size() <= capacity_.batch && min_call_time > milliseconds{0};
+    const auto own =
+        in_full_call ? min_call_time : std::max(service_time(state.waiting.size()), min_call_time);
     return now + own > state.group.soft_deadline;
 }
 
 // Committed groups with waiting pieces, the nearest hard deadline first.
 std::vector<stage_queue::group_state*> stage_queue::committed_by_deadline() {
     std::vector<group_state*> committed;
+    if (committed_groups_ == 0) {
+        return committed;
+    }
     for (auto& [id, state] : groups_) {
         if (state.committed && !state.waiting.empty()) {
             committed.push_back(&state);
@@ -148,7 +154,7 @@
 std::vector<stage_queue::call_piece> stage_queue::fill_batch(ranked_groups& order,
                                                              const endpoint_state& target,
                                                              std::uint64_t room,
-                                                             const planning_pass& plan) const {
+                                                             const planning_pass& plan) {
     std::vector<call_piece> batch;
     const auto take = [&](group_state& state, std::size_t count) {
         for (std::size_t i = 0; i < count; ++i) {
@@ -156,6 +162,7 @@
         }
         state.waiting.erase(state.waiting.begin(),
                             state.waiting.begin() + static_cast<std::ptrdiff_t>(count));
+        waiting_pieces_ -= count;
         room -= std::min(room, count * state.group.result_bytes);
     };
     std::size_t skipped_pieces = 0;
@@ -305,6 +312,7 @@
     }
     for (const auto& piece : reserved) {
         groups_.at(piece.group).waiting.push_back({piece.index});
+        ++waiting_pieces_;
     }
     const auto left_waiting = pieces + reserved.size();
     for (auto& call : started) {
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -196,7 +196,11 @@
     }
     const auto id = group.id;
     state.group = std::move(group);
-    groups_.insert_or_assign(id, std::move(state));
+    if (const auto same_id = groups_.find(id); same_id != groups_.end()) {
+        erase_group(same_id);
+    }
+    waiting_pieces_ += state.waiting.size();
+    groups_.emplace(id, std::move(state));
     return {true, expected, milliseconds{0}};
 }
 
@@ -210,6 +214,12 @@
             orphaned_results_.push_back(result.handle);
         }
     }
+    erase_group(found);
+}
+
+void stage_queue::erase_group(std::map<std::uint64_t, group_state>::iterator found) {
+    waiting_pieces_ -= found->second.waiting.size();
+    committed_groups_ -= found->second.committed ? 1 : 0;
     groups_.erase(found);
 }
 
@@ -225,7 +235,7 @@
     state.results[index] = std::move(result);
     if (--state.unfinished == 0) {
         finished_.push_back({group, std::move(state.results), false, {}});
-        groups_.erase(found);
+        erase_group(found);
     }
 }
 
@@ -248,6 +258,7 @@
         return;
     }
     found->second.waiting.push_back({index});
+    ++waiting_pieces_;
 }
 
 void stage_queue::update_slowdown(endpoint_state& endpoint, const call_state& call,
@@ -395,12 +406,4 @@
                        [&](const auto& item) { return in_service(item.second, now); });
 }
 
-std::size_t stage_queue::waiting_pieces() const {
-    std::size_t count = 0;
-    for (const auto& [id, state] : groups_) {
-        count += state.waiting.size();
-    }
-    return count;
-}
-
 } // namespace boragefront::stages
