stages, gateway: reasons of refusals, and results freed at once

Cause: lines and metrics did not tell why a group was refused. Results of a refused request were freed only after its response was sent, and those of a group cancelled at its own dispatcher with the next run of the queue. The queue is woken when a group is to be decided on.

--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -368,6 +368,7 @@
     if (cancellation.cancelled()) {
         queue.queue.cancel(id);
         queue.origins.erase(id);
+        run_queue(service.name); // frees the results of its completed pieces
         co_return group_cancelled{};
     }
     co_return group_refused{pending->result ? pending->result->retry_after : milliseconds{0}};
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -124,6 +124,7 @@
         // when its calls are expected.
         std::optional<wire::entry_info> handing_over_with;
         time_point handed_over_at{};
+        std::optional<time_point> overload_seen_at; // a group was refused for overload
         boost::asio::steady_timer run_timer;
     };
 
@@ -153,6 +154,8 @@
                                                     stages::piece_group group,
                                                     cancellation_source& cancellation);
     stages::admission enqueue(service_queue& queue, stages::piece_group group, group_origin origin);
+    void record_refused_group(service_queue& queue, stages::refusal_reason reason, time_point now);
+    static void record_overload_end(service_queue& queue, time_point now);
     void run_queue(const std::string& service);
     void schedule_queue(service_queue& queue, time_point when);
     void deliver(service_queue& queue, stages::finished_group ended);
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -242,6 +242,7 @@
     bool has_lost_endpoints(const group_state& state, time_point now) const;
     refusal_reason reason_without_time(const group_state& state, time_point now) const;
     milliseconds min_call_time() const;
+    time_point late_at(const group_state& state, milliseconds min_call_time) const;
     bool is_late(const group_state& state, milliseconds min_call_time, time_point now) const;
     bool may_be_infeasible(time_point now) const;
     void erase_group(std::map<std::uint64_t, group_state>::iterator found);
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -25,14 +25,18 @@
     return waiting_pieces() > capacity_.batch ? service_time(capacity_.batch) : milliseconds{0};
 }
 
-// Whether a group misses its soft deadline even if it is started now.
-bool stage_queue::is_late(const group_state& state, milliseconds min_call_time,
-                          time_point now) const {
+// After this, a group misses its soft deadline even if it is started at once.
+time_point stage_queue::late_at(const group_state& state, milliseconds min_call_time) const {
     const bool in_full_call =
         state.waiting.size() <= capacity_.batch && min_call_time > milliseconds{0};
     const auto own =
         in_full_call ? min_call_time : std::max(service_time(state.waiting.size()), min_call_time);
-    return now + own > state.group.soft_deadline;
+    return state.group.soft_deadline - own;
+}
+
+bool stage_queue::is_late(const group_state& state, milliseconds min_call_time,
+                          time_point now) const {
+    return now > late_at(state, min_call_time);
 }
 
 // Committed groups with waiting pieces, the nearest hard deadline first.
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds contended_full_backoff{250};
 constexpr milliseconds room_poll_interval{25}; // for endpoints without memory for results
 constexpr milliseconds max_wakeup_delay{60'000};
+constexpr milliseconds decision_poll_interval{50}; // for groups that are to be decided on
 constexpr milliseconds capacity_backoff_limit{
     500}; // an endpoint with a shorter back-off counts as capacity
 
@@ -390,9 +391,15 @@
             earliest = std::min(earliest, now + room_poll_interval);
         }
     }
+    const auto min_call = min_call_time();
     for (const auto& [id, state] : groups_) {
         if (!state.waiting.empty()) {
             earliest = std::min(earliest, state.group.hard_deadline - service_time(1));
+            if (!state.committed) {
+                // The decision on a late group.
+                earliest = std::min(
+                    earliest, std::max(late_at(state, min_call), now + decision_poll_interval));
+            }
             if (!state.group.near_data_centre.empty()) {
                 earliest = std::min(earliest, now + room_poll_interval);
             }
