--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -221,7 +221,10 @@
     }
     record_overload_end(queue, now);
     freer_.free(queue.queue.take_orphaned_results());
-    const auto next = queue.queue.next_wakeup(now);
+    auto next = queue.queue.next_wakeup(now);
+    if (queue.overload_seen_at) {
+        next = std::min(next, *queue.overload_seen_at + overload_end_time + min_run_interval);
+    }
     const auto ended_at = steady_clock::now();
     queue.next_run_at =
         ended_at + std::max<duration>(min_run_interval, (ended_at - now) * run_interval_factor);
--- a/libs/stages/tests/admission_test.cpp
+++ b/libs/stages/tests/admission_test.cpp
@@ -19,7 +19,8 @@
         auto group = make_group(id, pieces);
         group.soft_deadline = now + milliseconds{300};
         group.hard_deadline = now + time_left;
-        REQUIRE(queue.offer(std::move(group), now).accepted);
+        const auto admitted = queue.offer(std::move(group), now);
+        REQUIRE(admitted.accepted);
     }
 
     stage_call running;
@@ -145,6 +146,7 @@
         }
     };
     std::vector<std::pair<counted, int>> items;
+    items.reserve(1'000);
     for (int i = 0; i < 1'000; ++i) {
         items.push_back({{i * 617 % 1'000 + 1, &comparisons}, i * 617 % 1'000 + 1});
     }
