--- a/libs/stages/src/stage_expiry.cpp
+++ b/libs/stages/src/stage_expiry.cpp
@@ -119,8 +119,8 @@
     for (const auto* const state : committed_by_deadline()) {
         const auto pieces = state->waiting.size();
         const auto expected = queue_time(ahead, endpoints) + service_time(pieces);
-        if (!state->begun() && has_lost_endpoints(*state, now) &&
-            now + expected > state->group.hard_deadline) {
+        if (!state->begun() && now + expected > state->group.hard_deadline &&
+            has_lost_endpoints(*state, now)) {
             expire_group(state->group.id, refusal_reason::endpoints_lost,
                          time_beyond(expected, state->group, now) + excess);
         } else {
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -29,6 +29,8 @@
 
 constexpr double min_endpoints = 0.5; // assumed while there are none, as some may return
 constexpr double min_call_seconds = 0.001;
+// A service whose endpoints all stood still for seconds may go on at any time.
+constexpr double min_measured_share = 0.25;
 
 std::size_t count_made(const std::vector<piece_result>& results) {
     return static_cast<std::size_t>(
@@ -140,7 +142,10 @@
 double stage_queue::capacity_endpoints(time_point now) const {
     const double usable = usable_endpoints(now);
     const auto measured = throughput_.pieces_per_second(full_call_time(), now);
-    return measured ? std::min(1.0, *measured / pieces_per_second(usable)) * usable : usable;
+    if (!measured) {
+        return usable;
+    }
+    return std::clamp(*measured / pieces_per_second(usable), min_measured_share, 1.0) * usable;
 }
 
 milliseconds stage_queue::full_call_time() const {
--- a/tests/gateway/streams_test.cpp
+++ b/tests/gateway/streams_test.cpp
@@ -173,6 +173,9 @@
     CHECK(elapsed >= milliseconds{200});
     CHECK(elapsed < milliseconds{600});
     CHECK(on_loop([&] { return calls_for_pieces(second); }) == 0);
+    const std::string labels = R"(service="second",reason="no_time")";
+    CHECK(gateway.metrics->get_counter("boragefront_stage_groups_refused_total", labels).value() ==
+          1);
     CHECK(becomes_true([&] { return freed_results(first) == 2; }));
 }
 
