--- a/libs/stages/src/service_load.cpp
+++ b/libs/stages/src/service_load.cpp
@@ -10,7 +10,8 @@
 
 constexpr milliseconds interval_length{100};
 constexpr milliseconds min_rate_period{2'000}; // a burst of 1.5 s is no lasting rate
-// Random arrivals exceed their mean by more than this in about 1 of 50 periods.
+// Random arrivals exceed their mean by more than this in about 1 of 50 periods. With 1.5, groups
+// were refused at 0.8 of the capacity.
 constexpr double random_deviations = 2;
 // A caller that waits longer has given up, or the load has changed.
 constexpr milliseconds max_retry_after{5'000};
