stages: a hand-over is no loss of endpoints

Cause: endpoints that another dispatcher may use did not count as capacity, so that in a hand-over committed groups would have been refused, and half the load would have looked like an overload. Change: they count for the decisions on late groups and commitments; planning is as before. Test of work that more urgent priorities leave no time for.

--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -179,6 +179,8 @@
         std::uint64_t group;
         std::size_t index;
     };
+    // Whether contended endpoints count as capacity.
+    enum class contended_share : std::uint8_t { excluded, included };
     struct call_state {
         std::string endpoint;
         std::uint64_t incarnation{0};
@@ -200,7 +202,8 @@
     static bool in_service(const endpoint_state& endpoint, time_point now);
     void update_avoided(time_point now);
     double slowdown_now(const endpoint_state& endpoint, time_point now) const;
-    double usable_endpoints(time_point now) const;
+    double usable_endpoints(contended_share share, time_point now) const;
+    double capacity_endpoints(contended_share share, time_point now) const;
     double capacity_endpoints(time_point now) const;
     double pieces_per_second(double endpoints) const;
     milliseconds time_to_first_call(time_point now) const;
--- a/libs/stages/src/stage_expiry.cpp
+++ b/libs/stages/src/stage_expiry.cpp
@@ -44,7 +44,8 @@
 }
 
 bool stage_queue::has_lost_endpoints(const group_state& state, time_point now) const {
-    return usable_endpoints(now) < state.endpoints_expected * endpoint_loss_ratio;
+    return usable_endpoints(contended_share::included, now) <
+           state.endpoints_expected * endpoint_loss_ratio;
 }
 
 refusal_reason stage_queue::reason_without_time(const group_state& state, time_point now) const {
@@ -166,7 +167,8 @@
 
 // Whether this number of pieces starts with the next call of each endpoint.
 bool stage_queue::fits_next_calls(std::size_t pieces, time_point now) const {
-    const auto calls = std::max(usable_endpoints(now), 1.0) * capacity_.calls;
+    const auto calls =
+        std::max(usable_endpoints(contended_share::excluded, now), 1.0) * capacity_.calls;
     return static_cast<double>(pieces) <= calls * static_cast<double>(capacity_.batch);
 }
 
@@ -219,7 +221,7 @@
 void stage_queue::commit(group_state& state, time_point now) {
     state.committed = true;
     ++committed_groups_;
-    state.endpoints_expected = usable_endpoints(now);
+    state.endpoints_expected = usable_endpoints(contended_share::included, now);
 }
 
 } // namespace boragefront::stages
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -118,10 +118,11 @@
 }
 
 // Number of endpoints at nominal speed that the endpoints in service amount to.
-double stage_queue::usable_endpoints(time_point now) const {
+double stage_queue::usable_endpoints(contended_share share, time_point now) const {
     double sum = 0;
     for (const auto& [id, endpoint] : endpoints_) {
-        const bool usable = in_service(endpoint, now) && !endpoint.avoided && !endpoint.contended;
+        const bool counted = share == contended_share::included || !endpoint.contended;
+        const bool usable = in_service(endpoint, now) && !endpoint.avoided && counted;
         if (usable && now + capacity_backoff_limit >= endpoint.backoff_until) {
             sum += 1 / std::max(slowdown_now(endpoint, now), 1.0);
         }
@@ -139,8 +140,8 @@
 
 // Capacity of the service as a number of endpoints at nominal speed. Less than the usable ones if
 // they were seen to process less while work waited.
-double stage_queue::capacity_endpoints(time_point now) const {
-    const double usable = usable_endpoints(now);
+double stage_queue::capacity_endpoints(contended_share share, time_point now) const {
+    const double usable = usable_endpoints(share, now);
     const auto measured = throughput_.pieces_per_second(full_call_time(), now);
     if (!measured) {
         return usable;
@@ -148,6 +149,10 @@
     return std::clamp(*measured / pieces_per_second(usable), min_measured_share, 1.0) * usable;
 }
 
+double stage_queue::capacity_endpoints(time_point now) const {
+    return capacity_endpoints(contended_share::excluded, now);
+}
+
 milliseconds stage_queue::full_call_time() const {
     return service_time(capacity_.batch);
 }
@@ -160,7 +165,9 @@
 }
 
 service_load stage_queue::current_load(time_point now) const {
-    return {pieces_per_second(capacity_endpoints(now)), waiting_pieces(),
+    // Contended endpoints take calls too. If the other dispatcher uses them for long, that is
+    // measured.
+    return {pieces_per_second(capacity_endpoints(contended_share::included, now)), waiting_pieces(),
             arrivals_.arrived(service_load::lasting_period, now),
             arrivals_.arrived(service_load::recent_period, now)};
 }
@@ -196,7 +203,7 @@
     state.results.resize(group.pieces.size());
     state.attempts.resize(group.pieces.size());
     state.unfinished = group.pieces.size();
-    state.endpoints_expected = usable_endpoints(now);
+    state.endpoints_expected = usable_endpoints(contended_share::included, now);
     for (std::size_t i = 0; i < group.pieces.size(); ++i) {
         state.waiting.push_back({i});
     }
--- a/libs/stages/tests/admission_test.cpp
+++ b/libs/stages/tests/admission_test.cpp
@@ -62,6 +62,9 @@
     CHECK(queue.take_finished(now).empty());
     now += milliseconds{250};
     CHECK(queue.take_finished(now).empty());
+    queue.set_contended({"two"}); // as in a hand-over, where both dispatchers have work
+    now += milliseconds{50};
+    CHECK(queue.take_finished(now).empty());
     endpoints.pop_back();
     refresh();
     const auto ended = queue.take_finished(now);
@@ -158,3 +161,27 @@
     CHECK(order.at(999) == 1'000);
     CHECK(order.at(1'000) == 0);
 }
+
+// Guards against commitments that more urgent work leaves no capacity for, and that are dropped at
+// their deadline.
+TEST_CASE_METHOD(late_groups, "a late group without time beside more urgent work is refused") {
+    for (int i = 0; i < 25; ++i) { // 8 pieces every 200 ms; a call takes 278 ms
+        auto group = make_group(100 + static_cast<std::uint64_t>(i), 8);
+        group.soft_deadline = now + seconds{20};
+        const auto admitted = queue.offer(std::move(group), now);
+        REQUIRE(admitted.accepted);
+        now += milliseconds{200};
+    }
+    auto group = make_group(1, 8);
+    group.priority = 1;
+    group.soft_deadline = now + milliseconds{300};
+    const auto admitted = queue.offer(std::move(group), now);
+    REQUIRE(admitted.accepted);
+    now += milliseconds{100};
+    const auto ended = queue.take_finished(now);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].id == 1);
+    CHECK(ended[0].reason == refusal_reason::no_time);
+    CHECK(ended[0].retry_after >= queue.service_time(8));
+    CHECK(ended[0].retry_after <= seconds{5});
+}
