stages: endpoints that return count as capacity at once

The throughput measured while endpoints were evacuated, or shared with another dispatcher, was compared with all endpoints for up to 5 s after that ended. Groups were then refused although the capacity had returned: with two endpoints, one of which had returned, 11.0 s were expected where 6.3 s are sufficient.

The measurement starts anew when an endpoint is evacuated or returns and when the set of contended endpoints changes, as it does when endpoints are added or removed. The test failed in both cases before.

--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -69,7 +69,10 @@
         }
         kept.descriptor = endpoint;
         kept.contended = contended_.contains(endpoint.id);
-        kept.evacuated = evacuated.contains(endpoint.data_centre);
+        const bool is_evacuated = evacuated.contains(endpoint.data_centre);
+        if (std::exchange(kept.evacuated, is_evacuated) != is_evacuated) {
+            throughput_.reset();
+        }
     }
     if (std::erase_if(endpoints_, [&](const auto& item) { return !listed.contains(item.first); }) >
         0) {
@@ -100,6 +103,9 @@
 }
 
 void stage_queue::set_contended(std::set<std::string, std::less<>> endpoints) {
+    if (endpoints != contended_) {
+        throughput_.reset();
+    }
     contended_ = std::move(endpoints);
     for (auto& [id, endpoint] : endpoints_) {
         endpoint.contended = contended_.contains(id);
--- a/libs/stages/tests/admission_test.cpp
+++ b/libs/stages/tests/admission_test.cpp
@@ -185,3 +185,36 @@
     CHECK(ended[0].retry_after >= queue.service_time(8));
     CHECK(ended[0].retry_after <= seconds{5});
 }
+
+// Guards against refusals after an evacuation or a hand-over, when the throughput of the smaller
+// number of endpoints was taken for that of all.
+TEST_CASE_METHOD(queue_fixture, "endpoints that return count at once") {
+    add_endpoint("one");
+    add_endpoint("two", "b");
+    bool contends = false;
+    SECTION("evacuation") {
+        evacuated = {"b"};
+    }
+    SECTION("hand-over") {
+        contends = true;
+    }
+    refresh();
+    queue.set_contended(contends ? std::set<std::string, std::less<>>{"two"}
+                                 : std::set<std::string, std::less<>>{});
+    for (std::uint64_t id = 1; id <= 60; ++id) {
+        offer(id, 8, 0, seconds{19});
+    }
+    auto calls = queue.next_calls(now);
+    while (now < time_point{seconds{1'005}}) {
+        REQUIRE_FALSE(calls.empty());
+        complete(calls.front()); // with "two" contended, its call does not end
+        calls = queue.next_calls(now);
+    }
+    evacuated.clear();
+    refresh();
+    queue.set_contended({});
+    const auto of_two = queue.service_time(queue.waiting_pieces()) / 2;
+    const auto admitted = queue.offer(make_group(100, 8), now);
+    CHECK(admitted.accepted);
+    CHECK(admitted.expected <= of_two + 2 * queue.service_time(8));
+}
