stages: no refusal carries a Retry-After of 0

call_ms and item_ms may both be 0 in a configuration. A group of such a service that expires while no endpoint is in service was told to retry after 0 s. The least is 10 ms now; services whose calls take longer are served as before.

--- a/libs/stages/src/service_load.cpp
+++ b/libs/stages/src/service_load.cpp
@@ -15,6 +15,8 @@
 constexpr double random_deviations = 2;
 // A caller that waits longer has given up, or the load has changed.
 constexpr milliseconds max_retry_after{5'000};
+// A service may be configured with calls that take no time; 0 would ask for a retry at once.
+constexpr milliseconds min_retry_after{10};
 
 double to_seconds(duration time) {
     return std::chrono::duration<double>(time).count();
@@ -108,7 +110,8 @@
 
 milliseconds spread_retry_after(milliseconds room_expected_in, milliseconds full_call,
                                 std::string_view request_id) {
-    const auto earliest = std::max(full_call, std::min(room_expected_in, max_retry_after / 2));
+    const auto earliest =
+        std::max({min_retry_after, full_call, std::min(room_expected_in, max_retry_after / 2)});
     const auto latest = std::max(earliest, std::min(earliest * 2, max_retry_after));
     const auto choices = static_cast<std::uint64_t>((latest - earliest).count()) + 1;
     return earliest + milliseconds{stable_hash(request_id) % choices};
--- a/libs/stages/tests/admission_test.cpp
+++ b/libs/stages/tests/admission_test.cpp
@@ -85,6 +85,7 @@
     }
     CHECK(times.size() > 80);
     CHECK(spread_retry_after(milliseconds{30}, call, "r") >= call);
+    CHECK(spread_retry_after(milliseconds{0}, milliseconds{0}, "r") > milliseconds{0});
     CHECK(spread_retry_after(seconds{60}, call, "r") <= seconds{5});
     CHECK(spread_retry_after(seconds{60}, call, "r") >= milliseconds{2'500});
 }
