--- a/libs/stages/tests/result_room_test.cpp
+++ b/libs/stages/tests/result_room_test.cpp
@@ -225,7 +225,8 @@
         group.pieces = {{std::to_string(group.id), 0, 0, "key", {}}};
         group.result_bytes = result_bytes;
         group.soft_deadline = group.hard_deadline = now + seconds{60};
-        REQUIRE(queue.offer(std::move(group), now).accepted);
+        const auto admitted = queue.offer(std::move(group), now);
+        REQUIRE(admitted.accepted);
     };
     // Runs calls for a time and returns the number of pieces that were sent.
     const auto run = [&](seconds time, piece_outcome outcome) {
