capacity, gateway: estimates are merged by hash; entries that start together keep settling together

Each gossip message made a map of all endpoints of all services and hashed their ids. Found by reading: the times that candidates have been serving were rounded to 0 or 2 s before the order is made, which undid the rule that entries which start together settle together. Change: the endpoints by hash of their id are kept and rebuilt when they change; serving times are passed on in whole seconds up to 3.

--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -478,11 +478,7 @@
 
 void endpoint_pool::merge_capacity(const std::vector<capacity::estimate_report>& reports,
                                    time_point now) {
-    std::map<std::string, std::uint64_t> incarnations;
-    for (const auto& [id, candidate] : endpoints_) {
-        incarnations[id] = candidate.endpoint.incarnation;
-    }
-    estimates_.merge(reports, incarnations, now);
+    estimates_.merge(reports, now);
 }
 
 std::optional<milliseconds> endpoint_pool::typical_latency() const {
--- a/libs/capacity/include/capacity/endpoint_estimates.hpp
+++ b/libs/capacity/include/capacity/endpoint_estimates.hpp
@@ -12,6 +12,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace boragefront::capacity {
@@ -50,7 +52,7 @@
 /// incarnation discards what was known.
 class endpoint_estimates {
 public:
-    /// Drops all endpoints but these, and those of which another incarnation is known.
+    /// Sets the endpoints of the service. Drops what is known of others and of other incarnations.
     /// \param incarnations of the endpoints of this service, by id.
     void retain(const std::map<std::string, std::uint64_t>& incarnations);
 
@@ -76,11 +78,9 @@
     /// This entry's own estimates with recent evidence, for other entries.
     std::vector<estimate_report> report(time_point now) const;
 
-    /// Merges another entry's estimates. Those of unknown endpoints and of other incarnations are
-    /// ignored.
-    /// \param incarnations of the endpoints of this service, by id.
-    void merge(const std::vector<estimate_report>& reports,
-               const std::map<std::string, std::uint64_t>& incarnations, time_point now);
+    /// Merges another entry's estimates. Those of endpoints that `retain` did not name and of other
+    /// incarnations are ignored.
+    void merge(const std::vector<estimate_report>& reports, time_point now);
 
 private:
     // Reported slowness over the last 1.8 s, one figure for each 100 ms.
@@ -127,6 +127,12 @@
     static unsigned concurrency(const tracked_endpoint& endpoint, time_point now);
     void update_median(time_point now);
 
+    struct listed_endpoint {
+        std::string id;
+        std::uint64_t incarnation{0};
+    };
+    std::map<std::string, std::uint64_t> incarnations_;          // as last set
+    std::unordered_map<std::uint64_t, listed_endpoint> by_hash_; // the same, by hash of the id
     std::map<std::string, tracked_endpoint, std::less<>> endpoints_;
     bool slowness_reported_{false};
     load_curve service_curve_; // latency in ms at usual speed, over all endpoints
--- a/libs/capacity/src/endpoint_estimates.cpp
+++ b/libs/capacity/src/endpoint_estimates.cpp
@@ -91,6 +91,13 @@
         const auto found = incarnations.find(one.first);
         return found == incarnations.end() || found->second != one.second.incarnation;
     });
+    if (incarnations != incarnations_) {
+        incarnations_ = incarnations;
+        by_hash_.clear();
+        for (const auto& [id, incarnation] : incarnations_) {
+            by_hash_.insert_or_assign(stable_hash(id), listed_endpoint{id, incarnation});
+        }
+    }
     slowness_reported_ = std::any_of(endpoints_.begin(), endpoints_.end(), [](const auto& one) {
         return one.second.load.slowness_percent.has_value();
     });
@@ -261,25 +268,19 @@
     return reports;
 }
 
-void endpoint_estimates::merge(const std::vector<estimate_report>& reports,
-                               const std::map<std::string, std::uint64_t>& incarnations,
-                               time_point now) {
-    std::map<std::uint64_t, const estimate_report*> by_hash;
-    for (const auto& one : reports) {
-        by_hash[one.endpoint] = &one;
-    }
-    for (const auto& [id, incarnation] : incarnations) {
-        const auto found = by_hash.find(stable_hash(id));
-        if (found == by_hash.end() || found->second->incarnation != incarnation ||
-            found->second->speed_percent == 0) {
+void endpoint_estimates::merge(const std::vector<estimate_report>& reports, time_point now) {
+    for (const auto& report : reports) {
+        const auto found = by_hash_.find(report.endpoint);
+        if (found == by_hash_.end() || found->second.incarnation != report.incarnation ||
+            report.speed_percent == 0) {
             continue;
         }
-        auto& tracked = track(id, incarnation);
-        const auto observed_at = now - std::max(found->second->age, milliseconds{0});
+        auto& tracked = track(found->second.id, found->second.incarnation);
+        const auto observed_at = now - std::max(report.age, milliseconds{0});
         if (!tracked.received_at || observed_at > *tracked.received_at) {
             tracked.received_slowness =
-                std::clamp(percent / found->second->speed_percent, min_slowness, max_slowness);
-            tracked.received_concurrency = found->second->concurrency;
+                std::clamp(percent / report.speed_percent, min_slowness, max_slowness);
+            tracked.received_concurrency = report.concurrency;
             tracked.received_at = observed_at;
         }
     }
--- a/libs/gateway/src/dispatch_order.cpp
+++ b/libs/gateway/src/dispatch_order.cpp
@@ -28,8 +28,9 @@
         candidates.push_back(self.info);
     }
     for (auto& one : candidates) {
-        one.serving_for =
-            one.serving_for < placement::settling_time ? milliseconds{0} : placement::settling_time;
+        // In whole seconds, so that the selection is not repeated with each gossip message.
+        one.serving_for = std::min<milliseconds>(
+            std::chrono::floor<std::chrono::seconds>(one.serving_for), placement::max_serving_for);
     }
     return candidates;
 }
--- a/libs/placement/include/placement/dispatcher_order.hpp
+++ b/libs/placement/include/placement/dispatcher_order.hpp
@@ -18,6 +18,11 @@
 /// An entry that has just started is still opening connections and reading the published state, and
 /// responds after the timeout of a dispatch request.
 inline constexpr milliseconds settling_time{2'000};
+/// Entries that start within this time count as settled together. After a restart of all of them,
+/// the dispatchers would otherwise change with each one that reaches the settling time.
+inline constexpr milliseconds start_spread{1'000};
+/// Longer times make no difference to the order.
+inline constexpr milliseconds max_serving_for = settling_time + start_spread;
 
 /// An entry that may dispatch.
 struct candidate {
--- a/libs/placement/src/dispatcher_order.cpp
+++ b/libs/placement/src/dispatcher_order.cpp
@@ -14,9 +14,6 @@
 // Of the best candidate's processors and bandwidth. A dispatcher's load does not depend on its own
 // size, so one that is far smaller than another is always the wrong choice.
 constexpr double min_relative_capacity = 0.5;
-// Entries that start together count as settled together. After a restart of all of them, the
-// dispatchers would otherwise change with each one that reaches the settling time.
-constexpr milliseconds start_spread{1'000};
 
 enum class suitability : std::uint8_t { poor, capable, preferred };
 
