stages: committed groups overtake early only in a lasting overload

Cause: a late group that the queue had committed to went before on-time work as soon as it could wait no more than its place in the queue and two calls. Change: outside of a lasting overload it goes first only when its own call and one before it are all that it has time for.

--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -89,6 +89,7 @@
 // Committed groups that miss their hard deadline if they wait for other groups any longer.
 std::set<const stage_queue::group_state*> stage_queue::urgent_groups(time_point now) {
     const auto endpoints = capacity_endpoints(now);
+    const bool overloaded = current_load(now).is_overloaded();
     // An endpoint may have begun a call, and the group's own call is a full one.
     const auto reserve = full_call_time() * 2;
     std::set<const group_state*> urgent;
@@ -97,7 +98,11 @@
     for (const auto* const state : committed_by_deadline()) {
         ahead += state->waiting.size();
         before.push_back(state);
-        if (now + queue_time(ahead, endpoints) + reserve >= state->group.hard_deadline) {
+        // In a lasting overload those ahead need their time too. Otherwise most of them are served
+        // in time behind on-time work, and overtaking early would make others late.
+        const auto needed = overloaded ? queue_time(ahead, endpoints) + reserve
+                                       : full_call_time() + service_time(state->waiting.size());
+        if (now + needed >= state->group.hard_deadline) {
             // Those with nearer deadlines take up its time.
             urgent.insert(before.begin(), before.end());
             before.clear();
