stages, gateway: admission by expected completion is taken out again

The floor for less urgent work is 1/3 again. Result: stages_test, fairness_test and gateway_test pass.

--- a/libs/fairness/src/priority_floor.cpp
+++ b/libs/fairness/src/priority_floor.cpp
@@ -8,8 +8,7 @@
 constexpr std::int64_t window_seconds = 10;
 constexpr std::int64_t claim_delay_seconds = 2;
 // Above the required quarter, as the window moves in steps of a second and new work gives no claim.
-// With a third, 9 of 20 simulated runs at 1.5 times the capacity missed the quarter.
-constexpr double min_relative_service = 0.4;
+constexpr double min_relative_service = 1.0 / 3;
 
 std::int64_t second_of(time_point now) {
     return std::chrono::floor<seconds>(now.time_since_epoch()).count();
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -53,10 +53,6 @@
     stage_runs runs{context_.executor};
     auto failure = co_await produce_results(runs);
     stages_done_at_ = steady_clock::now();
-    if (failure) {
-        // Before the response, which a slow caller may take long to read.
-        release_all_results();
-    }
     if (caller_disconnected_) {
         summary_.outcome = "cancelled";
     } else if (failure) {
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds min_run_interval{2}; // far below the duration of a call
 // Pause after a run of the queue, in multiples of its duration.
 constexpr int run_interval_factor = 4;
-// Without a refusal for overload; several decisions on late groups.
-constexpr milliseconds overload_end_time{2'000};
 // The results of a full call take a few kilobytes.
 constexpr std::size_t max_response_bytes = 1U << 20U;
 
@@ -143,41 +141,11 @@
                       {"endpoints", std::to_string(queue.queue.endpoint_count())},
                       {"expected_ms", std::to_string(admitted.expected.count())},
                       {"useless_in_ms", std::to_string(useless_in.count())},
-                      {"retry_after_ms", std::to_string(admitted.retry_after.count())},
-                      {"reason", std::string{stages::to_string(admitted.reason)}}});
-        record_refused_group(queue, admitted.reason, now);
+                      {"retry_after_ms", std::to_string(admitted.retry_after.count())}});
     }
     return admitted;
 }
 
-void stage_scheduler::record_refused_group(service_queue& queue, stages::refusal_reason reason,
-                                           time_point now) {
-    state_.metrics()
-        .get_counter("boragefront_stage_groups_refused_total",
-                     "service=\"" + queue.service + "\",reason=\"" +
-                         std::string{stages::to_string(reason)} + '"')
-        .add();
-    if (reason != stages::refusal_reason::overload) {
-        return;
-    }
-    if (!queue.overload_seen_at) {
-        log_change("stages", "overload_began",
-                   {{"service", queue.service},
-                    {"waiting", std::to_string(queue.queue.waiting_pieces())},
-                    {"endpoints", std::to_string(queue.queue.endpoint_count())}});
-    }
-    queue.overload_seen_at = now;
-}
-
-void stage_scheduler::record_overload_end(service_queue& queue, time_point now) {
-    if (queue.overload_seen_at && now - *queue.overload_seen_at > overload_end_time) {
-        queue.overload_seen_at.reset();
-        log_change("stages", "overload_ended",
-                   {{"service", queue.service},
-                    {"waiting", std::to_string(queue.queue.waiting_pieces())}});
-    }
-}
-
 // Starts the calls that can be started. A long queue is run less often, so that planning takes at
 // most a fifth of the thread's time.
 void stage_scheduler::run_queue(const std::string& service) {
@@ -195,13 +163,9 @@
     for (auto& ended : queue.queue.take_finished(now)) {
         deliver(queue, std::move(ended));
     }
-    record_overload_end(queue, now);
     freer_.free(queue.queue.take_orphaned_results());
     report_deferrals(queue, now);
-    auto next = queue.queue.next_wakeup(now);
-    if (queue.overload_seen_at) {
-        next = std::min(next, *queue.overload_seen_at + overload_end_time + min_run_interval);
-    }
+    const auto next = queue.queue.next_wakeup(now);
     const auto ended_at = steady_clock::now();
     queue.next_run_at =
         ended_at + std::max<duration>(min_run_interval, (ended_at - now) * run_interval_factor);
@@ -248,9 +212,7 @@
                       {"service", queue.service},
                       {"retry_after_ms", std::to_string(ended.retry_after.count())},
                       {"waiting", std::to_string(queue.queue.waiting_pieces())},
-                      {"endpoints", std::to_string(queue.queue.endpoint_count())},
-                      {"reason", std::string{stages::to_string(ended.reason)}}});
-        record_refused_group(queue, ended.reason, steady_clock::now());
+                      {"endpoints", std::to_string(queue.queue.endpoint_count())}});
     }
     if (const auto* const local = std::get_if<local_origin>(&origin)) {
         complete_group(local->ticket, state_.self_id(), std::move(ended));
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -447,10 +447,9 @@
     if (cancellation.cancelled()) {
         queue.queue.cancel(id);
         queue.origins.erase(id);
-        run_queue(service.name); // frees the results of its completed pieces
         co_return group_cancelled{};
     }
-    co_return group_refused{pending->result ? pending->result->retry_after : default_retry_after};
+    co_return group_refused{pending->result ? pending->result->retry_after : milliseconds{0}};
 }
 
 void stage_scheduler::complete_group(std::uint64_t ticket, const std::string& dispatcher,
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -121,7 +121,6 @@
         time_point next_run_at{};                      // the queue is not run before
         std::uint64_t shares_hash{
             0}; // hash of the entries and endpoints that the shares are based on
-        std::optional<time_point> overload_seen_at; // a group was refused for overload
         boost::asio::steady_timer run_timer;
     };
 
@@ -155,8 +154,6 @@
                                                     stages::piece_group group,
                                                     cancellation_source& cancellation);
     stages::admission enqueue(service_queue& queue, stages::piece_group group, group_origin origin);
-    void record_refused_group(service_queue& queue, stages::refusal_reason reason, time_point now);
-    static void record_overload_end(service_queue& queue, time_point now);
     void run_queue(const std::string& service);
     void report_deferrals(service_queue& queue, time_point now);
     void schedule_queue(service_queue& queue, time_point when);
--- a/libs/stages/include/stages/piece.hpp
+++ b/libs/stages/include/stages/piece.hpp
@@ -53,23 +53,13 @@
     std::string near_data_centre;
 };
 
-/// Why a group is refused or dropped.
-enum class refusal_reason : std::uint8_t {
-    no_time,        ///< it cannot be completed by its hard deadline
-    overload,       ///< it missed its soft deadline, and more work arrives than can be processed
-    endpoints_lost, ///< its time sufficed until endpoints were lost or slowed down
-};
-
-std::string_view to_string(refusal_reason reason);
-
 /// A group whose pieces have all ended, or that was dropped.
 struct finished_group {
     std::uint64_t id{0};
     std::vector<piece_result> results; ///< in the order of its pieces
-    bool expired{false};               ///< dropped; see `reason`
+    bool expired{false};               ///< dropped because it cannot meet its hard deadline
     std::string request_id{};          ///< set for an expired group, for logs
     milliseconds retry_after{0}; ///< set for an expired group: when a similar one would be accepted
-    refusal_reason reason{refusal_reason::no_time}; ///< set for an expired group
 };
 
 } // namespace boragefront::stages
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -9,10 +9,8 @@
 #include "base/time.hpp"
 #include "catalog/types.hpp"
 #include "fairness/dispatch_shares.hpp"
-#include "stages/lazily_sorted.hpp"
 #include "stages/overload_detector.hpp"
 #include "stages/piece.hpp"
-#include "stages/service_load.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -20,7 +18,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -53,22 +50,18 @@
 /// Result of offering a group.
 struct admission {
     bool accepted{false};
-    milliseconds expected{0};                       ///< time until its last piece is completed
-    milliseconds retry_after{0};                    ///< if refused: when it would be accepted
-    refusal_reason reason{refusal_reason::no_time}; ///< if refused
+    milliseconds expected{0};    ///< time until its last piece is completed
+    milliseconds retry_after{0}; ///< if refused: when it would be accepted
 };
 
 /// Orders groups by whether some of their pieces are running or complete (these come first, as
 /// their results take up memory until the others are complete), then by whether they can still meet
 /// their soft deadline (those that cannot come last), then by priority, then by whether their
 /// workspace used far more than its share, then by waiting pieces, then by soft deadline. Waiting
-/// groups of a starved priority precede all but those of the first kind. A group that misses its
-/// soft deadline is either dropped then, in an overload that lasts, or the queue commits to it: it
-/// is started early enough to meet its hard deadline, before other groups of its priority if
-/// necessary, and is dropped only if endpoints are lost. Batches groups into full calls and assigns
-/// each call to the endpoint that is expected to finish it first. A group whose data is expensive
-/// to transfer waits for an endpoint near that data while its soft deadline permits. Reads no
-/// clock.
+/// groups of a starved priority precede all but those of the first kind. In an overload that lasts,
+/// late groups are dropped. Batches groups into full calls and assigns each call to the endpoint
+/// that is expected to finish it first. A group whose data is expensive to transfer waits for an
+/// endpoint near that data while its soft deadline permits. Reads no clock.
 class stage_queue {
 public:
     /// \returns an empty queue. Batch size and concurrent calls of the capacity are raised to at
@@ -137,7 +130,7 @@
     /// Whether an endpoint is in service, even if it takes no call at present.
     bool has_endpoint_in_service(time_point now) const;
 
-    std::size_t waiting_pieces() const { return waiting_pieces_; }
+    std::size_t waiting_pieces() const;
     std::size_t calls_in_progress() const { return calls_.size(); }
     std::size_t endpoint_count() const { return endpoints_.size(); }
 
@@ -160,10 +153,10 @@
         time_point backoff_until{};
         unsigned failures_in_row{0};
         unsigned refusals_in_row{0};
-        std::uint64_t held_bytes{0};              // of results that are not released yet
-        std::uint64_t pending_bytes{0};           // of results of calls in progress
-        std::uint64_t unaccounted_bytes{0};       // of results that this queue does not track
-        time_point unaccounted_at{};              // time of the last update of unaccounted_bytes
+        std::uint64_t held_bytes{0};        // of results that are not released yet
+        std::uint64_t pending_bytes{0};     // of results of calls in progress
+        std::uint64_t unaccounted_bytes{0}; // of results that this queue does not track
+        time_point unaccounted_at{};        // time of the last update of unaccounted_bytes
         milliseconds unaccounted_lifetime{1'000}; // in which unaccounted_bytes decays to 0
         double slowdown{1}; // duration of its calls relative to the nominal duration
         time_point slowdown_at{};
@@ -176,29 +169,17 @@
         std::vector<waiting_piece> waiting;
         std::vector<piece_result> results;
         std::vector<unsigned> attempts;
-        std::size_t unfinished{0};    // pieces without a result
-        bool committed{false};        // late, and to be served by its hard deadline
-        double endpoints_expected{0}; // capacity when it was accepted or committed to
-        bool deferred{false};         // its workspace used more than its share
+        std::size_t unfinished{0};     // pieces without a result
+        bool goal_was_feasible{false}; // at its arrival, on an idle endpoint
+        bool deferred{false};          // its workspace used more than its share
         bool counted_as_deferred{false};
         // Whether some of its pieces are running or complete.
         bool begun() const { return waiting.size() < group.pieces.size(); }
     };
-    // See `groups_by_rank`.
-    using group_rank = std::tuple<bool, bool, bool, int, time_point, double, std::size_t,
-                                  time_point, std::uint64_t>;
-    using ranked_groups = lazily_sorted<group_rank, group_state*>;
-    // Waiting pieces of one priority.
-    struct waiting_work {
-        std::size_t pieces{0};
-        std::size_t committed{0}; // of committed groups
-    };
     struct call_piece {
         std::uint64_t group;
         std::size_t index;
     };
-    // Whether contended endpoints count as capacity.
-    enum class contended_share : std::uint8_t { excluded, included };
     struct call_state {
         std::string endpoint;
         std::uint64_t incarnation{0};
@@ -214,31 +195,23 @@
         std::set<std::string, std::less<>> near;      // data centres with a usable endpoint
         std::map<std::string, time_point> busy_until; // endpoints that got a call in this run
         std::set<std::string> skipped;                // endpoints for which no group is suitable
-        std::uint64_t min_result_bytes{0};            // of a piece of any waiting group
     };
 
     static bool in_service(const endpoint_state& endpoint, time_point now);
     void update_avoided(time_point now);
     double slowdown_now(const endpoint_state& endpoint, time_point now) const;
-    double usable_endpoints(contended_share share, time_point now) const;
-    double capacity_endpoints(contended_share share, time_point now) const;
     double capacity_endpoints(time_point now) const;
-    double pieces_per_second(double endpoints) const;
     milliseconds time_to_first_call(time_point now) const;
-    milliseconds queue_time(std::size_t pieces, double endpoints) const;
-    milliseconds full_call_time() const;
-    service_load current_load(time_point now) const;
+    milliseconds queue_time(std::size_t pieces, time_point now) const;
     double piece_cost(const piece_group& group) const;
     fairness::flow_order flow_order(time_point now);
-    void count_deferred();
-    std::vector<group_state*> committed_by_deadline();
-    std::set<const group_state*> urgent_groups(time_point now);
-    ranked_groups groups_by_rank(time_point now);
+    void count_deferred(const std::vector<group_state*>& left_waiting);
+    std::vector<group_state*> groups_by_rank(time_point now);
     std::size_t batch_space(const group_state& state, std::size_t taken, std::uint64_t room) const;
     bool exceeds_one_call(const group_state& state) const;
-    std::uint64_t min_result_bytes() const;
-    std::vector<call_piece> fill_batch(ranked_groups& order, const endpoint_state& target,
-                                       std::uint64_t room, const planning_pass& plan);
+    std::vector<call_piece> fill_batch(std::vector<group_state*>& order,
+                                       const endpoint_state& target, std::uint64_t room,
+                                       const planning_pass& plan) const;
     bool waits_for_nearer(const group_state& state, const endpoint_state& target,
                           const planning_pass& plan) const;
     bool is_idle(const endpoint_state& endpoint, time_point now) const;
@@ -255,24 +228,11 @@
     void expire_overdue(time_point now);
     void expire_hopeless(time_point now);
     void expire_infeasible(time_point now);
-    void expire_unservable_commitments(time_point now);
-    void decide_on_late(time_point now);
-    std::vector<group_state*> undecided_late_groups(time_point now);
-    std::map<int, waiting_work> waiting_by_priority() const;
-    bool can_commit(const group_state& state, const service_load& load,
-                    const std::map<int, waiting_work>& waiting, time_point now) const;
-    void commit(group_state& state, time_point now);
-    bool fits_next_calls(std::size_t pieces, time_point now) const;
-    bool has_lost_endpoints(const group_state& state, time_point now) const;
-    refusal_reason reason_without_time(const group_state& state, time_point now) const;
+    void expire_late(time_point now);
     milliseconds min_call_time() const;
-    time_point late_at(const group_state& state, milliseconds min_call_time) const;
     bool is_late(const group_state& state, milliseconds min_call_time, time_point now) const;
-    bool may_be_infeasible(time_point now) const;
-    void erase_group(std::map<std::uint64_t, group_state>::iterator found);
-    void expire_group(std::uint64_t id, refusal_reason reason, milliseconds room_expected_in);
-    milliseconds time_beyond(milliseconds expected, const piece_group& group, time_point now) const;
-    milliseconds retry_after(const piece_group& group, milliseconds room_expected_in) const;
+    void expire_group(std::uint64_t id, milliseconds retry_after);
+    milliseconds retry_after(milliseconds expected, const piece_group& group, time_point now) const;
     void finish_piece(std::uint64_t group, std::size_t index, piece_result result);
     void uncount_attempt(std::uint64_t group, std::size_t index);
     void retry_piece(std::uint64_t group, std::size_t index, piece_outcome reason);
@@ -282,8 +242,6 @@
     catalog::stage_capacity capacity_;
     std::map<std::string, endpoint_state> endpoints_;
     std::map<std::uint64_t, group_state> groups_;
-    std::size_t waiting_pieces_{0};   // of all groups
-    std::size_t committed_groups_{0}; // of all groups
     std::map<std::uint64_t, call_state> calls_;
     std::vector<finished_group> finished_;
     std::vector<std::string> orphaned_results_;
@@ -294,8 +252,6 @@
     std::set<std::string, std::less<>> avoided_data_centres_;
     std::uint64_t next_call_{1};
     time_point next_hopeless_check_{};
-    arrival_estimator arrivals_;
-    throughput_estimator throughput_;
     overload_detector overload_;
     fairness::dispatch_shares shares_;
     std::uint64_t deferred_groups_{0};
--- a/libs/stages/src/piece.cpp
+++ b/libs/stages/src/piece.cpp
@@ -12,18 +12,6 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
-std::string_view to_string(refusal_reason reason) {
-    switch (reason) {
-    case refusal_reason::no_time:
-        return "no_time";
-    case refusal_reason::overload:
-        return "overload";
-    case refusal_reason::endpoints_lost:
-        return "endpoints_lost";
-    }
-    return "unknown";
-}
-
 bool all_made(const std::vector<piece_result>& results) {
     const auto was_made = [](const piece_result& result) {
         return result.outcome == piece_outcome::made;
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -3,7 +3,6 @@
 #include "stages/stage_queue.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -25,18 +24,11 @@
     return waiting_pieces() > capacity_.batch ? service_time(capacity_.batch) : milliseconds{0};
 }
 
-// After this, a group misses its soft deadline even if it is started at once.
-time_point stage_queue::late_at(const group_state& state, milliseconds min_call_time) const {
-    const bool in_full_call =
-        state.waiting.size() <= capacity_.batch && min_call_time > milliseconds{0};
-    const auto own =
-        in_full_call ? min_call_time : std::max(service_time(state.waiting.size()), min_call_time);
-    return state.group.soft_deadline - own;
-}
-
+// Whether a group misses its soft deadline even if it is started now.
 bool stage_queue::is_late(const group_state& state, milliseconds min_call_time,
                           time_point now) const {
-    return now > late_at(state, min_call_time);
+    const auto own = std::max(service_time(state.waiting.size()), min_call_time);
+    return now + own > state.group.soft_deadline;
 }
 
 // Cost of a piece of a group in ms of an endpoint, see `fairness::piece_cost`.
@@ -58,81 +50,38 @@
     return shares_.order(waiting, static_cast<double>(service_time(capacity_.batch).count()), now);
 }
 
-// Counts the groups that wait while others go first. `groups_by_rank` marked them.
-void stage_queue::count_deferred() {
-    for (auto& [id, state] : groups_) {
-        if (!state.waiting.empty() && state.deferred &&
-            !std::exchange(state.counted_as_deferred, true)) {
+void stage_queue::count_deferred(const std::vector<group_state*>& left_waiting) {
+    for (auto* const state : left_waiting) {
+        if (state->deferred && !std::exchange(state->counted_as_deferred, true)) {
             ++deferred_groups_;
         }
     }
 }
 
-// Committed groups with waiting pieces, the nearest hard deadline first.
-std::vector<stage_queue::group_state*> stage_queue::committed_by_deadline() {
-    std::vector<group_state*> committed;
-    if (committed_groups_ == 0) {
-        return committed;
-    }
-    for (auto& [id, state] : groups_) {
-        if (state.committed && !state.waiting.empty()) {
-            committed.push_back(&state);
-        }
-    }
-    std::sort(committed.begin(), committed.end(), [](const auto* left, const auto* right) {
-        return std::tie(left->group.hard_deadline, left->group.id) <
-               std::tie(right->group.hard_deadline, right->group.id);
-    });
-    return committed;
-}
-
-// Committed groups that miss their hard deadline if they wait for other groups any longer.
-std::set<const stage_queue::group_state*> stage_queue::urgent_groups(time_point now) {
-    const auto endpoints = capacity_endpoints(now);
-    const bool overloaded = current_load(now).is_overloaded();
-    // An endpoint may have begun a call, and the group's own call is a full one.
-    const auto reserve = full_call_time() * 2;
-    std::set<const group_state*> urgent;
-    std::size_t ahead = 0;
-    std::vector<const group_state*> before;
-    for (const auto* const state : committed_by_deadline()) {
-        ahead += state->waiting.size();
-        before.push_back(state);
-        // In a lasting overload those ahead need their time too. Otherwise most of them are served
-        // in time behind on-time work, and overtaking early would make others late.
-        const auto needed = overloaded ? queue_time(ahead, endpoints) + reserve
-                                       : full_call_time() + service_time(state->waiting.size());
-        if (now + needed >= state->group.hard_deadline) {
-            // Those with nearer deadlines take up its time.
-            urgent.insert(before.begin(), before.end());
-            before.clear();
-        }
-    }
-    return urgent;
-}
-
-stage_queue::ranked_groups stage_queue::groups_by_rank(time_point now) {
+std::vector<stage_queue::group_state*> stage_queue::groups_by_rank(time_point now) {
+    using rank = std::tuple<bool, bool, bool, int, double, std::size_t, time_point, std::uint64_t>;
     const auto min_call = min_call_time();
-    const auto urgent = urgent_groups(now);
     const auto flows = flow_order(now);
-    std::vector<std::pair<group_rank, group_state*>> ranked;
+    std::vector<std::pair<rank, group_state*>> ranked;
     ranked.reserve(groups_.size());
     for (auto& [id, state] : groups_) {
-        if (state.waiting.empty()) {
-            continue;
+        if (!state.waiting.empty()) {
+            const auto priority = state.group.priority;
+            const auto position = flows.position({priority, state.group.workspace});
+            state.deferred = position > 0 && !state.begun();
+            ranked.emplace_back(rank{!state.begun(), !flows.is_starved(priority),
+                                     is_late(state, min_call, now), priority, position,
+                                     state.waiting.size(), state.group.soft_deadline, id},
+                                &state);
         }
-        const bool is_urgent = urgent.contains(&state);
-        const bool waits_for_others = !is_urgent && is_late(state, min_call, now);
-        const auto urgent_until = is_urgent ? state.group.hard_deadline : time_point::max();
-        const auto priority = state.group.priority;
-        const auto position = flows.position({priority, state.group.workspace});
-        state.deferred = position > 0 && !state.begun() && !is_urgent;
-        ranked.emplace_back(group_rank{!state.begun(), !flows.is_starved(priority),
-                                       waits_for_others, priority, urgent_until, position,
-                                       state.waiting.size(), state.group.soft_deadline, id},
-                            &state);
     }
-    return ranked_groups{std::move(ranked)};
+    std::sort(ranked.begin(), ranked.end());
+    std::vector<group_state*> order;
+    order.reserve(ranked.size());
+    for (const auto& [key, state] : ranked) {
+        order.push_back(state);
+    }
+    return order;
 }
 
 bool stage_queue::is_idle(const endpoint_state& endpoint, time_point now) const {
@@ -179,24 +128,14 @@
            (capacity_.result_memory_bytes > 0 && bytes > capacity_.result_memory_bytes);
 }
 
-std::uint64_t stage_queue::min_result_bytes() const {
-    auto least = std::numeric_limits<std::uint64_t>::max();
-    for (const auto& [id, state] : groups_) {
-        if (!state.waiting.empty()) {
-            least = std::min(least, state.group.result_bytes);
-        }
-    }
-    return least;
-}
-
 // Fills one call in rank order. A group that does not fit is skipped in favour of smaller ones, so
 // that its pieces stay together. A group is split only if it does not fit into any single call, or
 // if the skipped pieces would fill another call: then the service is saturated, and an unfilled
 // call costs more than the split.
-std::vector<stage_queue::call_piece> stage_queue::fill_batch(ranked_groups& order,
+std::vector<stage_queue::call_piece> stage_queue::fill_batch(std::vector<group_state*>& order,
                                                              const endpoint_state& target,
                                                              std::uint64_t room,
-                                                             const planning_pass& plan) {
+                                                             const planning_pass& plan) const {
     std::vector<call_piece> batch;
     const auto take = [&](group_state& state, std::size_t count) {
         for (std::size_t i = 0; i < count; ++i) {
@@ -204,19 +143,11 @@
         }
         state.waiting.erase(state.waiting.begin(),
                             state.waiting.begin() + static_cast<std::ptrdiff_t>(count));
-        waiting_pieces_ -= count;
         room -= std::min(room, count * state.group.result_bytes);
     };
     std::size_t skipped_pieces = 0;
     group_state* first_skipped = nullptr;
-    // Once nothing fits any more, the remaining groups make no difference.
-    const bool limited = capacity_.result_memory_bytes > 0;
-    for (std::size_t i = 0;
-         batch.size() < capacity_.batch && !(limited && room < plan.min_result_bytes); ++i) {
-        auto* const state = order.at(i);
-        if (state == nullptr) {
-            break;
-        }
+    for (auto* const state : order) {
         if (waits_for_nearer(*state, target, plan)) {
             continue;
         }
@@ -233,7 +164,7 @@
         const auto space = batch_space(*first_skipped, batch.size(), room);
         take(*first_skipped, std::min(space, first_skipped->waiting.size()));
     }
-    order.erase_read_if([](const group_state* state) { return state->waiting.empty(); });
+    std::erase_if(order, [](const group_state* state) { return state->waiting.empty(); });
     return batch;
 }
 
@@ -313,13 +244,12 @@
         std::count_if(endpoints_.begin(), endpoints_.end(),
                       [&](const auto& item) { return is_idle(item.second, now); }));
     std::vector<stage_call> started;
-    auto pieces = waiting_pieces();
-    if (idle == 0 || pieces == 0) {
-        throughput_.record_backlog(pieces >= capacity_.batch, now);
+    auto pieces = idle == 0 ? 0 : waiting_pieces();
+    if (pieces == 0) {
         return started;
     }
     auto order = groups_by_rank(now);
-    planning_pass plan{now, near_data_centres(now), {}, {}, min_result_bytes()};
+    planning_pass plan{now, near_data_centres(now), {}, {}};
     std::vector<call_piece> reserved;
     for (std::size_t step = 0; step < 2 * endpoints_.size() && idle > 0 && !order.empty(); ++step) {
         auto* const target = earliest_finishing_endpoint(std::min(pieces, capacity_.batch), plan);
@@ -353,16 +283,13 @@
             free_at + scaled(nominal, slowdown_now(*target, now));
         reserved.insert(reserved.end(), batch.begin(), batch.end());
     }
-    count_deferred();
+    count_deferred(order);
     for (const auto& piece : reserved) {
         groups_.at(piece.group).waiting.push_back({piece.index});
-        ++waiting_pieces_;
     }
-    const auto left_waiting = pieces + reserved.size();
     for (auto& call : started) {
-        call.left_waiting = left_waiting;
+        call.left_waiting = pieces + reserved.size();
     }
-    throughput_.record_backlog(left_waiting >= capacity_.batch, now);
     return started;
 }
 
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -23,21 +23,9 @@
 constexpr milliseconds contended_full_backoff{250};
 constexpr milliseconds room_poll_interval{25}; // for endpoints without memory for results
 constexpr milliseconds max_wakeup_delay{60'000};
-constexpr milliseconds decision_poll_interval{50}; // for groups that are to be decided on
 constexpr milliseconds capacity_backoff_limit{
     500}; // an endpoint with a shorter back-off counts as capacity
 
-constexpr double min_endpoints = 0.5; // assumed while there are none, as some may return
-constexpr double min_call_seconds = 0.001;
-// A service whose endpoints all stood still for seconds may go on at any time.
-constexpr double min_measured_share = 0.25;
-
-std::size_t count_made(const std::vector<piece_result>& results) {
-    return static_cast<std::size_t>(
-        std::count_if(results.begin(), results.end(),
-                      [](const auto& result) { return result.outcome == piece_outcome::made; }));
-}
-
 } // namespace
 
 stage_queue stage_queue::make(const catalog::stage_capacity& capacity) {
@@ -65,20 +53,12 @@
         if (kept.descriptor.incarnation != endpoint.incarnation ||
             kept.descriptor.address != endpoint.address) {
             kept = endpoint_state{};
-            throughput_.reset();
         }
         kept.descriptor = endpoint;
         kept.contended = contended_.contains(endpoint.id);
-        const bool is_evacuated = evacuated.contains(endpoint.data_centre);
-        if (std::exchange(kept.evacuated, is_evacuated) != is_evacuated) {
-            throughput_.reset();
-        }
-    }
-    if (std::erase_if(endpoints_, [&](const auto& item) { return !listed.contains(item.first); }) >
-        0) {
-        next_hopeless_check_ = now;
-        throughput_.reset();
+        kept.evacuated = evacuated.contains(endpoint.data_centre);
     }
+    std::erase_if(endpoints_, [&](const auto& item) { return !listed.contains(item.first); });
     update_avoided(now);
 }
 
@@ -103,9 +83,6 @@
 }
 
 void stage_queue::set_contended(std::set<std::string, std::less<>> endpoints) {
-    if (endpoints != contended_) {
-        throughput_.reset();
-    }
     contended_ = std::move(endpoints);
     for (auto& [id, endpoint] : endpoints_) {
         endpoint.contended = contended_.contains(id);
@@ -123,12 +100,11 @@
     return 1 + (endpoint.slowdown - 1) * std::exp(-age / decay_time);
 }
 
-// Number of endpoints at nominal speed that the endpoints in service amount to.
-double stage_queue::usable_endpoints(contended_share share, time_point now) const {
+// Capacity of the service as a number of endpoints at nominal speed.
+double stage_queue::capacity_endpoints(time_point now) const {
     double sum = 0;
     for (const auto& [id, endpoint] : endpoints_) {
-        const bool counted = share == contended_share::included || !endpoint.contended;
-        const bool usable = in_service(endpoint, now) && !endpoint.avoided && counted;
+        const bool usable = in_service(endpoint, now) && !endpoint.avoided && !endpoint.contended;
         if (usable && now + capacity_backoff_limit >= endpoint.backoff_until) {
             sum += 1 / std::max(slowdown_now(endpoint, now), 1.0);
         }
@@ -136,46 +112,12 @@
     return sum;
 }
 
-// Pieces that this number of endpoints at nominal speed processes in full calls.
-double stage_queue::pieces_per_second(double endpoints) const {
-    const auto full_call = capacity_.call_time + capacity_.piece_time * capacity_.batch;
-    const double call_seconds = std::chrono::duration<double>(full_call).count();
-    return std::max(endpoints, min_endpoints) * capacity_.calls *
-           static_cast<double>(capacity_.batch) / std::max(call_seconds, min_call_seconds);
-}
-
-// Capacity of the service as a number of endpoints at nominal speed. Less than the usable ones if
-// they were seen to process less while work waited.
-double stage_queue::capacity_endpoints(contended_share share, time_point now) const {
-    const double usable = usable_endpoints(share, now);
-    const auto measured = throughput_.pieces_per_second(full_call_time(), now);
-    if (!measured) {
-        return usable;
-    }
-    return std::clamp(*measured / pieces_per_second(usable), min_measured_share, 1.0) * usable;
-}
-
-double stage_queue::capacity_endpoints(time_point now) const {
-    return capacity_endpoints(contended_share::excluded, now);
-}
-
-milliseconds stage_queue::full_call_time() const {
-    return service_time(capacity_.batch);
-}
-
-// Time in which this number of endpoints at nominal speed processes pieces in full calls.
-milliseconds stage_queue::queue_time(std::size_t pieces, double endpoints) const {
+// Time in which the service processes this number of pieces in full calls.
+milliseconds stage_queue::queue_time(std::size_t pieces, time_point now) const {
+    const double endpoints = std::max(capacity_endpoints(now), 0.5) * capacity_.calls;
     const double calls = static_cast<double>(pieces) / static_cast<double>(capacity_.batch);
     const auto full_call = capacity_.call_time + capacity_.piece_time * capacity_.batch;
-    return scaled(full_call, calls / (std::max(endpoints, min_endpoints) * capacity_.calls));
-}
-
-service_load stage_queue::current_load(time_point now) const {
-    // Contended endpoints take calls too. If the other dispatcher uses them for long, that is
-    // measured.
-    return {pieces_per_second(capacity_endpoints(contended_share::included, now)), waiting_pieces(),
-            arrivals_.arrived(service_load::lasting_period, now),
-            arrivals_.arrived(service_load::recent_period, now)};
+    return scaled(full_call, calls / endpoints);
 }
 
 // Time until an endpoint in service is no longer backed off; 0 if none is in service, as one may
@@ -193,35 +135,26 @@
 admission stage_queue::offer(piece_group group, time_point now) {
     shares_.record_arrival(group.priority,
                            piece_cost(group) * static_cast<double>(group.pieces.size()), now);
-    arrivals_.record(group.pieces.size(), group.priority, now);
     const auto own = service_time(group.pieces.size());
-    const auto endpoints = capacity_endpoints(now);
-    const auto first_call_in = time_to_first_call(now);
-    const auto expected = std::max(queue_time(waiting_pieces(), endpoints), first_call_in) + own;
+    std::size_t ahead = 0;
+    for (const auto& [id, state] : groups_) {
+        ahead += state.waiting.size();
+    }
+    const auto expected = std::max(queue_time(ahead, now), time_to_first_call(now)) + own;
     if (now + expected > group.hard_deadline) {
-        const auto room_expected_in =
-            time_beyond(expected, group, now) + current_load(now).time_to_process_excess();
-        // Until an endpoint takes calls again, a retry would be refused too.
-        return {false, expected,
-                std::max(retry_after(group, room_expected_in),
-                         time_beyond(first_call_in + own, group, now)),
-                refusal_reason::no_time};
+        return {false, expected, retry_after(expected, group, now)};
     }
     group_state state;
     state.results.resize(group.pieces.size());
     state.attempts.resize(group.pieces.size());
     state.unfinished = group.pieces.size();
-    state.endpoints_expected = usable_endpoints(contended_share::included, now);
+    state.goal_was_feasible = now + own <= group.soft_deadline;
     for (std::size_t i = 0; i < group.pieces.size(); ++i) {
         state.waiting.push_back({i});
     }
     const auto id = group.id;
     state.group = std::move(group);
-    if (const auto same_id = groups_.find(id); same_id != groups_.end()) {
-        erase_group(same_id);
-    }
-    waiting_pieces_ += state.waiting.size();
-    groups_.emplace(id, std::move(state));
+    groups_.insert_or_assign(id, std::move(state));
     return {true, expected, milliseconds{0}};
 }
 
@@ -235,12 +168,6 @@
             orphaned_results_.push_back(result.handle);
         }
     }
-    erase_group(found);
-}
-
-void stage_queue::erase_group(std::map<std::uint64_t, group_state>::iterator found) {
-    waiting_pieces_ -= found->second.waiting.size();
-    committed_groups_ -= found->second.committed ? 1 : 0;
     groups_.erase(found);
 }
 
@@ -256,7 +183,7 @@
     state.results[index] = std::move(result);
     if (--state.unfinished == 0) {
         finished_.push_back({group, std::move(state.results), false, {}});
-        erase_group(found);
+        groups_.erase(found);
     }
 }
 
@@ -279,7 +206,6 @@
         return;
     }
     found->second.waiting.push_back({index});
-    ++waiting_pieces_;
 }
 
 void stage_queue::update_slowdown(endpoint_state& endpoint, const call_state& call,
@@ -344,7 +270,6 @@
     }
     const bool answered =
         outcome == call_outcome::answered && results.size() == ended.pieces.size();
-    throughput_.record_completed(count_made(results), now);
     std::uint64_t pieces_without_room = 0;
     for (std::size_t i = 0; i < ended.pieces.size(); ++i) {
         const auto& [group, index] = ended.pieces[i];
@@ -411,15 +336,9 @@
             earliest = std::min(earliest, now + room_poll_interval);
         }
     }
-    const auto min_call = min_call_time();
     for (const auto& [id, state] : groups_) {
         if (!state.waiting.empty()) {
             earliest = std::min(earliest, state.group.hard_deadline - service_time(1));
-            if (!state.committed) {
-                // The decision on a late group.
-                earliest = std::min(
-                    earliest, std::max(late_at(state, min_call), now + decision_poll_interval));
-            }
             if (!state.group.near_data_centre.empty()) {
                 earliest = std::min(earliest, now + room_poll_interval);
             }
@@ -433,4 +352,12 @@
                        [&](const auto& item) { return in_service(item.second, now); });
 }
 
+std::size_t stage_queue::waiting_pieces() const {
+    std::size_t count = 0;
+    for (const auto& [id, state] : groups_) {
+        count += state.waiting.size();
+    }
+    return count;
+}
+
 } // namespace boragefront::stages
