--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -153,10 +153,10 @@
         time_point backoff_until{};
         unsigned failures_in_row{0};
         unsigned refusals_in_row{0};
-        std::uint64_t held_bytes{0};        // of results that are not released yet
-        std::uint64_t pending_bytes{0};     // of results of calls in progress
-        std::uint64_t unaccounted_bytes{0}; // of results that this queue does not track
-        time_point unaccounted_at{};        // time of the last update of unaccounted_bytes
+        std::uint64_t held_bytes{0};              // of results that are not released yet
+        std::uint64_t pending_bytes{0};           // of results of calls in progress
+        std::uint64_t unaccounted_bytes{0};       // of results that this queue does not track
+        time_point unaccounted_at{};              // time of the last update of unaccounted_bytes
         milliseconds unaccounted_lifetime{1'000}; // in which unaccounted_bytes decays to 0
         double slowdown{1}; // duration of its calls relative to the nominal duration
         time_point slowdown_at{};
