gateway: the selection of dispatchers in a class of its own

Cause: stage_scheduler.cpp had grown to 535 lines with two jobs: stage work, and the choice of the entry that queues it with its hand-overs and skipped entries. Change: dispatcher_selector holds the latter; the scheduler asks it. Behavior is unchanged.

--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -69,7 +69,7 @@
 void stage_scheduler::update_endpoints(time_point now) {
     const auto& published = state_.current()->published;
     serving_since_ = serving_since_.value_or(now);
-    update_placement(now);
+    dispatchers_.update(now);
     for (auto& [service, queue] : queues_) {
         const auto found = published.config->services.find(service);
         if (found != published.config->services.end() && found->second.stages) {
@@ -86,7 +86,7 @@
     const auto& fleet = state_.fleet();
     const endpoint_sharing sharing{fleet,
                                    {state_.self_id(), state_.role().processors},
-                                   hand_over_partner(queue.service, now),
+                                   dispatchers_.hand_over_partner(queue.service, now),
                                    serving_since_ && is_starting(fleet, *serving_since_, now)};
     const auto shares_hash = sharing_hash(state_.endpoints(), queue.service, sharing);
     if (shares_hash == queue.shares_hash) {
@@ -321,7 +321,7 @@
 
 wire::answer stage_scheduler::handle(const wire::make_pieces_request& request) {
     const auto now = steady_clock::now();
-    if (state_.current() == nullptr || defers_dispatch(self(), state_.fleet(), now)) {
+    if (state_.current() == nullptr || dispatchers_.defers(now)) {
         return wire::refusal{"this entry does not accept stage work at present"};
     }
     const auto* const configured = configured_service(request.service);
--- a/libs/gateway/src/stage_scheduler.cpp
+++ b/libs/gateway/src/stage_scheduler.cpp
@@ -20,14 +20,8 @@
 // A dispatcher responds within a few round trips. One that is overloaded or gone costs a request
 // this much once.
 constexpr milliseconds dispatch_request_timeout{150};
-constexpr milliseconds min_backoff{400}; // gives a slow dispatcher time to work off its backlog
-constexpr milliseconds max_backoff{3'200};
-// Longer than it takes until a peer that has ended is not alive any more.
-constexpr milliseconds unreachable_retention{2'000};
 // For checks whether the dispatcher is still alive.
 constexpr milliseconds dispatcher_poll_interval{200};
-// The groups that a former dispatcher has are complete or expired within about this time.
-constexpr milliseconds hand_over_time{1'000};
 // The queue expires a group once it is useless. After this margin its completion counts as lost.
 constexpr milliseconds completion_margin{2'000};
 constexpr milliseconds notify_timeout{400};
@@ -56,8 +50,9 @@
 stage_scheduler::stage_scheduler(asio::any_io_executor executor, traffic_state& state,
                                  http::client& endpoints, wire::client& peers, result_freer& freer,
                                  std::string work_address)
-    : executor_{std::move(executor)}, state_{state}, endpoints_{endpoints}, peers_{peers},
-      freer_{freer}, work_address_{std::move(work_address)}, next_id_{state.random()()} {
+    : executor_{std::move(executor)}, state_{state},
+      endpoints_{endpoints}, peers_{peers}, freer_{freer}, work_address_{std::move(work_address)},
+      dispatchers_{state}, next_id_{state.random()()} {
     freer_.on_freed([this](const auto& handles) { on_results_freed(handles); });
     state_.on_endpoints_changed([this](time_point now) { update_endpoints(now); });
     state_.on_fleet_changed([this](time_point now) { update_fleet(now); });
@@ -95,177 +90,26 @@
     return configured_service(queue.service) != nullptr || queue.queue.has_endpoint_in_service(now);
 }
 
-dispatching_entry stage_scheduler::self() const {
-    const auto& role = state_.role();
-    const auto& info = state_.fleet().self;
-    const bool late = state_.is_late(state_.self_id(), info.life, steady_clock::now());
-    return {{state_.self_id(), role.processors, role.link_mbps, info.serving_for, late},
-            state_.draining};
-}
-
-// The entries to ask to dispatch for a service. If none responds, this one dispatches locally.
-std::vector<wire::entry_info> stage_scheduler::dispatchers(const std::string& service,
-                                                           const std::set<std::string>& asked) {
-    const auto now = steady_clock::now();
-    const auto entry = self();
-    if (!placement_inputs_ ||
-        placement_inputs_->defers != defers_dispatch(entry, state_.fleet(), now)) {
-        update_placement(now);
-    }
-    const auto is_excluded = [&](const wire::entry_info& other) {
-        const auto late = late_dispatchers_.find(other.id);
-        return asked.contains(other.id) || is_unreachable(other, now) ||
-               (late != late_dispatchers_.end() && now < late->second.skip_until);
-    };
-    return entries_to_ask(dispatcher_order(service), entry, state_.fleet(), is_excluded);
-}
-
-// Selects the dispatchers of all services anew if the fleet, the configuration or the drain of this
-// entry has changed. Not left to the next request: an entry without requests of its own may become
-// a dispatcher, and must know of the former one.
-void stage_scheduler::update_placement(time_point now) {
-    const auto entry = self();
-    placement_inputs inputs;
-    inputs.defers = defers_dispatch(entry, state_.fleet(), now);
-    inputs.candidates = dispatch_candidates(
-        entry, state_.fleet(),
-        [&](const auto& other) { return state_.is_late(other.id, other.life, now); }, now);
-    for (const auto& [name, configured] : state_.current()->published.config->services) {
-        if (configured.stages) {
-            inputs.stage_services.push_back(name);
-        }
-    }
-    if (placement_inputs_ == inputs) {
-        return;
-    }
-    placement_inputs_ = std::move(inputs);
-    dispatcher_orders_.clear();
-    for (const auto& service : placement_inputs_->stage_services) {
-        record_dispatcher(service, now);
-    }
-}
-
-// Valid until the next selection.
-const std::vector<std::string>& stage_scheduler::dispatcher_order(const std::string& service) {
-    auto [order, is_new] = dispatcher_orders_.try_emplace(service);
-    if (is_new) {
-        order->second = placement::dispatcher_order(service, placement_inputs_->stage_services,
-                                                    placement_inputs_->candidates);
-    }
-    return order->second;
-}
-
-void stage_scheduler::record_dispatcher(const std::string& service, time_point now) {
-    const auto& order = dispatcher_order(service);
-    if (order.empty()) {
-        return;
-    }
-    std::vector<std::string> alive{state_.self_id()};
-    for (const auto& entry : state_.fleet().alive) {
-        alive.push_back(entry.id);
-    }
-    const auto change =
-        dispatcher_history_.update(service, order.front(), placement_inputs_->candidates, alive);
-    if (!change) {
-        return;
-    }
-    const std::string reason{placement::to_string(change->reason)};
-    log_change("placement", "dispatcher_changed",
-               {{"service", service},
-                {"before", change->before},
-                {"after", change->after},
-                {"reason", reason}});
-    state_.metrics()
-        .get_counter("boragefront_dispatcher_changes_total",
-                     "service=\"" + service + "\",reason=\"" + reason + '"')
-        .add();
-    begin_hand_over(service, *change, now);
-}
-
-// The former dispatcher completes the groups that it has, so for some time two queues use the
-// endpoints of the service.
-void stage_scheduler::begin_hand_over(const std::string& service,
-                                      const placement::dispatcher_change& change, time_point now) {
-    const bool takes_over = change.after == state_.self_id();
-    if (!takes_over && change.before != state_.self_id()) {
-        return;
-    }
-    const auto& other = takes_over ? change.before : change.after;
-    const auto& alive = state_.fleet().alive;
-    const auto found = std::find_if(alive.begin(), alive.end(),
-                                    [&](const auto& entry) { return entry.id == other; });
-    // A former dispatcher that has restarted meanwhile has no groups.
-    const bool restarted =
-        takes_over && found != alive.end() && found->serving && found->serving_for < hand_over_time;
-    if (found != alive.end() && !restarted) {
-        hand_overs_.insert_or_assign(service, hand_over{*found, now + hand_over_time});
-    }
-}
-
-// The other dispatcher of a hand-over that is in progress, null if there is none.
-const wire::entry_info* stage_scheduler::hand_over_partner(const std::string& service,
-                                                           time_point now) {
-    const auto found = hand_overs_.find(service);
-    if (found == hand_overs_.end()) {
-        return nullptr;
-    }
-    const auto& [other, ends_at] = found->second;
-    if (now >= ends_at || !is_alive(other.id, other.life)) {
-        hand_overs_.erase(found);
-        return nullptr;
-    }
-    return &other;
-}
-
 // Groups whose dispatcher has disappeared are dispatched elsewhere at once.
 void stage_scheduler::update_fleet(time_point now) {
     if (state_.current() == nullptr) {
         return; // no requests yet
     }
-    update_placement(now);
+    dispatchers_.update(now);
     for (const auto& [ticket, pending] : pending_groups_) {
         if (pending->dispatcher != state_.self_id() &&
-            !is_alive(pending->dispatcher, pending->dispatcher_life)) {
+            !dispatchers_.is_alive(pending->dispatcher, pending->dispatcher_life)) {
             pending->done.cancel();
         }
     }
     for (auto& [service, queue] : queues_) {
         if (update_endpoint_shares(*queue, now)) {
-            run_queue(
-                service); // pieces may wait for endpoints that are not left to others any more
+            // Pieces may wait for endpoints that are not left to others any more.
+            run_queue(service);
         }
     }
 }
 
-// A dispatcher that does not respond in time is skipped by all requests for an increasing time.
-// Otherwise each request would wait for it and add to its load.
-void stage_scheduler::record_late_dispatcher(const std::string& dispatcher, time_point now) {
-    auto& late = late_dispatchers_[dispatcher];
-    if (now < late.skip_until) {
-        return;
-    }
-    late.backoff = std::clamp(late.backoff * 2, min_backoff, max_backoff);
-    late.skip_until = now + late.backoff;
-}
-
-// Whether the process of an entry does not listen any more. The entry is asked again after its next
-// start, or once the fleet must have noticed its end.
-bool stage_scheduler::is_unreachable(const wire::entry_info& entry, time_point now) const {
-    const auto found = unreachable_dispatchers_.find(entry.id);
-    return found != unreachable_dispatchers_.end() && found->second.life == entry.life &&
-           now - found->second.refused_at < unreachable_retention;
-}
-
-bool stage_scheduler::is_uniform() const {
-    return !placement_inputs_ || placement::is_uniform(placement_inputs_->candidates);
-}
-
-bool stage_scheduler::is_alive(const std::string& id, incarnation life) const {
-    const auto& alive = state_.fleet().alive;
-    return std::any_of(alive.begin(), alive.end(),
-                       [&](const auto& entry) { return entry.id == id && entry.life == life; });
-}
-
 void stage_scheduler::record_expected_time(const std::string& service, milliseconds expected) {
     state_.metrics()
         .get_latency("boragefront_stage_group_expected_seconds", "service=\"" + service + '"')
@@ -301,7 +145,7 @@
             co_return group_cancelled{};
         }
         // Selected again after each failure: the second choice may have disappeared meanwhile.
-        const auto next = dispatchers(service.name, asked);
+        const auto next = dispatchers_.entries_to_ask(service.name, asked, steady_clock::now());
         if (next.empty()) {
             break;
         }
@@ -318,7 +162,7 @@
                      {{"service", service.name},
                       {"dispatcher", dispatcher.id},
                       {"request", group.pieces.front().request_id}});
-        unanswered += is_unreachable(dispatcher, steady_clock::now()) ? 0 : 1;
+        unanswered += dispatchers_.is_unreachable(dispatcher, steady_clock::now()) ? 0 : 1;
     }
     co_return co_await dispatch_locally(service, std::move(group), cancellation);
 }
@@ -344,8 +188,9 @@
                                       time_left(group.soft_deadline, asked_at),
                                       time_left(group.hard_deadline, asked_at)};
     // With equal machines requests are sent as before.
-    const auto refused = is_uniform() ? wire::on_refused_connection::retry_until_timeout
-                                      : wire::on_refused_connection::fail;
+    const auto refused = dispatchers_.is_uniform()
+                             ? wire::on_refused_connection::retry_until_timeout
+                             : wire::on_refused_connection::fail;
     auto response = co_await peers_.call(dispatcher.work_address, std::move(request),
                                          dispatch_request_timeout, refused);
     const auto* const reply =
@@ -358,16 +203,12 @@
     }
     if (!response && response.error().kind == error_kind::connect_failed) {
         pending_groups_.erase(ticket);
-        unreachable_dispatchers_.insert_or_assign(
-            dispatcher.id, unreachable_dispatcher{dispatcher.life, steady_clock::now()});
+        dispatchers_.record_refused_connection(dispatcher, steady_clock::now());
         co_return std::nullopt;
     }
     if (reply == nullptr) {
         pending_groups_.erase(ticket);
-        const auto now = steady_clock::now();
-        record_late_dispatcher(dispatcher.id, now);
-        state_.response_monitor().record_missed({dispatcher.id, dispatcher.life},
-                                                dispatch_request_timeout, now);
+        dispatchers_.record_missed(dispatcher, dispatch_request_timeout, steady_clock::now());
         // The dispatcher may still accept the pieces later.
         asio::co_spawn(executor_,
                        notify_peer(dispatcher.work_address,
@@ -375,10 +216,8 @@
                        exception_logger{"stages", "notify_peer"});
         co_return std::nullopt;
     }
-    late_dispatchers_.erase(dispatcher.id);
     const auto responded_at = steady_clock::now();
-    state_.response_monitor().record_response({dispatcher.id, dispatcher.life},
-                                              responded_at - asked_at, responded_at);
+    dispatchers_.record_response(dispatcher, responded_at - asked_at, responded_at);
     if (!reply->accepted) {
         pending_groups_.erase(ticket);
         co_return group_outcome{group_refused{reply->retry_after}};
@@ -386,7 +225,8 @@
     record_expected_time(service, reply->expected);
     const auto overdue_at = asked_at + dispatch_timeout(reply->expected);
     while (!pending->result && !cancellation.cancelled() &&
-           is_alive(dispatcher.id, dispatcher.life) && steady_clock::now() < overdue_at) {
+           dispatchers_.is_alive(dispatcher.id, dispatcher.life) &&
+           steady_clock::now() < overdue_at) {
         boost::system::error_code interrupted;
         pending->done.expires_after(dispatcher_poll_interval);
         cancellation.add(pending->done);
@@ -502,7 +342,7 @@
     release_scheduled_ = false;
     auto releases = std::exchange(pending_releases_, {});
     for (auto& [service, handles] : releases) {
-        const auto order = dispatchers(service);
+        const auto order = dispatchers_.entries_to_ask(service, {}, steady_clock::now());
         bool release_locally = order.empty();
         if (!release_locally) {
             // A named variable, because g++ 12 destroys an aggregate in a co_await expression
--- a/libs/gateway/src/stage_scheduler.hpp
+++ b/libs/gateway/src/stage_scheduler.hpp
@@ -3,10 +3,9 @@
 /// it, which may be this one, or by this one if the dispatcher cannot be reached.
 #pragma once
 
-#include "dispatch_order.hpp"
+#include "dispatcher_selector.hpp"
 #include "duplicate_response_filter.hpp"
 #include "http/client.hpp"
-#include "placement/dispatcher_history.hpp"
 #include "result_freer.hpp"
 #include "stages/group_duration_estimator.hpp"
 #include "stages/stage_queue.hpp"
@@ -133,20 +132,7 @@
     bool can_dispatch(const service_queue& queue, time_point now) const;
     void update_endpoints(time_point now);
     bool update_endpoint_shares(service_queue& queue, time_point now);
-    dispatching_entry self() const;
-    std::vector<wire::entry_info> dispatchers(const std::string& service,
-                                              const std::set<std::string>& asked = {});
-    void update_placement(time_point now);
-    const std::vector<std::string>& dispatcher_order(const std::string& service);
-    void record_dispatcher(const std::string& service, time_point now);
-    void begin_hand_over(const std::string& service, const placement::dispatcher_change& change,
-                         time_point now);
-    const wire::entry_info* hand_over_partner(const std::string& service, time_point now);
     void update_fleet(time_point now);
-    bool is_unreachable(const wire::entry_info& entry, time_point now) const;
-    bool is_uniform() const;
-    bool is_alive(const std::string& id, incarnation life) const;
-    void record_late_dispatcher(const std::string& dispatcher, time_point now);
     http::awaitable<std::optional<group_outcome>>
     dispatch_remotely(const wire::entry_info& dispatcher, const std::string& service,
                       const stages::piece_group& group, cancellation_source& cancellation);
@@ -174,24 +160,8 @@
     std::string work_address_;
     // By service. One that has left the configuration keeps its queue for the requests under way.
     std::map<std::string, std::unique_ptr<service_queue>> queues_;
-    // What the selection of dispatchers depends on.
-    struct placement_inputs {
-        bool defers{false}; // this entry dispatches for no other
-        std::vector<placement::candidate> candidates;
-        std::vector<std::string> stage_services;
-        bool operator==(const placement_inputs&) const = default;
-    };
-    std::optional<time_point> serving_since_;          // when the first snapshot was published
-    std::optional<placement_inputs> placement_inputs_; // empty before the first selection
-    // Ids of all candidates by service, the preferred dispatcher first.
-    std::map<std::string, std::vector<std::string>> dispatcher_orders_;
-    placement::dispatcher_history dispatcher_history_;
-    // The other entry that has work for a service after a change of its dispatcher.
-    struct hand_over {
-        wire::entry_info other;
-        time_point ends_at{};
-    };
-    std::map<std::string, hand_over> hand_overs_; // by service
+    std::optional<time_point> serving_since_; // when the first snapshot was published
+    dispatcher_selector dispatchers_;
     std::map<std::uint64_t, std::shared_ptr<pending_group>>
         pending_groups_; // by ticket; shared with the waiting request
     // Tickets of groups whose results were accepted lately, and when.
@@ -200,16 +170,6 @@
     bool release_scheduled_{false};
     std::map<std::string, stages::group_duration_estimator> paces_; // by service
     duplicate_response_filter duplicates_;
-    struct late_dispatcher {
-        time_point skip_until{}; ///< not asked again before
-        milliseconds backoff{0};
-    };
-    std::map<std::string, late_dispatcher> late_dispatchers_; // by id
-    struct unreachable_dispatcher {
-        incarnation life{0};
-        time_point refused_at{};
-    };
-    std::map<std::string, unreachable_dispatcher> unreachable_dispatchers_; // by id
     // Starts at a random value, so that a response to an earlier incarnation of this process
     // matches no ticket.
     std::uint64_t next_id_;
