balancing: one way to make a pool in the tests of capacity

Cause: four cases repeated the endpoints, the pool, an answered request and the checked choice. Change: make_endpoints, make_pool, record_answer and check_chosen. The assertions are the same.

--- a/libs/balancing/tests/endpoint_capacity_test.cpp
+++ b/libs/balancing/tests/endpoint_capacity_test.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+const time_point start{seconds{1'000}};
+const entry_group group{"self", {"self"}};
+
 latency_summary run(const load_pattern& pattern, policy chosen_by) {
     const auto measured = chooser_model{pattern, chosen_by}.run();
     UNSCOPED_INFO("mean " << measured.mean_ms << " ms, p95 " << measured.p95_ms << " ms");
@@ -125,26 +128,49 @@
 
 namespace {
 
-// Choices among eight endpoints of equal latency and load, with or without the fourth figure.
-std::vector<std::string> choices(std::optional<unsigned> slowness, bool engine) {
+std::vector<catalog::endpoint> make_endpoints(const std::vector<std::string>& ids, unsigned slots) {
+    std::vector<catalog::endpoint> endpoints;
+    for (const auto& id : ids) {
+        auto& added = endpoints.emplace_back();
+        added.id = id;
+        added.service = "model";
+        added.slots = slots;
+    }
+    return endpoints;
+}
+
+endpoint_pool make_pool(const std::vector<catalog::endpoint>& endpoints, bool engine,
+                        time_point now) {
     catalog::service service;
     service.name = "model";
     service.engine = engine ? std::optional{catalog::engine_capacity{}} : std::nullopt;
-    std::vector<catalog::endpoint> listed(8);
-    for (std::size_t i = 0; i < listed.size(); ++i) {
-        listed[i].id = std::to_string(i);
-        listed[i].service = "model";
-        listed[i].slots = 4;
-    }
-    const time_point now{seconds{1'000}};
     endpoint_pool pool;
-    pool.set_endpoints(listed, {}, service, now);
-    const entry_group group{"self", {"self"}};
-    for (const auto& one : listed) {
-        const auto ticket = pool.on_request_sent(one.id, {}, group, now);
-        pool.on_load_report(one.id, {1, 0, 4, slowness}, now);
-        pool.on_first_byte(one.id, ticket, now + milliseconds{40});
-        pool.on_request_ended(one.id, ticket, send_outcome::answered, now + milliseconds{40});
+    pool.set_endpoints(endpoints, {}, service, now);
+    return pool;
+}
+
+// Records a request that took 40 ms, and the load report in its response.
+void record_answer(endpoint_pool& pool, const std::string& endpoint, const reported_load& load,
+                   time_point now) {
+    const auto ticket = pool.on_request_sent(endpoint, {}, group, now);
+    pool.on_load_report(endpoint, load, now);
+    pool.on_first_byte(endpoint, ticket, now + milliseconds{40});
+    pool.on_request_ended(endpoint, ticket, send_outcome::answered, now + milliseconds{40});
+}
+
+void check_chosen(endpoint_pool& pool, const std::string& expected, time_point now) {
+    random_source random{3};
+    for (int i = 0; i < 50; ++i) {
+        CHECK(pool.choose({}, {}, group, now, random)->id == expected);
+    }
+}
+
+// Choices among eight endpoints of equal latency and load, with or without the fourth figure.
+std::vector<std::string> choices(std::optional<unsigned> slowness, bool engine) {
+    const auto endpoints = make_endpoints({"0", "1", "2", "3", "4", "5", "6", "7"}, 4);
+    auto pool = make_pool(endpoints, engine, start);
+    for (const auto& one : endpoints) {
+        record_answer(pool, one.id, {1, 0, 4, slowness}, start);
     }
     random_source random{3};
     std::vector<std::string> chosen;
@@ -152,7 +178,7 @@
         const std::string prompt = i % 2 == 0 ? "" : "prompt-" + std::to_string(i);
         choice_request request;
         request.affinity = prompt;
-        chosen.push_back(pool.choose(request, {}, group, now + milliseconds{50}, random)->id);
+        chosen.push_back(pool.choose(request, {}, group, start + milliseconds{50}, random)->id);
     }
     return chosen;
 }
@@ -167,74 +193,26 @@
 
 // Guards against sending prompts to an engine where those of other entries wait.
 TEST_CASE("prompts that wait at an engine for all callers count") {
-    catalog::service service;
-    service.name = "model";
-    service.engine = catalog::engine_capacity{};
-    std::vector<catalog::endpoint> listed(2);
-    listed[0].id = "busy";
-    listed[1].id = "idle";
-    const time_point now{seconds{1'000}};
-    for (auto& one : listed) {
-        one.service = "model";
-        one.slots = 8;
-    }
-    endpoint_pool pool;
-    pool.set_endpoints(listed, {}, service, now);
-    pool.on_load_report("busy", {4, 5, 8, 100}, now);
-    pool.on_load_report("idle", {4, 0, 8, 100}, now);
-    random_source random{3};
-    for (int i = 0; i < 50; ++i) {
-        CHECK(pool.choose({}, {}, {"self", {"self"}}, now, random)->id == "idle");
-    }
+    auto pool = make_pool(make_endpoints({"busy", "idle"}, 8), true, start);
+    pool.on_load_report("busy", {4, 5, 8, 100}, start);
+    pool.on_load_report("idle", {4, 0, 8, 100}, start);
+    check_chosen(pool, "idle", start);
 }
 
 // Guards against an entry that ignores what others observe of an endpoint because it had responses
 // from there long ago.
 TEST_CASE("an old latency gives way to the estimates of other entries") {
-    catalog::service service;
-    service.name = "model";
-    std::vector<catalog::endpoint> listed(2);
-    listed[0].id = "slow";
-    listed[1].id = "usual";
-    time_point now{seconds{1'000}};
-    const entry_group group{"self", {"self"}};
-    for (auto& one : listed) {
-        one.service = "model";
-        one.slots = 8;
-    }
-    endpoint_pool pool;
-    pool.set_endpoints(listed, {}, service, now);
-    for (const auto& one : listed) {
-        const auto ticket = pool.on_request_sent(one.id, {}, group, now);
-        pool.on_load_report(one.id, {1, 0, 8, 100}, now);
-        pool.on_first_byte(one.id, ticket, now + milliseconds{40});
-        pool.on_request_ended(one.id, ticket, send_outcome::answered, now + milliseconds{40});
-    }
-    now += seconds{40};
-    pool.merge_capacity({{stable_hash("slow"), 0, 40, 0, milliseconds{0}}}, now);
-    random_source random{3};
-    for (int i = 0; i < 50; ++i) {
-        CHECK(pool.choose({}, {}, group, now, random)->id == "usual");
-    }
+    auto pool = make_pool(make_endpoints({"slow", "usual"}, 8), false, start);
+    record_answer(pool, "slow", {1, 0, 8, 100}, start);
+    record_answer(pool, "usual", {1, 0, 8, 100}, start);
+    const auto later = start + seconds{40};
+    pool.merge_capacity({{stable_hash("slow"), 0, 40, 0, milliseconds{0}}}, later);
+    check_chosen(pool, "usual", later);
 }
 
 // Guards against prompts that are not counted as they were sent at the start of the clock.
 TEST_CASE("prompts that wait at an engine count from the first moment on") {
-    catalog::service service;
-    service.name = "model";
-    service.engine = catalog::engine_capacity{};
-    std::vector<catalog::endpoint> listed(2);
-    listed[0].id = "busy";
-    listed[1].id = "idle";
-    for (auto& one : listed) {
-        one.service = "model";
-    }
-    endpoint_pool pool;
-    pool.set_endpoints(listed, {}, service, {});
-    const entry_group group{"self", {"self"}};
+    auto pool = make_pool(make_endpoints({"busy", "idle"}, 0), true, {});
     pool.on_request_sent("busy", {}, group, {});
-    random_source random{3};
-    for (int i = 0; i < 50; ++i) {
-        CHECK(pool.choose({}, {}, group, {}, random)->id == "idle");
-    }
+    check_chosen(pool, "idle", {});
 }
