--- a/libs/capacity/include/capacity/endpoint_estimates.hpp
+++ b/libs/capacity/include/capacity/endpoint_estimates.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// How fast the endpoints of one service are, and how many requests each takes well.
+/// Speed and concurrency limit of the endpoints of one service.
 #pragma once
 
 #include "base/time.hpp"
--- a/libs/gateway/src/endpoint_shares.cpp
+++ b/libs/gateway/src/endpoint_shares.cpp
@@ -47,7 +47,7 @@
     return fleet.alive.empty() && may_hold_former_results(fleet, serving_since, now);
 }
 
-// An entry without peers is served as ever.
+// An entry without peers or seeds has no former peers that could use the endpoints.
 bool may_hold_former_results(const fleet_view& fleet, time_point serving_since, time_point now) {
     return fleet.max_entry_count > 1 && now - serving_since < max_starting_time;
 }
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -130,12 +130,12 @@
     incarnation life{0};
 };
 
-/// What the sender knows about how much an endpoint takes.
+/// The sender's estimate of the capacity of an endpoint.
 struct endpoint_estimate {
     std::uint64_t endpoint{0};    ///< hash of its id
     std::uint64_t incarnation{0}; ///< of the endpoint
     unsigned speed_percent{100};  ///< 100: as fast as the median of its peers
-    unsigned concurrency{0};      ///< requests that it takes well at a time; 0: unknown
+    unsigned concurrency{0};      ///< its concurrency limit, in requests; 0: unknown
     milliseconds age{0};          ///< since it was last confirmed by an observation
 };
 
