gateway, wire: gossip calls that fail are counted and logged

An entry that learned nothing from its peers for twenty seconds left no trace of its calls: a gossip call that failed had no line and no counter, and the bytes of an answer that arrived in part were not counted. Now peers call_failed tells how long the call took, how much of its answer had arrived and what the entry knew; boragefront_gossip_calls_total counts outcomes. No logic is changed.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -361,6 +361,7 @@
     full_syncs_ += is_full_sync ? 1 : 0;
     const auto response = co_await peers_client_->call(address, std::move(request), gossip_timeout);
     full_syncs_ -= is_full_sync ? 1 : 0;
+    record_gossip_result(address, response ? nullptr : &response.error(), now);
     if (!response) {
         peers_.record_missed_call(address, steady_clock::now());
         co_return;
@@ -370,6 +371,24 @@
     }
 }
 
+// \param since start of the call.
+void control_loop::record_gossip_result(const std::string& address, const error* failure,
+                                        time_point since) {
+    const std::string outcome{failure == nullptr ? "ok" : properties_of(failure->kind).name};
+    metrics_.get_counter("boragefront_gossip_calls_total", "outcome=\"" + outcome + '"').add();
+    if (failure == nullptr) {
+        return;
+    }
+    const auto now = steady_clock::now();
+    log_decision(
+        "peers", "call_failed",
+        {{"address", address},
+         {"operators_through", std::to_string(published_.operator_keys().through().at)},
+         {"endpoints_through", std::to_string(published_.endpoint_keys().through().at)},
+         {"took_ms", std::to_string(std::chrono::floor<milliseconds>(now - since).count())},
+         {"reason", to_string(*failure)}});
+}
+
 void control_loop::apply_gossip(const wire::gossip_answer& gossip) {
     const auto now = steady_clock::now();
     peers_.record_contact(gossip.self, now);
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -114,6 +114,7 @@
 
     http::awaitable<void> gossip_loop();
     http::awaitable<void> gossip_with(std::string address);
+    void record_gossip_result(const std::string& address, const error* failure, time_point since);
     void apply_gossip(const wire::gossip_answer& gossip);
     void merge_suspects(const std::vector<wire::suspected_part>& parts, time_point now);
     void merge_observations(const wire::entry_info& from, const wire::fleet_observations& received);
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -73,10 +73,10 @@
     time_point last_sweep_{};
 };
 
-error to_error(const boost::system::error_code& failure, const std::string& address) {
+error to_error(const boost::system::error_code& failure, const std::string& detail) {
     const auto kind = failure == beast::error::timeout ? error_kind::deadline_exceeded
                                                        : error_kind::connection_lost;
-    return make_error(kind, address + ": " + failure.message());
+    return make_error(kind, detail + ": " + failure.message());
 }
 
 // Connects to a peer.
@@ -123,9 +123,10 @@
     co_return success();
 }
 
-// Writes a call and reads its answer.
+// Writes a call and reads its answer. Counts the bytes of answers that arrive in part, too.
 asio::awaitable<result<std::string>> exchange(connection& with, const std::string& address,
-                                              std::string body, time_point deadline) {
+                                              std::string body, time_point deadline,
+                                              byte_counters bytes) {
     const bool first = with.last_call == 0;
     const auto id = ++with.last_call | call_id_flag;
     auto outgoing = frame(id, body);
@@ -148,8 +149,11 @@
         co_return length.error();
     }
     const auto message = co_await receive_message(with.stream, length.value(), failure);
+    bytes.received.add(message.size() + length_bytes);
     if (failure) {
-        co_return to_error(failure, address);
+        co_return to_error(failure, address + ": " + std::to_string(message.size()) + " of " +
+                                        std::to_string(length.value()) +
+                                        " bytes of the answer arrived");
     }
     const auto read = read_message(message);
     if (!read || read->id != id) {
@@ -183,12 +187,11 @@
             BOOST_OUTCOME_CO_TRY(used, co_await connect(executor, address, deadline, refused));
         }
         auto encoded = encode(message);
-        const auto sent_bytes = encoded.size() + framing_bytes;
-        BOOST_OUTCOME_CO_TRY(const auto received,
-                             co_await exchange(*used, address, std::move(encoded), deadline));
+        bytes.sent.add(encoded.size() + framing_bytes);
+        BOOST_OUTCOME_CO_TRY(
+            const auto received,
+            co_await exchange(*used, address, std::move(encoded), deadline, bytes));
         idle->release(address, std::move(used), steady_clock::now());
-        bytes.sent.add(sent_bytes);
-        bytes.received.add(received.size() + framing_bytes);
         BOOST_OUTCOME_CO_TRY(auto read, decode_answer(received));
         if (const auto* refusal_read = std::get_if<refusal>(&read)) {
             co_return make_error(error_kind::unavailable, address + ": " + refusal_read->detail);
