--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -48,6 +48,15 @@
 }
 
 running_gateway& deployment::start_gateway(const std::string& store_address) {
+    auto seeds = seeds_;
+    for (const auto& other : gateways_) {
+        seeds.push_back(other->node->control_address());
+    }
+    return start(store_address, std::move(seeds));
+}
+
+running_gateway& deployment::start(const std::string& store_address,
+                                   std::vector<std::string> seeds) {
     settings::daemon_settings settings;
     settings::gateway_settings role;
     settings.id = "gateway-" + std::to_string(gateways_.size() + 1);
@@ -55,10 +64,7 @@
     settings.data_address = "127.0.0.1:0";
     settings.control_address = "127.0.0.1:0";
     settings.platform_address = store_address.empty() ? store_->address() : store_address;
-    settings.seed_peers = seeds_;
-    for (const auto& other : gateways_) {
-        settings.seed_peers.push_back(other->node->control_address());
-    }
+    settings.seed_peers = std::move(seeds);
     role.ready_address = "127.0.0.1:0";
     role.log_lines_per_second = 0;
     role.work_address = "127.0.0.1:0";
@@ -77,15 +83,22 @@
 }
 
 running_gateway& deployment::start_ready_gateway(const std::string& store_address) {
-    auto& made = start_gateway(store_address);
+    return await_ready(start_gateway(store_address));
+}
+
+running_gateway& deployment::start_ready_stranger(const std::string& store_address) {
+    return await_ready(start(store_address, seeds_));
+}
+
+running_gateway& deployment::await_ready(running_gateway& one) {
     const auto until = steady_clock::now() + patience;
-    while (!is_ready(made)) {
+    while (!is_ready(one)) {
         if (steady_clock::now() > until) {
             throw std::runtime_error{"a gateway was not ready in time"};
         }
         std::this_thread::sleep_for(look);
     }
-    return made;
+    return one;
 }
 
 bool deployment::is_ready(const running_gateway& one) {
--- a/tests/gateway/src/deployment.hpp
+++ b/tests/gateway/src/deployment.hpp
@@ -62,6 +62,9 @@
     /// Starts a gateway and waits until it is ready.
     running_gateway& start_ready_gateway(const std::string& store_address = {});
 
+    /// Starts a gateway that knows no seeds but the added ones, and waits until it is ready.
+    running_gateway& start_ready_stranger(const std::string& store_address);
+
     bool is_ready(const running_gateway& one);
 
     /// Runs something on the stand-ins' thread.
@@ -89,6 +92,9 @@
     bool becomes_true(const std::function<bool()>& condition);
 
 private:
+    running_gateway& start(const std::string& store_address, std::vector<std::string> seeds);
+    running_gateway& await_ready(running_gateway& one);
+
     std::size_t message_bytes_{settings::gateway_settings{}.message_bytes};
     std::vector<std::string> seeds_;
     stand_in_loop loop_;
