wire, gateway, platform: long state is transferred from one peer at a time, for as long as it arrives

What callers saw: an entry behind a small link that had missed a change served by the configuration before it for twenty seconds and longer; revoked keys worked, routes that had been added got 404 (CONFIG).

Cause: a configuration of thousands of routes is one value of half a megabyte. A gossip call had 0.4 s in all; four peers were asked at once each 0.3 s and each sent the whole value. On a link of 22 Mbit/s no answer arrived in time; what had arrived was thrown away and the next four were asked, for ever, and the listing of the store, with 2.5 s in all, shared the link with them. The class: work that is given up after a fixed time and begun again from nothing, so that it never ends once it takes longer than that, and uses up what it would need.

Why this works: gossip carries changes of 32 kB at most, so its answers arrive in time whatever was published. A peer that has more says so, and the entry requests it in a call of its own, from one peer (a second one after 1.5 s, in case that one is gone), which lasts while parts of it keep arriving. A program of the former release sets no limit and gets its changes as before.

Calls for stage work are short; results travel between endpoints.

--- a/libs/catalog/include/catalog/replica.hpp
+++ b/libs/catalog/include/catalog/replica.hpp
@@ -30,6 +30,9 @@
     bool is_full{false};
     store_position through;
     std::vector<published_item> items;
+
+    /// Size of the keys and values, in bytes.
+    std::size_t bytes() const;
 };
 
 /// The latest value of each key, complete through one position of the store's history. Changes
--- a/libs/catalog/src/replica.cpp
+++ b/libs/catalog/src/replica.cpp
@@ -1,10 +1,18 @@
 #include "catalog/replica.hpp"
 
 #include <algorithm>
+#include <numeric>
 #include <set>
 
 namespace boragefront::catalog {
 
+std::size_t replica_delta::bytes() const {
+    return std::accumulate(items.begin(), items.end(), std::size_t{0},
+                           [](std::size_t sum, const published_item& item) {
+                               return sum + item.key.size() + (item.value ? item.value->size() : 0);
+                           });
+}
+
 bool replica::merge(const published_item& item, time_point now) {
     auto& stored = items_[item.key];
     if (item.position <= stored.position) {
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -38,7 +38,16 @@
 // Ten gossip rounds. After a disturbance, the bounds on the age of published state hold again after
 // about this time.
 constexpr milliseconds unresponsive_after{3'000};
+// Changes up to this size travel with gossip. A round's answers must arrive within
+// `gossip_timeout` on the slowest links.
+constexpr std::uint64_t max_gossip_delta_bytes = 32U << 10U;
 constexpr unsigned max_full_syncs = 2; // one, and a second in case that peer is gone
+// From one part of a transfer of published state to the next.
+constexpr milliseconds transfer_timeout{1'000};
+// A transfer gets the bandwidth of the link to itself for this long before a second one from
+// another peer may start.
+constexpr milliseconds sole_transfer_time{1'500};
+constexpr std::size_t max_transfers = 2;
 // An entry whose own watch of the endpoints succeeded within this time requests no endpoint changes
 // from peers: there are many per second, and each peer would send them again.
 constexpr milliseconds store_freshness_window{1'000};
@@ -349,6 +358,7 @@
                                  published_.operator_keys().through(),
                                  published_.endpoint_keys().through(), to_message(suspects_, now)};
     request.observations = observations_;
+    request.max_delta_bytes = max_gossip_delta_bytes;
     // At start-up the response contains the full published state, so only a few peers are asked for
     // it at a time.
     const bool is_full_sync = !published_.complete() && full_syncs_ < max_full_syncs;
@@ -368,6 +378,41 @@
     }
     if (const auto* const gossip = std::get_if<wire::gossip_answer>(&response.value())) {
         apply_gossip(*gossip);
+        if (gossip->delta_withheld && may_start_transfer(steady_clock::now())) {
+            co_await transfer_state(std::move(address));
+        }
+    }
+}
+
+bool control_loop::may_start_transfer(time_point now) const {
+    return transfers_.empty() ||
+           (transfers_.size() < max_transfers && now - transfers_.back() > sole_transfer_time);
+}
+
+// Requests the published state that a peer has withheld from gossip.
+http::awaitable<void> control_loop::transfer_state(std::string address) {
+    const auto began_at = transfers_.emplace_back(steady_clock::now());
+    wire::gossip_request request{
+        self(), {}, published_.operator_keys().through(), published_.endpoint_keys().through()};
+    if (has_fresh_store_data(endpoints_part) && published_.complete()) {
+        request.endpoints_through = no_changes_wanted;
+    }
+    const auto response =
+        co_await peers_client_->call_for_long_answer(address, std::move(request), transfer_timeout);
+    std::erase(transfers_, began_at);
+    record_gossip_result(address, response ? nullptr : &response.error(), began_at);
+    if (!response) {
+        co_return;
+    }
+    if (const auto* const gossip = std::get_if<wire::gossip_answer>(&response.value())) {
+        log_change(
+            "peers", "state_transferred",
+            {{"from", gossip->self.id},
+             {"bytes", std::to_string(gossip->configuration.bytes() + gossip->endpoints.bytes())},
+             {"took_ms",
+              std::to_string(
+                  std::chrono::floor<milliseconds>(steady_clock::now() - began_at).count())}});
+        apply_gossip(*gossip);
     }
 }
 
@@ -475,6 +520,12 @@
     response.configuration =
         wanted_changes(operators, message.configuration_through, message.knows_eras);
     response.endpoints = wanted_changes(endpoints, message.endpoints_through, message.knows_eras);
+    for (auto* const delta : {&response.configuration, &response.endpoints}) {
+        if (message.max_delta_bytes && delta->bytes() > *message.max_delta_bytes) {
+            *delta = {};
+            response.delta_withheld = true;
+        }
+    }
     for (const auto& through : {message.configuration_through, message.endpoints_through}) {
         note_era(through.era);
     }
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -24,6 +24,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace boragefront::gateway {
 
@@ -114,6 +115,8 @@
 
     http::awaitable<void> gossip_loop();
     http::awaitable<void> gossip_with(std::string address);
+    bool may_start_transfer(time_point now) const;
+    http::awaitable<void> transfer_state(std::string address);
     void record_gossip_result(const std::string& address, const error* failure, time_point since);
     void apply_gossip(const wire::gossip_answer& gossip);
     void merge_suspects(const std::vector<wire::suspected_part>& parts, time_point now);
@@ -151,6 +154,7 @@
     std::map<std::string, std::uint64_t> ignored_peer_eras_;    ///< by id of the peer
     std::size_t alive_peers_{0};
     unsigned full_syncs_{0}; ///< gossip exchanges in progress that request the full published state
+    std::vector<time_point> transfers_; ///< starts of the transfers of published state in progress
     time_point published_at_{};
     std::map<std::string, time_point, std::less<>>
         last_contact_; // when the store last responded, by part
--- a/libs/http/include/http/client.hpp
+++ b/libs/http/include/http/client.hpp
@@ -37,6 +37,9 @@
     std::function<void()> close_;
 };
 
+/// A peer that sends a byte now and then must not hold a call for ever.
+inline constexpr seconds max_transfer_time{30};
+
 /// Which connection a call uses.
 enum class connection_use : std::uint8_t {
     pooled,     ///< an idle one if there is any; kept afterwards
@@ -45,7 +48,10 @@
 };
 
 struct call_options {
-    time_point deadline;               ///< for the whole call, including the connect
+    time_point deadline; ///< for the whole call, including the connect
+    /// If set, `deadline` applies until the response begins. From then on this is the longest time
+    /// from one part of its body to the next, and the body takes at most `max_transfer_time`.
+    std::optional<milliseconds> transfer_timeout{};
     milliseconds connect_timeout{500}; ///< for a new connection; `deadline` applies if earlier
     connection_use connection{connection_use::pooled};
     milliseconds max_idle_time{30'000}; ///< do not reuse a connection that was idle longer
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -426,9 +426,13 @@
         const auto deadline = options.deadline;
         BOOST_OUTCOME_CO_TRY(auto stream,
                              co_await open(std::move(address), std::move(message), options));
-        BOOST_OUTCOME_CO_TRY(auto body, co_await stream->read_rest(deadline));
         response answer = stream->head();
-        answer.body = std::move(body);
+        if (options.transfer_timeout) {
+            BOOST_OUTCOME_CO_TRY(answer.body,
+                                 co_await read_in_parts(*stream, *options.transfer_timeout));
+        } else {
+            BOOST_OUTCOME_CO_TRY(answer.body, co_await stream->read_rest(deadline));
+        }
         co_return answer;
     }
 
@@ -454,6 +458,21 @@
     void close_idle_connections(const std::string& address) override { pool_->close_idle(address); }
 
 private:
+    // Reads a body while parts of it keep arriving.
+    static awaitable<result<std::string>> read_in_parts(response_stream& stream,
+                                                        milliseconds between_parts) {
+        const auto last_end = steady_clock::now() + max_transfer_time;
+        std::string body;
+        for (;;) {
+            const auto deadline = std::min(last_end, steady_clock::now() + between_parts);
+            BOOST_OUTCOME_CO_TRY(const auto part, co_await stream.next_bytes(deadline));
+            if (!part) {
+                co_return body;
+            }
+            body += *part;
+        }
+    }
+
     awaitable<result<connection_ptr>> connect(const std::string& address,
                                               const call_options& options) {
         BOOST_OUTCOME_CO_TRY(const auto remote_endpoint, parse_address(address));
--- a/libs/wire/include/wire/client.hpp
+++ b/libs/wire/include/wire/client.hpp
@@ -26,6 +26,9 @@
 /// that has ended is best replaced at once.
 enum class on_refused_connection : std::uint8_t { retry_until_timeout, fail };
 
+/// A peer that sends a byte now and then must not hold a call for ever.
+inline constexpr seconds max_long_call{30};
+
 /// A client for one single-threaded executor. Each call has a connection of its own while it lasts;
 /// connections on which a call was answered are kept for a few seconds for the next call.
 class client {
@@ -49,6 +52,12 @@
     virtual boost::asio::awaitable<result<answer>>
     call(std::string address, request message, milliseconds timeout,
          on_refused_connection refused = on_refused_connection::retry_until_timeout) = 0;
+
+    /// The same for an answer that may be long for the bandwidth of the link.
+    /// \param timeout until the answer begins, connecting included, and then from one part of it to
+    /// the next. The whole call takes at most `max_long_call`.
+    virtual boost::asio::awaitable<result<answer>>
+    call_for_long_answer(std::string address, request message, milliseconds timeout) = 0;
 };
 
 } // namespace boragefront::wire
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -11,6 +11,7 @@
 #include "stages/piece.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -173,6 +174,9 @@
     std::vector<suspected_part> suspected_parts{};
     bool knows_eras{true}; ///< false: the sender compares bare revisions
     fleet_observations observations{};
+    /// Size of the changes of each part of the published state, in bytes, from which on the
+    /// answerer withholds them; empty: it withholds none.
+    std::optional<std::uint64_t> max_delta_bytes{};
 };
 struct gossip_answer {
     entry_info self;
@@ -181,6 +185,7 @@
     catalog::replica_delta endpoints;
     std::vector<suspected_part> suspected_parts{};
     fleet_observations observations{};
+    bool delta_withheld{false}; ///< the answerer has changes that exceed `max_delta_bytes`
 };
 
 /// Asks the entry that dispatches for a stage service to have pieces made.
--- a/libs/wire/src/client.cpp
+++ b/libs/wire/src/client.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace boragefront::wire {
@@ -123,10 +124,18 @@
     co_return success();
 }
 
+// How long a call may take.
+struct call_times {
+    time_point deadline; // for the answer to begin, and to end unless it may be long
+    // For an answer that may be long: from one part of it to the next.
+    std::optional<milliseconds> between_parts{};
+};
+
 // Writes a call and reads its answer. Counts the bytes of answers that arrive in part, too.
 asio::awaitable<result<std::string>> exchange(connection& with, const std::string& address,
-                                              std::string body, time_point deadline,
+                                              std::string body, call_times times,
                                               byte_counters bytes) {
+    const auto last_end = steady_clock::now() + max_long_call;
     const bool first = with.last_call == 0;
     const auto id = ++with.last_call | call_id_flag;
     auto outgoing = frame(id, body);
@@ -135,7 +144,7 @@
         outgoing.insert(outgoing.begin(), own.begin(), own.end());
     }
     boost::system::error_code failure;
-    with.stream.expires_at(deadline);
+    with.stream.expires_at(times.deadline);
     co_await asio::async_write(with.stream, asio::buffer(outgoing), into(failure));
     if (failure) {
         co_return to_error(failure, address);
@@ -148,7 +157,13 @@
     if (!length) {
         co_return length.error();
     }
-    const auto message = co_await receive_message(with.stream, length.value(), failure);
+    std::string message;
+    if (times.between_parts) {
+        message = co_await receive_in_parts(with.stream, length.value(), *times.between_parts,
+                                            last_end, failure);
+    } else {
+        message = co_await receive_message(with.stream, length.value(), failure);
+    }
     bytes.received.add(message.size() + length_bytes);
     if (failure) {
         co_return to_error(failure, address + ": " + std::to_string(message.size()) + " of " +
@@ -171,26 +186,31 @@
     asio::awaitable<result<answer>> call(std::string address, request message, milliseconds timeout,
                                          on_refused_connection refused) override {
         // Calls may outlive the client, and use nothing of it.
-        return run_call(executor_, idle_, bytes_, std::move(address), std::move(message), timeout,
-                        refused);
+        return run_call(executor_, idle_, bytes_, std::move(address), std::move(message),
+                        {steady_clock::now() + timeout}, refused);
+    }
+
+    asio::awaitable<result<answer>> call_for_long_answer(std::string address, request message,
+                                                         milliseconds timeout) override {
+        return run_call(executor_, idle_, bytes_, std::move(address), std::move(message),
+                        {steady_clock::now() + timeout, timeout}, on_refused_connection::fail);
     }
 
 private:
     static asio::awaitable<result<answer>> run_call(asio::any_io_executor executor,
                                                     std::shared_ptr<idle_connections> idle,
                                                     byte_counters bytes, std::string address,
-                                                    request message, milliseconds timeout,
+                                                    request message, call_times times,
                                                     on_refused_connection refused) {
-        const auto deadline = steady_clock::now() + timeout;
         auto used = idle->acquire(address, steady_clock::now());
         if (used == nullptr) {
-            BOOST_OUTCOME_CO_TRY(used, co_await connect(executor, address, deadline, refused));
+            BOOST_OUTCOME_CO_TRY(used,
+                                 co_await connect(executor, address, times.deadline, refused));
         }
         auto encoded = encode(message);
         bytes.sent.add(encoded.size() + framing_bytes);
-        BOOST_OUTCOME_CO_TRY(
-            const auto received,
-            co_await exchange(*used, address, std::move(encoded), deadline, bytes));
+        BOOST_OUTCOME_CO_TRY(const auto received,
+                             co_await exchange(*used, address, std::move(encoded), times, bytes));
         idle->release(address, std::move(used), steady_clock::now());
         BOOST_OUTCOME_CO_TRY(auto read, decode_answer(received));
         if (const auto* refusal_read = std::get_if<refusal>(&read)) {
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -177,6 +177,9 @@
         out.set_configuration_era(message.configuration_through.era);
         out.set_endpoints_era(message.endpoints_through.era);
     }
+    if (message.max_delta_bytes) {
+        out.set_max_delta_bytes(*message.max_delta_bytes);
+    }
     write_parts(message.suspected_parts, out);
     write_observations(message.observations, out);
 }
@@ -190,6 +193,7 @@
     write_delta(message.endpoints, *out.mutable_endpoints());
     write_parts(message.suspected_parts, out);
     write_observations(message.observations, out);
+    out.set_delta_withheld(message.delta_withheld);
 }
 
 gossip_request read(const pb::gossip_request& in) {
@@ -199,7 +203,8 @@
             {in.endpoints_era(), in.endpoints_through()},
             read_parts_of(in.suspected_parts()),
             in.has_configuration_era() && in.has_endpoints_era(),
-            read_observations(in.observations())};
+            read_observations(in.observations()),
+            in.has_max_delta_bytes() ? std::optional{in.max_delta_bytes()} : std::nullopt};
 }
 
 gossip_answer read(const pb::gossip_answer& in) {
@@ -208,7 +213,8 @@
             read_delta(in.configuration()),
             read_delta(in.endpoints()),
             read_parts_of(in.suspected_parts()),
-            read_observations(in.observations())};
+            read_observations(in.observations()),
+            in.delta_withheld()};
 }
 
 // All pieces of a group share the request, the key and the inputs, so these travel once.
--- a/libs/wire/src/server.cpp
+++ b/libs/wire/src/server.cpp
@@ -94,8 +94,7 @@
     core.bytes.received.add(call->body.size() + framing_bytes);
     core.bytes.sent.add(answered.size() + framing_bytes);
     const auto outgoing = frame(call->id, answered);
-    stream.expires_after(transfer_limit);
-    co_await asio::async_write(stream, asio::buffer(outgoing), into(failure));
+    co_await send_in_parts(stream, outgoing, transfer_limit, failure);
     co_return !failure;
 }
 
--- a/libs/wire/tests/entry_codec_test.cpp
+++ b/libs/wire/tests/entry_codec_test.cpp
@@ -151,6 +151,24 @@
     CHECK(estimate.age == milliseconds{900});
 }
 
+// Guards against a former program that gets no changes because it sets no limit on them.
+TEST_CASE("only a request that limits changes has them withheld") {
+    gossip_request sent;
+    const auto unlimited = decode_request(encode(request{sent}));
+    REQUIRE(unlimited);
+    CHECK(!std::get<gossip_request>(unlimited.value()).max_delta_bytes);
+    sent.max_delta_bytes = 32'768;
+    const auto limited = decode_request(encode(request{sent}));
+    REQUIRE(limited);
+    CHECK(std::get<gossip_request>(limited.value()).max_delta_bytes == 32'768);
+
+    gossip_answer withheld;
+    withheld.delta_withheld = true;
+    const auto answered = decode_answer(encode(answer{withheld}));
+    REQUIRE(answered);
+    CHECK(std::get<gossip_answer>(answered.value()).delta_withheld);
+}
+
 // Guards against gossip that grows with the fleet.
 TEST_CASE("observations beyond the limits are ignored, and those within take 1 kB at most") {
     gossip_answer sent;
