platform, balancing, gateway: limits that endpoints announce are decoded and shown

Now platform/ decodes Server-Limit, a decimal number of requests a second; values that can't be read are logged (endpoints limit_ignored) and neither set nor end a limit. Each entry keeps the newest report of each endpoint, which tells the hypotheses of docs/incidents/named-limit.md apart: the line endpoints limit_changed, three gauges and the dump show the limit, what this entry's share of it would be, and the age of both. Nothing is held back yet.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -2,6 +2,7 @@
 /// Load balancing among the endpoints of one service, from the state that this entry observes.
 #pragma once
 
+#include "balancing/announced_limit.hpp"
 #include "balancing/cold_limiter.hpp"
 #include "balancing/entry_group.hpp"
 #include "base/random.hpp"
@@ -60,6 +61,13 @@
     std::uint64_t incarnation{0};
 };
 
+/// A limit that an endpoint announces, and this entry's share of it.
+struct limit_description {
+    double per_second{0}; ///< of all entries together
+    double share{0};      ///< of this entry; 0: none
+    milliseconds age{0};  ///< of the response that any entry received last
+};
+
 /// State of one endpoint, for dumps.
 struct endpoint_description {
     catalog::endpoint endpoint;
@@ -71,6 +79,7 @@
     double failure_rate{0};
     /// Empty if the service's endpoints do not report their slowness.
     std::optional<capacity::endpoint_estimate> estimate{};
+    std::optional<limit_description> limit{}; ///< empty: the endpoint announces none
 };
 
 /// Why no endpoint can be chosen.
@@ -120,6 +129,13 @@
     /// Records that an endpoint accepts no requests for a time.
     void on_retry_after(const std::string& id, milliseconds retry_after, time_point now);
     void on_load_report(const std::string& id, reported_load load, time_point now);
+    /// Records whether a response announced a limit.
+    /// \param incarnation of the endpoint that was asked.
+    void on_limit_report(const std::string& id, std::uint64_t incarnation,
+                         const limit_report& report);
+
+    /// The limits in force, by endpoint.
+    std::map<std::string, limit_description> limits(const entry_group& group, time_point now) const;
 
     /// Whether the endpoints report their slowness, so that their speed is estimated.
     bool estimates_capacity() const { return estimates_.slowness_reported(); }
@@ -143,7 +159,8 @@
     const catalog::service& service() const { return service_; }
 
     /// All endpoints, for dumps.
-    std::vector<endpoint_description> describe(time_point now) const;
+    /// \param group among which limits are divided.
+    std::vector<endpoint_description> describe(time_point now, const entry_group& group = {}) const;
 
 private:
     struct open_request {
@@ -163,7 +180,10 @@
         cold_limiter cold;
         reported_load load;
         time_point load_reported_at{};
+        announced_limit limit;
     };
+    static std::optional<limit_description>
+    describe_limit(const tracked_endpoint& candidate, const entry_group& group, time_point now);
 
     static std::string_view exclusion_reason(const tracked_endpoint& candidate, time_point now);
     static bool is_healthy(const tracked_endpoint& candidate, time_point now);
--- a/libs/balancing/include/balancing/entry_group.hpp
+++ b/libs/balancing/include/balancing/entry_group.hpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,8 @@
 struct entry_group {
     std::string self;
     std::vector<std::string> members; ///< ids, including `self`
+    /// Differs between any two groups that one process uses; 0: unknown, nothing is cached.
+    std::uint64_t revision{0};
 
     std::size_t size() const { return std::max<std::size_t>(members.size(), 1); }
 
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -209,6 +209,36 @@
     }
 }
 
+void endpoint_pool::on_limit_report(const std::string& id, std::uint64_t incarnation,
+                                    const limit_report& report) {
+    const auto found = endpoints_.find(id);
+    if (found != endpoints_.end() && found->second.endpoint.incarnation == incarnation) {
+        (void)found->second.limit.record(report);
+    }
+}
+
+std::optional<limit_description> endpoint_pool::describe_limit(const tracked_endpoint& candidate,
+                                                               const entry_group& group,
+                                                               time_point now) {
+    const auto& limit = candidate.limit;
+    if (!limit.in_force()) {
+        return std::nullopt;
+    }
+    return limit_description{*limit.newest().per_second, limit.share(group, candidate.endpoint.id),
+                             std::chrono::floor<milliseconds>(now - limit.newest().observed_at)};
+}
+
+std::map<std::string, limit_description> endpoint_pool::limits(const entry_group& group,
+                                                               time_point now) const {
+    std::map<std::string, limit_description> in_force;
+    for (const auto& [id, candidate] : endpoints_) {
+        if (const auto limit = describe_limit(candidate, group, now)) {
+            in_force.emplace(id, *limit);
+        }
+    }
+    return in_force;
+}
+
 std::map<std::string, capacity::endpoint_estimate> endpoint_pool::estimates(time_point now) const {
     std::map<std::string, capacity::endpoint_estimate> all;
     for (const auto& [id, candidate] : endpoints_) {
@@ -251,7 +281,8 @@
     return now < candidate.cold_until ? "cold" : "none";
 }
 
-std::vector<endpoint_description> endpoint_pool::describe(time_point now) const {
+std::vector<endpoint_description> endpoint_pool::describe(time_point now,
+                                                          const entry_group& group) const {
     std::vector<endpoint_description> all;
     all.reserve(endpoints_.size());
     for (const auto& [id, candidate] : endpoints_) {
@@ -264,7 +295,8 @@
                        milliseconds{static_cast<std::int64_t>(candidate.latency_ms.value_or(0))},
                        candidate.failure_rate,
                        estimates_.slowness_reported() ? std::optional{estimates_.estimate(id, now)}
-                                                      : std::nullopt});
+                                                      : std::nullopt,
+                       describe_limit(candidate, group, now)});
     }
     return all;
 }
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -242,6 +242,9 @@
     if (head.leaving) {
         context_.state.record_leaving(attempt.endpoint, attempt.incarnation, now);
     }
+    if (!head.request_id.empty()) { // otherwise it may be a late response to an earlier request
+        context_.state.record_limit(service_, attempt.endpoint, attempt.incarnation, head, now);
+    }
     auto* const pool = context_.state.pool(service_);
     if (head.retry_after && !head.misdirected && pool != nullptr) {
         pool->on_retry_after(attempt.endpoint, *head.retry_after, now);
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -270,6 +270,9 @@
     if (head.leaving) {
         state_.record_leaving(call.endpoint, call.incarnation, now);
     }
+    if (response) {
+        state_.record_limit(service, call.endpoint, call.incarnation, head, now);
+    }
     state_.metrics()
         .get_counter("boragefront_stage_calls_total", "service=\"" + service + "\",outcome=\"" +
                                                           std::string{to_string(outcome)} + '"')
--- a/libs/gateway/src/traffic_dump.cpp
+++ b/libs/gateway/src/traffic_dump.cpp
@@ -28,6 +28,11 @@
         object["speed_age_ms"] =
             estimate->age ? json::value(estimate->age->count()) : json::value();
     }
+    if (const auto& limit = endpoint.limit) {
+        object["limit_per_second"] = limit->per_second;
+        object["limit_share"] = limit->share;
+        object["limit_age_ms"] = limit->age.count();
+    }
     return object;
 }
 
@@ -42,7 +47,7 @@
         traffic["config_era"] = published.config_position.era;
         traffic["config_version"] = published.config->version;
         for (const auto& [name, service] : published.config->services) {
-            for (const auto& endpoint : state.pool(name)->describe(now)) {
+            for (const auto& endpoint : state.pool(name)->describe(now, state.entry_group())) {
                 endpoints.push_back(to_json(endpoint));
             }
         }
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -5,6 +5,7 @@
 #include "capacity/report_selection.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace boragefront::gateway {
 
@@ -12,7 +13,7 @@
                              std::string data_centre, metrics_registry& metrics)
     : role_{std::move(role)}, self_id_{std::move(self_id)}, data_centre_{std::move(data_centre)},
       metrics_{metrics}, quarantine_{quarantine::prompt_quarantine::make(self_id_)} {
-    group_ = {self_id_, {self_id_}};
+    group_ = {self_id_, {self_id_}, 1};
 }
 
 void traffic_state::publish(std::shared_ptr<const indexed_snapshot> next, time_point now) {
@@ -52,9 +53,22 @@
     update_endpoints(now);
 }
 
+void traffic_state::record_limit(std::string_view service, const std::string& id,
+                                 std::uint64_t incarnation, const platform::response_head& head,
+                                 time_point now) {
+    if (!head.malformed_limit.empty()) {
+        log_decision("endpoints", "limit_ignored",
+                     {{"endpoint", id}, {"value", head.malformed_limit}});
+        return;
+    }
+    if (auto* const endpoints = pool(service); endpoints != nullptr && !head.misdirected) {
+        endpoints->on_limit_report(id, incarnation, {head.limit_per_second, now});
+    }
+}
+
 void traffic_state::set_fleet(fleet_view view) {
     fleet_ = std::move(view);
-    group_.members = {self_id_};
+    const auto former_members = std::exchange(group_.members, {self_id_});
     for (const auto& entry : fleet_.serving) {
         group_.members.push_back(entry.id);
     }
@@ -63,6 +77,7 @@
     while (group_.members.size() < fleet_.max_entry_count) {
         group_.members.push_back("unknown-" + std::to_string(group_.members.size()));
     }
+    group_.revision += group_.members == former_members ? 0 : 1;
     if (on_fleet_changed_) {
         on_fleet_changed_(steady_clock::now());
     }
@@ -140,6 +155,7 @@
             {one.endpoint, one.incarnation, one.speed_percent, one.concurrency, one.age});
     }
     speed_monitor_.update(pools_, metrics_, now);
+    limit_monitor_.update(pools_, group_, metrics_, now);
     return observed;
 }
 
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -13,9 +13,11 @@
 #include "catalog/route_table.hpp"
 #include "catalog/types.hpp"
 #include "gateway/drain_plan.hpp"
+#include "limit_monitor.hpp"
 #include "longest_recent.hpp"
 #include "open_request_list.hpp"
 #include "placement/lateness.hpp"
+#include "platform/requests.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 #include "settings/settings.hpp"
 #include "speed_monitor.hpp"
@@ -68,6 +70,11 @@
     /// \param incarnation of the endpoint that was asked.
     void record_leaving(const std::string& id, std::uint64_t incarnation, time_point now);
 
+    /// Records what the response of an endpoint says of its limit.
+    /// \param incarnation of the endpoint that was asked.
+    void record_limit(std::string_view service, const std::string& id, std::uint64_t incarnation,
+                      const platform::response_head& head, time_point now);
+
     /// Sets the callback for changes of `endpoints`.
     void on_endpoints_changed(std::function<void(time_point now)> callback) {
         on_endpoints_changed_ = std::move(callback);
@@ -177,6 +184,7 @@
     balancing::entry_group group_;
     std::map<std::string, balancing::endpoint_pool, std::less<>> pools_;
     speed_monitor speed_monitor_;
+    limit_monitor limit_monitor_;
     std::size_t estimate_messages_{0};
     std::map<std::string, balancing::retry_budget> budgets_;
     time_point started_at_{steady_clock::now()};
