--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -56,7 +56,8 @@
 std::string endpoint_stand_in::head_of(unsigned status, const std::string& request_id,
                                        bool receipt) const {
     return plain_head(status, request_id, receipt) +
-           (announces_leaving ? "Server-Leaving: 1\r\n" : "");
+           (announces_leaving ? "Server-Leaving: 1\r\n" : "") +
+           (limit.empty() ? "" : "Server-Limit: " + limit + "\r\n");
 }
 
 struct endpoint_stand_in::connection {
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -92,6 +92,7 @@
     int cut_after{2};              ///< events, in mode `cut`
     milliseconds pause{0};         ///< in mode `pausing`
     bool announces_leaving{false}; ///< in all responses
+    std::string limit{};           ///< requests per second, in all responses; empty: none
     int born{1};                   ///< start time that it registers, in milliseconds
     int sequence{1};               ///< number of its reports, as it registers
     bool unframed{false};          ///< streams have neither a length nor chunks
