balancing, gateway, stages, wire: an endpoint gets what it announces that it takes, from all entries together

Cause: its announcement was not read. The class: a limit that holds for a fleet, enforced by nobody, as each process counts alone and none knows the others' part.

Why this works: each entry holds back what its share of the limit does not cover (balancing/announced_limit). The share needs no coordination: rendezvous hashing over the entries that serve selects the senders, as many as can have a request a second each, and one for a limit below that. All ways to an endpoint go through its pool: first sends, retries and replacements are chosen within the share and counted against it. Calls for pieces come from the dispatcher of a service alone, which spaces them by the limit. The release of results is left out while a limit is in force; they expire. What no share covers goes to another endpoint, and is refused at once if there is none; Retry-After is the time until the endpoint takes one more request, from whichever entry. This system sends no checks of health.

Entries tell each other of limits and of their end in gossip, 16 in a message, so that one that sends nothing hears of both. A report of a peer counts as 0.25 s older than it says and never overrides a newer observation.

--- a/libs/balancing/include/balancing/announced_limit.hpp
+++ b/libs/balancing/include/balancing/announced_limit.hpp
@@ -38,6 +38,9 @@
 
     bool in_force() const { return newest_.per_second.has_value(); }
 
+    /// Whether a limit is or was in force, so that other entries may know one.
+    bool was_announced() const { return was_announced_; }
+
     /// The newest report; `observed_at` is `time_point{}` if there is none.
     const limit_report& newest() const { return newest_; }
 
@@ -59,6 +62,7 @@
     std::size_t rank_in(const entry_group& group, std::string_view endpoint) const;
 
     limit_report newest_;
+    bool was_announced_{false};
     time_point next_token_{}; // when this entry's share covers the next request
     // The rank takes a hash of each member, and is used at each choice of an endpoint.
     mutable std::uint64_t ranked_group_{0}; // its revision
--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -61,6 +61,13 @@
     std::uint64_t incarnation{0};
 };
 
+/// What an entry tells others of the limit of an endpoint.
+struct shared_limit {
+    std::uint64_t endpoint{0}; ///< `stable_hash` of its id
+    std::uint64_t incarnation{0};
+    limit_report report;
+};
+
 /// A limit that an endpoint announces, and this entry's share of it.
 struct limit_description {
     double per_second{0}; ///< of all entries together
@@ -113,11 +120,13 @@
     /// Why no endpoint can be chosen.
     unavailability unavailability_reason() const;
 
-    /// Time until an endpoint may become available.
-    milliseconds retry_after(time_point now) const;
+    /// Time until an endpoint may become available, at this entry or at another one.
+    /// \param group among which limits are divided.
+    milliseconds retry_after(time_point now, const entry_group& group = {}) const;
 
-    /// Whether all endpoints in service are backed off until after a point in time.
-    bool backed_off_until(time_point until, time_point now) const;
+    /// Whether all endpoints in service are backed off, or have no room within this entry's share
+    /// of their limits, until after a point in time.
+    bool backed_off_until(time_point until, time_point now, const entry_group& group = {}) const;
 
     /// Records that a request was sent.
     /// \returns a ticket for `on_first_byte` and `on_request_ended`.
@@ -134,6 +143,12 @@
     void on_limit_report(const std::string& id, std::uint64_t incarnation,
                          const limit_report& report);
 
+    /// What other entries are to know of limits.
+    std::vector<shared_limit> limit_reports() const;
+
+    /// Merges what another entry knows of limits, of this service and of others.
+    void merge_limits(const std::vector<shared_limit>& reports);
+
     /// The limits in force, by endpoint.
     std::map<std::string, limit_description> limits(const entry_group& group, time_point now) const;
 
@@ -158,6 +173,12 @@
     /// The service as last set.
     const catalog::service& service() const { return service_; }
 
+    /// Whether an endpoint announces a limit.
+    bool has_limit(const std::string& id) const;
+
+    /// Shortest time between two requests of all entries to each endpoint with a limit, by id.
+    std::map<std::string, milliseconds, std::less<>> send_intervals() const;
+
     /// All endpoints, for dumps.
     /// \param group among which limits are divided.
     std::vector<endpoint_description> describe(time_point now, const entry_group& group = {}) const;
@@ -188,7 +209,8 @@
     static std::string_view exclusion_reason(const tracked_endpoint& candidate, time_point now);
     static bool is_healthy(const tracked_endpoint& candidate, time_point now);
     bool is_eligible(const tracked_endpoint& candidate, const choice_request& request) const;
-    std::optional<time_point> first_backoff_end(time_point now) const;
+    template <class AvailableAt>
+    std::optional<time_point> first_available(time_point now, AvailableAt available_at) const;
     struct ranked_endpoint {
         const tracked_endpoint* endpoint;
         double cost_ms;
--- a/libs/balancing/src/announced_limit.cpp
+++ b/libs/balancing/src/announced_limit.cpp
@@ -40,6 +40,7 @@
     }
     const auto before = newest_.per_second;
     newest_ = report;
+    was_announced_ = was_announced_ || report.per_second;
     if (newest_.per_second) {
         newest_.per_second =
             std::clamp(*newest_.per_second, min_limit_per_second, max_limit_per_second);
--- a/libs/balancing/src/endpoint_choice.cpp
+++ b/libs/balancing/src/endpoint_choice.cpp
@@ -192,8 +192,10 @@
     std::vector<const tracked_endpoint*> missing; // used only if there is no listed one
     std::vector<const tracked_endpoint*> avoided;
     for (const auto& [id, candidate] : endpoints_) {
+        const auto next_send = candidate.limit.next_send(group, id, now);
         const bool limited =
-            now < candidate.cold_until && !candidate.cold.may_send(cold, group, id, now);
+            (now < candidate.cold_until && !candidate.cold.may_send(cold, group, id, now)) ||
+            (next_send && *next_send > now);
         if (!is_eligible(candidate, request) || now < candidate.backoff_until || limited) {
             continue;
         }
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -1,5 +1,6 @@
 #include "balancing/endpoint_pool.hpp"
 
+#include "base/hash.hpp"
 #include "catalog/registration.hpp"
 
 #include <algorithm>
@@ -60,27 +61,42 @@
     return any_in_service ? unavailability::all_unavailable : unavailability::none_in_service;
 }
 
-// When the first endpoint in service is no longer backed off; empty if none is in service.
-std::optional<time_point> endpoint_pool::first_backoff_end(time_point now) const {
+// When the first endpoint in service becomes available; empty if none is in service.
+template <class AvailableAt>
+std::optional<time_point> endpoint_pool::first_available(time_point now,
+                                                         AvailableAt available_at) const {
     std::optional<time_point> first;
     for (const auto& [id, candidate] : endpoints_) {
         if (catalog::status_of(candidate.endpoint, now) != registration_status::withdrawn &&
             !candidate.evacuated) {
-            first = std::min(first.value_or(candidate.backoff_until), candidate.backoff_until);
+            const auto at = available_at(candidate);
+            first = std::min(first.value_or(at), at);
         }
     }
     return first;
 }
 
-milliseconds endpoint_pool::retry_after(time_point now) const {
-    const auto first = first_backoff_end(now);
+milliseconds endpoint_pool::retry_after(time_point now, const entry_group& group) const {
+    const auto first = first_available(now, [&](const tracked_endpoint& candidate) {
+        const auto next = candidate.limit.next_send(group, candidate.endpoint.id, now);
+        if (!next) {
+            return candidate.backoff_until;
+        }
+        // Another entry may have the share, and a caller that returns may reach it.
+        const auto at = *next == time_point::max() ? now + candidate.limit.interval() : *next;
+        return std::max(candidate.backoff_until, at);
+    });
     return first
                ? std::chrono::ceil<milliseconds>(std::max<duration>(*first - now, initial_backoff))
                : max_backoff;
 }
 
-bool endpoint_pool::backed_off_until(time_point until, time_point now) const {
-    const auto first = first_backoff_end(now);
+bool endpoint_pool::backed_off_until(time_point until, time_point now,
+                                     const entry_group& group) const {
+    const auto first = first_available(now, [&](const tracked_endpoint& candidate) {
+        const auto next = candidate.limit.next_send(group, candidate.endpoint.id, now);
+        return std::max(candidate.backoff_until, next.value_or(candidate.backoff_until));
+    });
     return first && *first > until;
 }
 
@@ -94,6 +110,7 @@
         if (now < candidate.cold_until) {
             candidate.cold.record_send(cold, group, now);
         }
+        candidate.limit.record_send(group, id, now);
     }
     return ticket;
 }
@@ -217,6 +234,33 @@
     }
 }
 
+std::vector<shared_limit> endpoint_pool::limit_reports() const {
+    std::vector<shared_limit> reports;
+    for (const auto& [id, candidate] : endpoints_) {
+        if (candidate.limit.was_announced()) {
+            reports.push_back(
+                {stable_hash(id), candidate.endpoint.incarnation, candidate.limit.newest()});
+        }
+    }
+    return reports;
+}
+
+void endpoint_pool::merge_limits(const std::vector<shared_limit>& reports) {
+    if (reports.empty()) {
+        return;
+    }
+    std::map<std::uint64_t, tracked_endpoint*> by_hash;
+    for (auto& [id, candidate] : endpoints_) {
+        by_hash.emplace(stable_hash(id), &candidate);
+    }
+    for (const auto& one : reports) {
+        const auto found = by_hash.find(one.endpoint);
+        if (found != by_hash.end() && found->second->endpoint.incarnation == one.incarnation) {
+            (void)found->second->limit.record(one.report);
+        }
+    }
+}
+
 std::optional<limit_description> endpoint_pool::describe_limit(const tracked_endpoint& candidate,
                                                                const entry_group& group,
                                                                time_point now) {
@@ -228,6 +272,21 @@
                              std::chrono::floor<milliseconds>(now - limit.newest().observed_at)};
 }
 
+bool endpoint_pool::has_limit(const std::string& id) const {
+    const auto found = endpoints_.find(id);
+    return found != endpoints_.end() && found->second.limit.in_force();
+}
+
+std::map<std::string, milliseconds, std::less<>> endpoint_pool::send_intervals() const {
+    std::map<std::string, milliseconds, std::less<>> intervals;
+    for (const auto& [id, candidate] : endpoints_) {
+        if (candidate.limit.in_force()) {
+            intervals.emplace(id, candidate.limit.interval());
+        }
+    }
+    return intervals;
+}
+
 std::map<std::string, limit_description> endpoint_pool::limits(const entry_group& group,
                                                                time_point now) const {
     std::map<std::string, limit_description> in_force;
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -128,7 +128,9 @@
     }
     if (!chosen || pool == nullptr) {
         const auto now = steady_clock::now();
-        const auto retry_after = pool == nullptr ? default_retry_after : pool->retry_after(now);
+        const auto retry_after = pool == nullptr
+                                     ? default_retry_after
+                                     : pool->retry_after(now, context_.state.entry_group());
         co_await refuse(make_error(error_kind::no_endpoint, "no endpoint is available at present"),
                         retry_after);
         co_return next_step::done;
@@ -365,7 +367,8 @@
     auto* const pool = state.pool(service_);
     co_await refuse(
         make_error(error_kind::no_endpoint, "all attempted endpoints refused the request"),
-        pool == nullptr ? default_retry_after : pool->retry_after(steady_clock::now()));
+        pool == nullptr ? default_retry_after
+                        : pool->retry_after(steady_clock::now(), state.entry_group()));
     co_return next_step::done;
 }
 
--- a/libs/gateway/src/request_choice.cpp
+++ b/libs/gateway/src/request_choice.cpp
@@ -97,7 +97,7 @@
         auto chosen = find_endpoint(now);
         const auto* const pool = context_.state.pool(service_);
         if (chosen || pool == nullptr || now >= give_up_at || is_ended_early() ||
-            pool->backed_off_until(give_up_at, now) ||
+            pool->backed_off_until(give_up_at, now, context_.state.entry_group()) ||
             pool->unavailability_reason() == balancing::unavailability::none_in_service) {
             co_return chosen;
         }
--- a/libs/gateway/src/result_freer.cpp
+++ b/libs/gateway/src/result_freer.cpp
@@ -52,22 +52,33 @@
         on_freed_(handles); // the endpoint is gone, and its results with it
         co_return;
     }
+    const auto* const pool = state_.pool(endpoint->service);
+    if (pool != nullptr && pool->has_limit(endpoint->id)) {
+        // Its limit is for work; the results expire there.
+        count_not_freed("limited", handles.size());
+        co_return;
+    }
     http::call_options options;
     options.deadline = steady_clock::now() + call_timeout;
     auto call = platform::make_stage_free_request(endpoint->id, handles);
     const auto response = co_await client_.call(std::move(address), std::move(call), options);
     if (!response) {
-        state_.metrics()
-            .get_counter("boragefront_results_not_freed_total",
-                         "reason=\"" + std::string{properties_of(response.error().kind).name} +
-                             "\"")
-            .add(handles.size());
+        count_not_freed(properties_of(response.error().kind).name, handles.size());
         co_return;
     }
-    if (platform::read_response_head(response.value()).leaving) {
-        state_.record_leaving(endpoint->id, endpoint->incarnation, steady_clock::now());
+    const auto head = platform::read_response_head(response.value());
+    const auto now = steady_clock::now();
+    if (head.leaving) {
+        state_.record_leaving(endpoint->id, endpoint->incarnation, now);
     }
+    state_.record_limit(endpoint->service, endpoint->id, endpoint->incarnation, head, now);
     on_freed_(handles);
 }
 
+void result_freer::count_not_freed(std::string_view reason, std::size_t results) {
+    state_.metrics()
+        .get_counter("boragefront_results_not_freed_total", "reason=\"" + std::string{reason} + '"')
+        .add(results);
+}
+
 } // namespace boragefront::gateway
--- a/libs/gateway/src/result_freer.hpp
+++ b/libs/gateway/src/result_freer.hpp
@@ -34,6 +34,7 @@
 
 private:
     http::awaitable<void> flush_after_delay();
+    void count_not_freed(std::string_view reason, std::size_t results);
     http::awaitable<void> free_at(std::string address, std::vector<std::string> handles);
 
     boost::asio::any_io_executor executor_;
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -156,6 +156,9 @@
         return;
     }
     queue.queue.set_avoided_data_centres(state_.reachability().avoided_data_centres(now));
+    if (const auto* const pool = state_.pool(service); pool != nullptr) {
+        queue.queue.set_call_intervals(pool->send_intervals());
+    }
     for (auto& call : queue.queue.next_calls(now)) {
         asio::co_spawn(executor_, run_call(service, std::move(call)),
                        exception_logger{"stages", "run_call"});
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -8,6 +8,15 @@
 #include <utility>
 
 namespace boragefront::gateway {
+namespace {
+
+// A report counts as older by this than it says, as its age does not include its delivery. What
+// this entry has observed itself must not yield to an older observation.
+constexpr milliseconds limit_delivery_time{250};
+// How long other entries are told that a limit has ended. Many gossip rounds.
+constexpr milliseconds ended_limit_retention{30'000};
+
+} // namespace
 
 traffic_state::traffic_state(settings::gateway_settings role, std::string self_id,
                              std::string data_centre, metrics_registry& metrics)
@@ -154,11 +163,32 @@
         observed.estimates.push_back(
             {one.endpoint, one.incarnation, one.speed_percent, one.concurrency, one.age});
     }
+    observed.limits = limits_to_tell(now);
     speed_monitor_.update(pools_, metrics_, now);
     limit_monitor_.update(pools_, group_, metrics_, now);
     return observed;
 }
 
+// A sample in turn if there are many, so that messages stay bounded.
+std::vector<wire::endpoint_limit> traffic_state::limits_to_tell(time_point now) const {
+    std::vector<wire::endpoint_limit> all;
+    for (const auto& [service, pool] : pools_) {
+        for (const auto& one : pool.limit_reports()) {
+            const auto age = std::chrono::floor<milliseconds>(now - one.report.observed_at);
+            if (one.report.per_second || age < ended_limit_retention) {
+                all.push_back(
+                    {one.endpoint, one.incarnation, one.report.per_second.value_or(0), age});
+            }
+        }
+    }
+    if (all.size() > wire::endpoint_limit_limit) {
+        const auto first = estimate_messages_ * wire::endpoint_limit_limit % all.size();
+        std::rotate(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(first), all.end());
+        all.resize(wire::endpoint_limit_limit);
+    }
+    return all;
+}
+
 void traffic_state::merge_observations(const std::string& from,
                                        const wire::fleet_observations& received, time_point now) {
     std::vector<placement::entry_life> late;
@@ -171,8 +201,16 @@
         reports.push_back(
             {one.endpoint, one.incarnation, one.speed_percent, one.concurrency, one.age});
     }
+    std::vector<balancing::shared_limit> limits;
+    for (const auto& one : received.limits) {
+        limits.push_back({one.endpoint,
+                          one.incarnation,
+                          {one.per_second > 0 ? std::optional{one.per_second} : std::nullopt,
+                           now - one.age - limit_delivery_time}});
+    }
     for (auto& [service, pool] : pools_) {
         pool.merge_capacity(reports, now);
+        pool.merge_limits(limits);
     }
 }
 
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -167,6 +167,7 @@
 private:
     void update_endpoints(time_point now);
     void publish_suspects();
+    std::vector<wire::endpoint_limit> limits_to_tell(time_point now) const;
 
     settings::gateway_settings role_;
     std::string self_id_;
--- a/libs/stages/include/stages/stage_queue.hpp
+++ b/libs/stages/include/stages/stage_queue.hpp
@@ -105,6 +105,10 @@
     /// Records that an endpoint accepts no calls for a time.
     void on_retry_after(const std::string& endpoint, milliseconds retry_after, time_point now);
 
+    /// Sets the shortest time between two calls to an endpoint, by its id. Endpoints that are not
+    /// listed get calls without a pause.
+    void set_call_intervals(std::map<std::string, milliseconds, std::less<>> intervals);
+
     /// Returns the groups that ended since the last call of this function.
     std::vector<finished_group> take_finished(time_point now);
 
@@ -151,6 +155,7 @@
         unsigned calls{0};
         time_point busy_until{};
         time_point backoff_until{};
+        time_point last_call_at{};
         unsigned failures_in_row{0};
         unsigned refusals_in_row{0};
         std::uint64_t held_bytes{0};              // of results that are not released yet
@@ -243,6 +248,7 @@
     std::map<std::string, endpoint_state> endpoints_;
     std::map<std::uint64_t, group_state> groups_;
     std::map<std::uint64_t, call_state> calls_;
+    std::map<std::string, milliseconds, std::less<>> call_intervals_; // by endpoint
     std::vector<finished_group> finished_;
     std::vector<std::string> orphaned_results_;
     std::map<std::string, held_result> held_results_; // by handle
--- a/libs/stages/src/stage_planning.cpp
+++ b/libs/stages/src/stage_planning.cpp
@@ -227,6 +227,11 @@
     }
     ++target.calls;
     target.busy_until = now + expected;
+    target.last_call_at = now;
+    if (const auto found = call_intervals_.find(target.descriptor.id);
+        found != call_intervals_.end()) {
+        target.backoff_until = std::max(target.backoff_until, now + found->second);
+    }
     calls_[call.id] = {
         target.descriptor.id, target.descriptor.incarnation, pieces, now, scaled(nominal, 1), bytes,
         call.room_left};
--- a/libs/stages/src/stage_queue.cpp
+++ b/libs/stages/src/stage_queue.cpp
@@ -310,6 +310,17 @@
     }
 }
 
+void stage_queue::set_call_intervals(std::map<std::string, milliseconds, std::less<>> intervals) {
+    for (auto& [id, endpoint] : endpoints_) {
+        const auto found = intervals.find(id);
+        if (found != intervals.end()) {
+            endpoint.backoff_until =
+                std::max(endpoint.backoff_until, endpoint.last_call_at + found->second);
+        }
+    }
+    call_intervals_ = std::move(intervals);
+}
+
 std::vector<finished_group> stage_queue::take_finished(time_point now) {
     expire_overdue(now);
     expire_hopeless(now);
--- a/libs/stages/tests/stage_queue_test.cpp
+++ b/libs/stages/tests/stage_queue_test.cpp
@@ -357,6 +357,29 @@
     CHECK(queue.next_calls(now).size() == 1);
 }
 
+// An endpoint that announces a limit got the next call as soon as one had ended.
+TEST_CASE_METHOD(queue_fixture, "calls to an endpoint with a call interval are spaced",
+                 "[invariant]") {
+    add_endpoint("one");
+    offer(1, 1);
+    offer(2, 1);
+    const auto first = queue.next_calls(now);
+    REQUIRE(first.size() == 1);
+    now += milliseconds{200};
+    queue.call_ended(first[0].id, call_outcome::refused, {}, now);
+    queue.set_call_intervals({{"one", seconds{2}}}); // counts from the last call
+    now += milliseconds{1'750};
+    CHECK(queue.next_calls(now).empty());
+    now += milliseconds{50};
+    const auto second = queue.next_calls(now);
+    REQUIRE(second.size() == 1);
+    queue.call_ended(second[0].id, call_outcome::refused, {}, now);
+    now += milliseconds{1'900};
+    CHECK(queue.next_calls(now).empty());
+    now += milliseconds{100};
+    CHECK(queue.next_calls(now).size() == 1);
+}
+
 TEST_CASE_METHOD(queue_fixture, "a group is refused at once if no endpoint takes calls in time") {
     add_endpoint("one");
     queue.on_retry_after("one", seconds{30}, now);
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -140,15 +140,25 @@
     milliseconds age{0};          ///< since it was last confirmed by an observation
 };
 
+/// A limit that an endpoint announces in its responses.
+struct endpoint_limit {
+    std::uint64_t endpoint{0};    ///< hash of its id
+    std::uint64_t incarnation{0}; ///< of the endpoint
+    double per_second{0};         ///< requests from all entries together; 0: no longer announced
+    milliseconds age{0};          ///< since any entry received the response
+};
+
 /// What an entry observes of others and of endpoints.
 struct fleet_observations {
     std::vector<late_entry> late_entries;
     std::vector<endpoint_estimate> estimates;
+    std::vector<endpoint_limit> limits{};
 };
 
-/// Bounds the growth of a gossip message to about 1 kB, whatever the size of the fleet.
+/// Bounds the growth of a gossip message to about 1.5 kB, whatever the size of the fleet.
 inline constexpr std::size_t late_entry_limit = 8;
 inline constexpr std::size_t endpoint_estimate_limit = 24;
+inline constexpr std::size_t endpoint_limit_limit = 16;
 
 /// A crash of an engine while it processed a request with a certain part of a prompt.
 struct crash_info {
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -1,6 +1,7 @@
 #include "entry_codec.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragefront::wire {
 namespace {
@@ -46,7 +47,8 @@
 
 template <class Message>
 void write_observations(const fleet_observations& observations, Message& message) {
-    if (observations.late_entries.empty() && observations.estimates.empty()) {
+    if (observations.late_entries.empty() && observations.estimates.empty() &&
+        observations.limits.empty()) {
         return;
     }
     auto& out = *message.mutable_observations();
@@ -63,6 +65,13 @@
         one.set_concurrency(estimate.concurrency);
         one.set_age_ms(as_count(estimate.age));
     }
+    for (const auto& limit : observations.limits) {
+        auto& one = *out.add_limits();
+        one.set_endpoint(limit.endpoint);
+        one.set_incarnation(limit.incarnation);
+        one.set_per_second(limit.per_second);
+        one.set_age_ms(as_count(limit.age));
+    }
 }
 
 fleet_observations read_observations(const pb::fleet_observations& in) {
@@ -81,6 +90,15 @@
                                           std::clamp(one.speed_percent(), 1U, most_speed_percent),
                                           one.concurrency(), read_milliseconds(one.age_ms())});
     }
+    for (const auto& one : in.limits()) {
+        if (observations.limits.size() == endpoint_limit_limit) {
+            break;
+        }
+        if (std::isfinite(one.per_second()) && one.per_second() >= 0) {
+            observations.limits.push_back({one.endpoint(), one.incarnation(), one.per_second(),
+                                           read_milliseconds(one.age_ms())});
+        }
+    }
     return observations;
 }
 
--- a/libs/wire/tests/entry_codec_test.cpp
+++ b/libs/wire/tests/entry_codec_test.cpp
@@ -134,6 +134,7 @@
     sent.self.serving_for = milliseconds{3'100};
     sent.observations.late_entries = {{"entry-2", 7}};
     sent.observations.estimates = {{0x1122334455667788, 5, 77, 12, milliseconds{900}}};
+    sent.observations.limits = {{0x1122334455667788, 5, 1.5, milliseconds{300}}};
     const auto read = decode_request(encode(request{sent}));
     REQUIRE(read);
     const auto& got = std::get<gossip_request>(read.value());
@@ -149,6 +150,12 @@
     CHECK(estimate.speed_percent == 77);
     CHECK(estimate.concurrency == 12);
     CHECK(estimate.age == milliseconds{900});
+    REQUIRE(got.observations.limits.size() == 1);
+    const auto& limit = got.observations.limits[0];
+    CHECK(limit.endpoint == 0x1122334455667788);
+    CHECK(limit.incarnation == 5);
+    CHECK(limit.per_second == 1.5);
+    CHECK(limit.age == milliseconds{300});
 }
 
 // Guards against a former program that gets no changes because it sets no limit on them.
@@ -170,13 +177,17 @@
 }
 
 // Guards against gossip that grows with the fleet.
-TEST_CASE("observations beyond the limits are ignored, and those within take 1 kB at most") {
+TEST_CASE("observations beyond the limits are ignored, and those within take 1.5 kB at most") {
     gossip_answer sent;
     const auto without = encode(answer{sent}).size();
     sent.observations.late_entries.assign(late_entry_limit, {"entry-of-a-long-name", ~0ULL});
     sent.observations.estimates.assign(endpoint_estimate_limit,
                                        {~0ULL, 1'796'500'000'000, 250, 64, milliseconds{9'999}});
     CHECK(encode(answer{sent}).size() - without <= 1'024);
+    sent.observations.limits.assign(endpoint_limit_limit,
+                                    {~0ULL, 1'796'500'000'000, 1.5, milliseconds{9'999}});
+    CHECK(encode(answer{sent}).size() - without <= 1'536);
+    sent.observations.limits.push_back({1, 1, 1, milliseconds{0}});
     sent.observations.late_entries.push_back({"one-more", 1});
     sent.observations.estimates.push_back({1, 1, 100, 1, milliseconds{0}});
     const auto read = decode_answer(encode(answer{sent}));
@@ -184,6 +195,7 @@
     const auto& got = std::get<gossip_answer>(read.value()).observations;
     CHECK(got.late_entries.size() == late_entry_limit);
     CHECK(got.estimates.size() == endpoint_estimate_limit);
+    CHECK(got.limits.size() == endpoint_limit_limit);
 }
 
 TEST_CASE("a request for no pieces is refused") {
