--- a/tests/gateway/limit_test.cpp
+++ b/tests/gateway/limit_test.cpp
@@ -81,6 +81,7 @@
         other.work = milliseconds{20}; // the limited one is the better choice
     });
     std::vector<running_gateway*> gateways;
+    gateways.reserve(static_cast<std::size_t>(entries));
     for (int i = 0; i < entries; ++i) {
         gateways.push_back(&system.start_ready_gateway());
     }
