--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -384,7 +384,11 @@
     }
 }
 
-bool control_loop::may_start_transfer(time_point now) const {
+bool control_loop::may_start_transfer(time_point now) {
+    // One that an exception has ended must not keep its place.
+    std::erase_if(transfers_, [&](time_point began_at) {
+        return now - began_at > wire::max_long_call + transfer_timeout;
+    });
     return transfers_.empty() ||
            (transfers_.size() < max_transfers && now - transfers_.back() > sole_transfer_time);
 }
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -115,7 +115,7 @@
 
     http::awaitable<void> gossip_loop();
     http::awaitable<void> gossip_with(std::string address);
-    bool may_start_transfer(time_point now) const;
+    bool may_start_transfer(time_point now);
     http::awaitable<void> transfer_state(std::string address);
     void record_gossip_result(const std::string& address, const error* failure, time_point since);
     void apply_gossip(const wire::gossip_answer& gossip);
--- a/libs/gateway/src/limit_monitor.cpp
+++ b/libs/gateway/src/limit_monitor.cpp
@@ -2,7 +2,6 @@
 
 #include "base/logging.hpp"
 
-#include <array>
 #include <string_view>
 
 namespace boragefront::gateway {
