catalog, platform, gateway: no key is accepted once the last workspace is withdrawn

Cause: the decoded configuration had no place for whether it names workspaces at all. The check asked for a key only if the list was not empty, so a list that admits nobody was read as no list, which admits everybody.

A configuration that was not taken into force would have gone on to name the former workspace.

Change: the workspaces and their keys are a directory, which a configuration has or has not. catalog::authenticate is the one place that decides whom a request belongs to.

Why it works: the decision no longer depends on a size.

--- a/libs/catalog/include/catalog/types.hpp
+++ b/libs/catalog/include/catalog/types.hpp
@@ -90,6 +90,12 @@
     std::vector<std::string> home_regions;
 };
 
+/// The workspaces and the API keys that identify them.
+struct workspace_directory {
+    std::vector<workspace> workspaces;
+    std::map<std::string, std::size_t, std::less<>> by_key; ///< index in `workspaces`
+};
+
 /// Limits on the requests of callers.
 struct caller_limits {
     std::size_t header_bytes{16U << 10U};
@@ -103,8 +109,8 @@
     std::uint64_t version{0};
     std::vector<route> routes;
     std::map<std::string, service, std::less<>> services;
-    std::vector<workspace> workspaces;
-    std::map<std::string, std::size_t, std::less<>> workspace_of_key; ///< index in `workspaces`
+    /// Without a directory, no request needs an API key. With an empty one, no key is accepted.
+    std::optional<workspace_directory> directory;
     caller_limits limits;
 };
 
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "request_handler.hpp"
 
 #include "base/logging.hpp"
+#include "catalog/authentication.hpp"
 #include "request_limits.hpp"
 
 #include <algorithm>
@@ -85,16 +86,14 @@
     }
     priority_ = route_->priority;
     std::vector<std::string> home_regions; // of the workspace
-    if (!route_->is_public && !config.workspaces.empty()) {
-        const auto owner = config.workspace_of_key.find(caller_.key);
-        if (owner == config.workspace_of_key.end()) {
-            return make_error(error_kind::unauthorized,
-                              "the API key does not belong to any workspace");
-        }
-        const auto& workspace = config.workspaces[owner->second];
-        workspace_ = workspace.name;
-        priority_ = workspace.priority.value_or(priority_);
-        home_regions = workspace.home_regions;
+    const auto authenticated = catalog::authenticate(config, *route_, caller_.key);
+    if (!authenticated) {
+        return authenticated.error();
+    }
+    if (const auto* const workspace = authenticated.value(); workspace != nullptr) {
+        workspace_ = workspace->name;
+        priority_ = workspace->priority.value_or(priority_);
+        home_regions = workspace->home_regions;
     }
     allowed_data_centres_ = context_.state.allowed_data_centres(route_->home_regions, home_regions);
     auto time_left = caller_.time_left.value_or(default_timeout);
--- a/libs/gateway/tests/published_state_test.cpp
+++ b/libs/gateway/tests/published_state_test.cpp
@@ -63,7 +63,7 @@
     configure({2, 40}, configuration(5, "revoked"));
     const auto built = state.build(start);
     CHECK(built.config->version == 6);
-    CHECK_FALSE(built.config->workspace_of_key.contains("revoked"));
+    CHECK_FALSE(built.config->directory->by_key.contains("revoked"));
     configure({2, 41}, configuration(6, "new"));
     CHECK(state.build(start).config_position == catalog::store_position{2, 41});
     configure({2, 45}, configuration(7, "newer"));
--- a/tests/gateway/src/published_configuration.hpp
+++ b/tests/gateway/src/published_configuration.hpp
@@ -64,4 +64,11 @@
     return boost::json::serialize(value);
 }
 
+/// A configuration with another list of workspaces, given as JSON.
+inline std::string with_workspaces(const std::string& text, std::string_view workspaces) {
+    auto value = boost::json::parse(text);
+    value.as_object()["tenants"] = boost::json::parse(workspaces);
+    return boost::json::serialize(value);
+}
+
 } // namespace boragefront::gateway_tests
