catalog, platform: a service without a weight gets no requests of a split

What callers would see: when all weights of a split are 0, or absent, all requests went to the last service of the list, which the operators had taken out. A weight below 1 was read as 0, with the same result.

Cause: the choice fell back on the last service of the list, whatever its weight; weights were whole numbers.

Change: only services with a weight above 0 are chosen, also where rounding leaves a remainder. Weights are numbers with a fraction, as large as before.

--- a/libs/catalog/include/catalog/route_table.hpp
+++ b/libs/catalog/include/catalog/route_table.hpp
@@ -28,7 +28,7 @@
 
 /// Chooses the service for a request of this route, by weight.
 /// \param draw uniform random number in [0, 1).
-/// \returns the name of the service, or an empty view if the route has none.
+/// \returns the name of the service, or an empty view if none has a weight above 0.
 std::string_view choose_service(const route& from, double draw);
 
 } // namespace boragefront::catalog
--- a/libs/catalog/include/catalog/types.hpp
+++ b/libs/catalog/include/catalog/types.hpp
@@ -33,7 +33,7 @@
 /// A service that a route sends requests to, and its relative share of them.
 struct weighted_service {
     std::string service;
-    unsigned weight{1};
+    double weight{1}; ///< 0: gets none
 };
 
 /// A route: the requests that it matches, their services, and their time limits.
--- a/libs/catalog/src/route_table.cpp
+++ b/libs/catalog/src/route_table.cpp
@@ -45,14 +45,17 @@
         std::accumulate(from.services.begin(), from.services.end(), 0.0,
                         [](double sum, const auto& one) { return sum + one.weight; });
     double remaining = draw * total;
+    std::string_view chosen;
     for (const auto& one : from.services) {
-        if (one.weight > 0 && remaining < one.weight) {
-            return one.service;
+        if (one.weight > 0) {
+            chosen = one.service; // the last one also if rounding leaves a remainder
+            if (remaining < one.weight) {
+                break;
+            }
         }
         remaining -= one.weight;
     }
-    return from.services.empty() ? std::string_view{}
-                                 : std::string_view{from.services.back().service};
+    return chosen;
 }
 
 } // namespace boragefront::catalog
--- a/libs/catalog/tests/route_table_test.cpp
+++ b/libs/catalog/tests/route_table_test.cpp
@@ -44,3 +44,15 @@
     CHECK(choose_service(split, 0.9999) == "few");
     CHECK(choose_service(route{}, 0.5).empty());
 }
+
+// Guards against requests at a service from which the operators have taken all of them.
+TEST_CASE("a service without a weight is never chosen") {
+    route split;
+    split.services = {{"one", 0}, {"two", 0}};
+    CHECK(choose_service(split, 0.0).empty());
+    CHECK(choose_service(split, 0.9).empty());
+    split.services = {{"none", 0}, {"all", 1}, {"last", 0}};
+    constexpr double rounded_up = 1.0; // as some standard libraries draw from [0, 1)
+    CHECK(choose_service(split, 0.0) == "all");
+    CHECK(choose_service(split, rounded_up) == "all");
+}
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -160,6 +160,9 @@
 // A route may name services that the configuration does not have.
 std::optional<error> request_handler::missing_service() const {
     const auto& services = snapshot_->published.config->services;
+    if (service_.empty()) {
+        return make_error(error_kind::no_endpoint, "the route sends requests to no service");
+    }
     if (!services.contains(service_)) {
         return make_error(error_kind::no_endpoint, "no such service: " + service_);
     }
