catalog, platform, gateway: an empty list of regions allows none

What callers would see: when the last allowed region of a route or a workspace was withdrawn, its requests went to any region, with their bodies.

Cause: as with the list of workspaces, an empty list was read like an absent one.

Change: a list of regions is there or not.

"an empty list of regions allows no data centre" (gateway_test). The calls of "requests are restricted to the regions of both route and workspace" name no regions as absent ones now, and check one case more.

--- a/libs/catalog/include/catalog/types.hpp
+++ b/libs/catalog/include/catalog/types.hpp
@@ -36,6 +36,9 @@
     double weight{1}; ///< 0: gets none
 };
 
+/// The regions in which requests may be served. Absent: all; empty: none.
+using region_list = std::optional<std::vector<std::string>>;
+
 /// A route: the requests that it matches, their services, and their time limits.
 struct route {
     std::string name;
@@ -53,7 +56,7 @@
     unsigned endpoint_limit{1};     ///< maximum number of endpoints that may run one request
     std::vector<weighted_service> services;
     std::vector<stage> stages;
-    std::vector<std::string> home_regions; ///< empty: any region
+    region_list home_regions;
 };
 
 /// Capacity of one endpoint of a stage service.
@@ -87,7 +90,7 @@
 struct workspace {
     std::string name;
     std::optional<int> priority; ///< overrides the priority of the route
-    std::vector<std::string> home_regions;
+    region_list home_regions;
 };
 
 /// The workspaces and the API keys that identify them.
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -85,7 +85,7 @@
         return make_error(error_kind::unknown_service, "no route matches this host and path");
     }
     priority_ = route_->priority;
-    std::vector<std::string> home_regions; // of the workspace
+    catalog::region_list home_regions; // of the workspace
     const auto authenticated = catalog::authenticate(config, *route_, caller_.key);
     if (!authenticated) {
         return authenticated.error();
@@ -96,6 +96,10 @@
         home_regions = workspace->home_regions;
     }
     allowed_data_centres_ = context_.state.allowed_data_centres(route_->home_regions, home_regions);
+    if (allowed_data_centres_ && allowed_data_centres_->empty()) {
+        return make_error(error_kind::no_endpoint,
+                          "no data centre is allowed to serve the request");
+    }
     auto time_left = caller_.time_left.value_or(default_timeout);
     if (route_->timeout > milliseconds{0}) {
         time_left = std::min(time_left, route_->timeout);
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -235,14 +235,13 @@
 }
 
 std::optional<std::set<std::string>>
-traffic_state::allowed_data_centres(const std::vector<std::string>& route_regions,
-                                    const std::vector<std::string>& workspace_regions) const {
-    if (route_regions.empty() && workspace_regions.empty()) {
+traffic_state::allowed_data_centres(const catalog::region_list& route_regions,
+                                    const catalog::region_list& workspace_regions) const {
+    if (!route_regions && !workspace_regions) {
         return std::nullopt;
     }
-    const auto allows = [](const std::vector<std::string>& regions, const std::string& region) {
-        return regions.empty() ||
-               std::find(regions.begin(), regions.end(), region) != regions.end();
+    const auto allows = [](const catalog::region_list& regions, const std::string& region) {
+        return !regions || std::find(regions->begin(), regions->end(), region) != regions->end();
     };
     std::set<std::string> allowed;
     for (const auto& [data_centre, region] : role_.region_of) {
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -138,8 +138,8 @@
     /// The data centres that the home regions of both the route and the workspace allow. Empty
     /// optional if neither has home regions.
     std::optional<std::set<std::string>>
-    allowed_data_centres(const std::vector<std::string>& route_regions,
-                         const std::vector<std::string>& workspace_regions) const;
+    allowed_data_centres(const catalog::region_list& route_regions,
+                         const catalog::region_list& workspace_regions) const;
 
     /// The stage service's endpoint at an address, if there is one.
     std::optional<catalog::endpoint> stage_endpoint_at(std::string_view address) const;
--- a/libs/gateway/tests/traffic_state_test.cpp
+++ b/libs/gateway/tests/traffic_state_test.cpp
@@ -85,10 +85,23 @@
     role.region_of = {{"a", "north"}, {"b", "north"}, {"c", "south"}};
     state.set_role(role);
     using names = std::set<std::string>;
-    CHECK_FALSE(state.allowed_data_centres({}, {}).has_value());
-    CHECK(state.allowed_data_centres({"north"}, {}) == names{"a", "b"});
-    CHECK(state.allowed_data_centres({"north"}, {"south"}) == names{});
-    CHECK(state.allowed_data_centres({"north", "south"}, {"south"}) == names{"c"});
+    using regions = std::vector<std::string>;
+    const auto any = std::nullopt;
+    CHECK_FALSE(state.allowed_data_centres(any, any).has_value());
+    CHECK(state.allowed_data_centres(regions{"north"}, any) == names{"a", "b"});
+    CHECK(state.allowed_data_centres(any, regions{"south"}) == names{"c"});
+    CHECK(state.allowed_data_centres(regions{"north"}, regions{"south"}) == names{});
+    CHECK(state.allowed_data_centres(regions{"north", "south"}, regions{"south"}) == names{"c"});
+}
+
+// Guards against requests that any data centre serves once no region is allowed any more.
+TEST_CASE_METHOD(state_fixture, "an empty list of regions allows no data centre", "[invariant]") {
+    settings::gateway_settings role;
+    role.region_of = {{"a", "north"}};
+    state.set_role(role);
+    using regions = std::vector<std::string>;
+    CHECK(state.allowed_data_centres(regions{}, std::nullopt) == std::set<std::string>{});
+    CHECK(state.allowed_data_centres(regions{"north"}, regions{}) == std::set<std::string>{});
 }
 
 TEST_CASE_METHOD(state_fixture, "limits are also divided by entries with unknown ids") {
