gateway, boragefrontctl: logs, dump, metrics and explain say whether API keys are needed

Cause: nothing an operator can look at told whether an entry asks for keys, nor counted configurations that it refused.

Change: configuration_in_force names needs_api_keys, workspaces and api_keys; so does the dump, and explain in its first line. Gauges boragefront_needs_api_keys, boragefront_api_keys, boragefront_configurations_refused.

--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -606,12 +606,24 @@
 void control_loop::publish() {
     published_at_ = steady_clock::now();
     auto snapshot = published_.build(published_at_);
+    report_configuration(snapshot);
     if (published_.complete()) {
         serving_since_ = serving_since_.value_or(published_at_);
         callbacks_.publish(std::make_shared<const indexed_snapshot>(std::move(snapshot)));
     }
 }
 
+void control_loop::report_configuration(const catalog::snapshot& snapshot) {
+    metrics_.get_gauge("boragefront_configurations_refused")
+        .set(static_cast<double>(published_.refused_configurations()));
+    if (snapshot.config != nullptr) {
+        const auto& directory = snapshot.config->directory;
+        metrics_.get_gauge("boragefront_needs_api_keys").set(directory ? 1 : 0);
+        metrics_.get_gauge("boragefront_api_keys")
+            .set(directory ? static_cast<double>(directory->by_key.size()) : 0);
+    }
+}
+
 void control_loop::publish_fleet() {
     const auto now = steady_clock::now();
     fleet_view view{peers_.serving_peers(now), peers_.alive_peers(now),
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -129,6 +129,7 @@
     std::string dump();
 
     void publish();
+    void report_configuration(const catalog::snapshot& snapshot);
     void publish_fleet();
     std::vector<std::string> other_seeds(const std::vector<std::string>& seeds) const;
 
--- a/libs/gateway/src/published_state.cpp
+++ b/libs/gateway/src/published_state.cpp
@@ -42,6 +42,7 @@
     last_config_seen_ = held.position;
     auto decoded = platform::read_configuration(*held.value);
     if (!decoded) {
+        ++refused_configurations_;
         log_warning("published", "configuration_refused",
                     {{"key", key},
                      {"revision", std::to_string(held.position.at)},
@@ -59,10 +60,14 @@
     }
     config_ = std::make_shared<const catalog::configuration>(std::move(decoded.value()));
     config_position_ = held.position;
+    const auto& directory = config_->directory;
     log_change("published", "configuration_in_force",
                {{"revision", std::to_string(held.position.at)},
                 {"version", std::to_string(config_->version)},
-                {"routes", std::to_string(config_->routes.size())}});
+                {"routes", std::to_string(config_->routes.size())},
+                {"needs_api_keys", directory ? "true" : "false"},
+                {"workspaces", std::to_string(directory ? directory->workspaces.size() : 0)},
+                {"api_keys", std::to_string(directory ? directory->by_key.size() : 0)}});
 }
 
 void published_state::decode_endpoint(const std::string& key,
--- a/libs/gateway/src/published_state.hpp
+++ b/libs/gateway/src/published_state.hpp
@@ -32,6 +32,9 @@
     /// Whether there is a configuration and a list of endpoints, so that the entry can serve.
     bool complete() const { return config_ != nullptr && endpoints_.through().at > 0; }
 
+    /// Number of configurations that could not be decoded.
+    std::uint64_t refused_configurations() const { return refused_configurations_; }
+
     /// Purges removals that every peer has received by now.
     void purge_old_removals(time_point now);
 
@@ -54,6 +57,7 @@
     std::shared_ptr<const catalog::configuration> config_; // shared with published snapshots
     catalog::store_position last_config_seen_;
     catalog::store_position config_position_;
+    std::uint64_t refused_configurations_{0};
     std::map<std::string, decoded_endpoint, std::less<>> decoded_;
 };
 
--- a/libs/gateway/src/traffic_dump.cpp
+++ b/libs/gateway/src/traffic_dump.cpp
@@ -46,6 +46,10 @@
         traffic["config_revision"] = published.config_position.at;
         traffic["config_era"] = published.config_position.era;
         traffic["config_version"] = published.config->version;
+        const auto& directory = published.config->directory;
+        traffic["needs_api_keys"] = directory.has_value();
+        traffic["workspaces"] = directory ? directory->workspaces.size() : 0;
+        traffic["api_keys"] = directory ? directory->by_key.size() : 0;
         for (const auto& [name, service] : published.config->services) {
             for (const auto& endpoint : state.pool(name)->describe(now, state.entry_group())) {
                 endpoints.push_back(to_json(endpoint));
--- a/tests/gateway/authentication_test.cpp
+++ b/tests/gateway/authentication_test.cpp
@@ -55,3 +55,21 @@
     system.publish_configuration("plain", 9);
     CHECK(comes_to_answer(system, watching, "key", 200));
 }
+
+// Guards against a malformed list of workspaces that is read as an empty one or as none.
+TEST_CASE("a list of workspaces that cannot be read leaves the last good one in force",
+          "[invariant]") {
+    deployment system;
+    system.publish_configuration();
+    system.add_endpoint("i-1", "plain");
+    auto& gateway = system.start_ready_gateway();
+    const auto malformed =
+        GENERATE(as<std::string>{}, "null", "{}", "false", R"([{"name":"team","api_keys":[""]}])");
+    INFO(malformed);
+    system.publish_text(with_workspaces(configuration_text("plain", 8), malformed));
+    const auto& refused = gateway.metrics->get_gauge("boragefront_configurations_refused");
+    REQUIRE(system.becomes_true([&] { return refused.value() == 1; }));
+    CHECK(status_for(system, gateway, "key") == 200);
+    CHECK(status_for(system, gateway, "unknown") == 401);
+    CHECK(status_for(system, gateway, "") == 401);
+}
--- a/tests/gateway/operators_test.cpp
+++ b/tests/gateway/operators_test.cpp
@@ -22,6 +22,8 @@
     const auto explained = run_program(BORAGEFRONTCTL, {"explain", address, "plain"});
     INFO(explained.output << explained.errors);
     CHECK(explained.status == 0);
+    CHECK_THAT(explained.output,
+               Catch::StartsWith("API keys: needed (accepted: 1, workspaces: 1)\n"));
     CHECK_THAT(explained.output, Catch::Matches("(.|\n)*i-1 +a .*may be chosen\n(.|\n)*"));
     CHECK_THAT(explained.output, Catch::Matches("(.|\n)*i-2 +a .*- +draining\n(.|\n)*"));
     const auto unknown = run_program(BORAGEFRONTCTL, {"explain", address, "no-such-service"});
@@ -36,5 +38,8 @@
     CHECK(dump.status == 0);
     const auto read = boost::json::parse(dump.output);
     CHECK(read.at("role_state").at("config_version") == 7);
+    CHECK(read.at("role_state").at("needs_api_keys") == true);
+    CHECK(read.at("role_state").at("workspaces") == 1);
+    CHECK(read.at("role_state").at("api_keys") == 1);
     CHECK(read.at("role_state").at("endpoints").as_array().size() == 2);
 }
--- a/tools/boragefrontctl/src/explain.cpp
+++ b/tools/boragefrontctl/src/explain.cpp
@@ -52,6 +52,21 @@
     return pools;
 }
 
+// Whom the entry lets in. Empty if it does not tell, as processes of other roles and versions.
+std::string read_api_keys(const json::value& dump) {
+    const auto& state = dump.at("role_state").as_object();
+    const auto* const needed = state.if_contains("needs_api_keys");
+    if (needed == nullptr) {
+        return {};
+    }
+    const auto number = [&](std::string_view name) {
+        return std::to_string(state.at(name).to_number<std::int64_t>());
+    };
+    return needed->as_bool() ? "API keys: needed (accepted: " + number("api_keys") +
+                                   ", workspaces: " + number("workspaces") + ")"
+                             : "API keys: not needed";
+}
+
 std::vector<explained_endpoint> read_pool(const json::value& dump, const std::string& pool) {
     const bool names_pools = dump.as_object().contains("instances");
     const auto pools = names_pools ? pools_by_instance(dump) : std::map<std::string, std::string>{};
@@ -69,11 +84,16 @@
     return found;
 }
 
+struct explained_pool {
+    std::string api_keys;
+    std::vector<explained_endpoint> endpoints;
+};
+
 // The dump comes from another process, perhaps of another version.
-result<std::vector<explained_endpoint>> parse_pool(const std::string& text,
-                                                   const std::string& pool) {
+result<explained_pool> parse_pool(const std::string& text, const std::string& pool) {
     try {
-        return read_pool(json::parse(text), pool);
+        const auto dump = json::parse(text);
+        return explained_pool{read_api_keys(dump), read_pool(dump, pool)};
     } catch (const std::exception& fault) {
         return make_error(error_kind::internal,
                           std::string{"this is not the dump of an entry: "} + fault.what());
@@ -112,16 +132,20 @@
         refuse(output, peer + ": " + to_string(answer.error()));
         return exit_status::amiss;
     }
-    const auto endpoints = parse_pool(answer.value().json, line.arguments[1]);
-    if (!endpoints) {
-        refuse(output, peer + ": " + to_string(endpoints.error()));
+    const auto explained = parse_pool(answer.value().json, line.arguments[1]);
+    if (!explained) {
+        refuse(output, peer + ": " + to_string(explained.error()));
         return exit_status::amiss;
     }
-    write_table(output.out, endpoints.value());
-    if (endpoints.value().empty()) {
+    const auto& [api_keys, endpoints] = explained.value();
+    if (!api_keys.empty()) {
+        output.out << api_keys << '\n';
+    }
+    write_table(output.out, endpoints);
+    if (endpoints.empty()) {
         output.errors << peer << " knows no endpoint of pool " << line.arguments[1] << '\n';
     }
-    return endpoints.value().empty() ? exit_status::amiss : exit_status::good;
+    return endpoints.empty() ? exit_status::amiss : exit_status::good;
 }
 
 } // namespace boragefront::ctl
