gateway: log lines of stage results that are lost and of stages that run in part

Cause: nothing told which pieces of a request were made again, or which of its stages ran while its results were discarded, so a result in the wrong slot could not be told from one that an endpoint had made for another piece.

Change: request stage_inputs_gone (with stages_running) and pieces_run_again (with the numbers of the pieces).

--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -91,6 +91,7 @@
     time_point start_stages(stage_runs& runs);
     http::awaitable<void> run_stage(std::size_t stage, stage_runs& runs);
 
+    void log_inputs_gone(std::size_t stage, const stage_runs& runs) const;
     milliseconds start_delay(std::size_t stage) const;
     bool discard_unreachable_results();
     results_location inputs_location() const;
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -18,6 +18,21 @@
 
 namespace asio = boost::asio;
 
+void append_number(std::string& list, std::size_t number) {
+    if (!list.empty()) {
+        list += ',';
+    }
+    list += std::to_string(number);
+}
+
+std::string numbers_of(const std::vector<stages::piece>& pieces) {
+    std::string list;
+    for (const auto& piece : pieces) {
+        append_number(list, piece.number);
+    }
+    return list;
+}
+
 } // namespace
 
 // Starts the stages whose inputs are available, or defers them. Returns when to call this again
@@ -107,6 +122,7 @@
                 for (const auto& result : completed->results) {
                     if (result.outcome == stages::piece_outcome::input_gone) {
                         ++input_losses_;
+                        log_inputs_gone(outcome->first, runs);
                         plan_->invalidate_results([](const std::string&) { return true; });
                         break;
                     }
@@ -153,6 +169,19 @@
     co_return failed;
 }
 
+// All results are discarded. Stages that are still running made theirs from inputs that existed.
+void request_handler::log_inputs_gone(std::size_t stage, const stage_runs& runs) const {
+    std::string running;
+    for (const auto& [other, outcome] : runs.outcomes) {
+        if (!outcome) {
+            append_number(running, other);
+        }
+    }
+    log_decision(
+        "request", "stage_inputs_gone",
+        {{"request", caller_.id}, {"stage", std::to_string(stage)}, {"stages_running", running}});
+}
+
 // Discards results in a data centre that is cut off, as they cannot be read from here. Returns
 // whether there were any that can still be produced again.
 bool request_handler::discard_unreachable_results() {
@@ -205,6 +234,12 @@
     }
     stages::piece_group group;
     group.pieces = plan_->pieces_of(stage);
+    if (group.pieces.size() < caller_.pieces_per_stage[stage]) {
+        log_decision("request", "pieces_run_again",
+                     {{"request", caller_.id},
+                      {"stage", std::to_string(stage)},
+                      {"pieces", numbers_of(group.pieces)}});
+    }
     group.result_bytes = route_->stages[stage].result_bytes;
     group.priority = priority_;
     group.workspace = workspace_;
