stages, gateway: a result goes to the piece that it was made for

Cause: the pieces without a result were listed when a group began, and its results were handed, in that order, to the pieces without a result when it ended. Between the two, another stage that found its inputs gone cleared more results of the same stage.

Change: the plan keeps the numbers of a run from its begin to its end (begin_run, end_run), and a slot holds a handle only while the result exists. Whether a stage has to run follows from the slots of its readers; there is no record of stages that are scheduled or released beside them. Pieces and inputs are taken when a run is begun, not when its coroutine first runs or its delay has passed, by which time the inputs may have been discarded. A handle that is already held fills no second slot. Before the request is sent, its inputs are checked to be one for each piece, none twice; otherwise it is refused as not run, with a warning that names it and a counter.

Why it works: no event between begin and end can change which piece a result is for.

Tests (stages_test): "results of a run go to its own pieces although others were lost meanwhile" and, over 3,000 generated orders on six shapes of plans with a model beside them, "in any order of events a slot holds only a result made for its piece". Both failed in a trial with the former code behind the new interface.

--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -144,11 +144,17 @@
                         std::nullopt);
         co_return next_step::done;
     }
+    auto inputs = collect_inputs();
+    if (!inputs) {
+        co_await refuse(make_error(error_kind::unavailable, "the stage results are inconsistent"),
+                        default_retry_after);
+        co_return next_step::done;
+    }
     if (const auto refused_for = context_.state.prompt_quarantine().begin(shared_parts_, now)) {
         co_await refuse(quarantine_error(), *refused_for);
         co_return next_step::done;
     }
-    auto prepared = prepare_send(*chosen, *pool, now);
+    auto prepared = prepare_send(*chosen, *pool, std::move(*inputs), now);
     last_endpoint_ = chosen->id;
     progress_ = response_progress::none;
     auto stream = co_await context_.endpoints.open(prepared.address, std::move(prepared.message),
@@ -169,10 +175,27 @@
     co_return step;
 }
 
+// The results that the request reads, none if it has no stages. Returns nothing if they are not one
+// for each piece, which would be answered as if it were sound.
+std::optional<std::vector<std::string>> request_handler::collect_inputs() const {
+    if (!plan_) {
+        return std::vector<std::string>{};
+    }
+    auto inputs = plan_->final_inputs();
+    if (!inputs) {
+        log_warning("request", "inputs_inconsistent",
+                    {{"request", caller_.id}, {"reason", inputs.error().detail}});
+        context_.state.metrics().get_counter("boragefront_inconsistent_inputs_total").add();
+        return std::nullopt;
+    }
+    return std::move(inputs.value());
+}
+
 // Records an attempt at an endpoint, and makes the request to send.
 request_handler::prepared_send
 request_handler::prepare_send(const balancing::chosen_endpoint& chosen,
-                              balancing::endpoint_pool& pool, time_point now) {
+                              balancing::endpoint_pool& pool, std::vector<std::string> inputs,
+                              time_point now) {
     tried_endpoints_.insert(chosen.id);
     platform::forwarding_headers forwarding;
     forwarding.endpoint = chosen.id;
@@ -182,9 +205,7 @@
     forwarding.time_left =
         std::max(milliseconds{1}, time_left - std::chrono::ceil<milliseconds>(now - received_at_));
     forwarding.has_inputs = plan_.has_value() && !route_->stages.empty();
-    if (plan_) {
-        forwarding.inputs = plan_->final_inputs();
-    }
+    forwarding.inputs = std::move(inputs);
     forwarding.kv_cache_source = cached_prompt_source(chosen);
     if (last_event_id_) {
         forwarding.last_event_id = std::to_string(*last_event_id_);
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -173,7 +173,7 @@
     for (std::size_t i = 0; plan_ && i < route_->stages.size(); ++i) {
         const auto found = services.find(route_->stages[i].service);
         const bool exists = found != services.end() && found->second.stages;
-        if (!exists && !plan_->pieces_of(i).empty()) {
+        if (!exists && plan_->piece_count(i) > 0) {
             return make_error(error_kind::no_endpoint,
                               "no such stage service: " + route_->stages[i].service);
         }
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -47,12 +47,11 @@
         std::string data_centre; // empty: none
         std::uint64_t bytes{0};
     };
-    // The stages that are not complete, by index.
+    // The runs of stages that have not ended, by the stage's index.
     struct stage_runs {
         explicit stage_runs(const boost::asio::any_io_executor& executor)
             : stage_ended{executor, time_point::max()} {}
-        std::set<std::size_t> deferred;                               // ready, but not started
-        std::map<std::size_t, std::optional<group_outcome>> outcomes; // of the started ones
+        std::map<std::size_t, std::optional<group_outcome>> outcomes;
         cancellation_source cancellation;
         boost::asio::steady_timer stage_ended;
     };
@@ -89,7 +88,8 @@
     http::awaitable<bool> run_stages();
     http::awaitable<std::optional<stages_failure>> produce_results(stage_runs& runs);
     time_point start_stages(stage_runs& runs);
-    http::awaitable<void> run_stage(std::size_t stage, stage_runs& runs);
+    http::awaitable<void> run_stage(std::size_t stage, std::vector<stages::piece> missing,
+                                    stage_runs& runs);
 
     void log_inputs_gone(std::size_t stage, const stage_runs& runs) const;
     milliseconds start_delay(std::size_t stage) const;
@@ -104,8 +104,10 @@
     std::optional<balancing::chosen_endpoint> find_endpoint(time_point now);
     http::awaitable<std::optional<balancing::chosen_endpoint>> choose_endpoint();
     http::awaitable<next_step> send_to_endpoint();
+    std::optional<std::vector<std::string>> collect_inputs() const;
     prepared_send prepare_send(const balancing::chosen_endpoint& chosen,
-                               balancing::endpoint_pool& pool, time_point now);
+                               balancing::endpoint_pool& pool, std::vector<std::string> inputs,
+                               time_point now);
     http::cancel_source& add_cancel_source();
     http::awaitable<next_step> handle_response(http::response_stream& stream,
                                                const send_attempt& attempt);
--- a/libs/gateway/src/request_replacement.cpp
+++ b/libs/gateway/src/request_replacement.cpp
@@ -107,7 +107,8 @@
     const auto now = steady_clock::now();
     const auto chosen = find_endpoint(now);
     auto* const pool = context_.state.pool(service_);
-    if (!chosen || pool == nullptr || is_ended_early() ||
+    auto inputs = collect_inputs();
+    if (!chosen || pool == nullptr || is_ended_early() || !inputs ||
         context_.state.prompt_quarantine().begin(shared_parts_, now)) {
         if (stream_started_) {
             release_all_results();
@@ -115,7 +116,7 @@
         co_return false;
     }
     retry_reserved_ = false;
-    auto prepared = prepare_send(*chosen, *pool, now);
+    auto prepared = prepare_send(*chosen, *pool, std::move(*inputs), now);
     log_decision("request", "replacement_sent",
                  {{"request", caller_.id},
                   {"silent_endpoint", last_endpoint_},
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -36,21 +36,17 @@
 } // namespace
 
 // Starts the stages whose inputs are available, or defers them. Returns when to call this again
-// even if no stage ends.
+// even if no stage ends; `time_point::max()` if none was deferred.
 time_point request_handler::start_stages(stage_runs& runs) {
-    const auto became_ready = plan_->take_ready();
-    runs.deferred.insert(became_ready.begin(), became_ready.end());
     auto next_start = time_point::max();
-    for (auto next = runs.deferred.begin(); next != runs.deferred.end();) {
-        const auto stage = *next;
+    for (const auto stage : plan_->ready()) {
         if (const auto delay = start_delay(stage); delay > milliseconds{0}) {
             next_start = std::min(next_start, steady_clock::now() + delay);
-            ++next;
             continue;
         }
-        next = runs.deferred.erase(next);
         runs.outcomes[stage] = std::nullopt;
-        asio::co_spawn(context_.executor, run_stage(stage, runs),
+        // The pieces are taken here, as results may be invalidated before the coroutine starts.
+        asio::co_spawn(context_.executor, run_stage(stage, plan_->begin_run(stage), runs),
                        [stage, &runs](const std::exception_ptr& thrown) {
                            if (thrown != nullptr) {
                                log_exception("request", "run_stage", thrown);
@@ -88,14 +84,10 @@
     const auto deadline = stream_started_ ? deadline_ : first_event_deadline_;
     for (;;) {
         auto next_start = time_point::max();
-        if (failure || is_ended_early() || runs.cancellation.cancelled()) {
-            for (const auto stage : std::exchange(runs.deferred, {})) {
-                plan_->set_results(stage, {});
-            }
-        } else {
+        if (!failure && !is_ended_early() && !runs.cancellation.cancelled()) {
             next_start = start_stages(runs);
         }
-        if (outcomes.empty() && runs.deferred.empty()) {
+        if (outcomes.empty() && next_start == time_point::max()) {
             break;
         }
         const bool none_finished =
@@ -115,9 +107,10 @@
                 continue;
             }
             const auto* const completed = std::get_if<group_completed>(&*outcome->second);
-            plan_->set_results(outcome->first, completed == nullptr
-                                                   ? std::vector<stages::piece_result>{}
-                                                   : completed->results);
+            auto unclaimed = plan_->end_run(
+                outcome->first,
+                completed == nullptr ? std::vector<stages::piece_result>{} : completed->results);
+            release_results({{outcome->first, std::move(unclaimed)}});
             if (completed != nullptr) {
                 for (const auto& result : completed->results) {
                     if (result.outcome == stages::piece_outcome::input_gone) {
@@ -206,7 +199,7 @@
 
 // How long to wait before a stage is started. Only results that take up much memory are worth it.
 milliseconds request_handler::start_delay(std::size_t stage) const {
-    const auto bytes = route_->stages[stage].result_bytes * plan_->pieces_of(stage).size();
+    const auto bytes = route_->stages[stage].result_bytes * plan_->missing_results(stage);
     if (bytes < costly_transfer_bytes) {
         return milliseconds{0};
     }
@@ -221,7 +214,9 @@
     });
 }
 
-http::awaitable<void> request_handler::run_stage(std::size_t stage, stage_runs& runs) {
+http::awaitable<void> request_handler::run_stage(std::size_t stage,
+                                                 std::vector<stages::piece> missing,
+                                                 stage_runs& runs) {
     const auto idle_time_of = [&](std::size_t later_stage, std::size_t pieces) {
         return context_.stages.service_time(stage_service(later_stage), pieces);
     };
@@ -233,8 +228,8 @@
         engine_time = pool->typical_latency().value_or(milliseconds{0});
     }
     stages::piece_group group;
-    group.pieces = plan_->pieces_of(stage);
-    if (group.pieces.size() < caller_.pieces_per_stage[stage]) {
+    group.pieces = std::move(missing);
+    if (group.pieces.size() < plan_->piece_count(stage)) {
         log_decision("request", "pieces_run_again",
                      {{"request", caller_.id},
                       {"stage", std::to_string(stage)},
@@ -293,8 +288,10 @@
 
 void request_handler::release_results(std::vector<stages::stage_results> results) {
     for (auto& stage_results : results) {
-        context_.stages.release(route_->stages[stage_results.stage].service,
-                                std::move(stage_results.handles));
+        if (!stage_results.handles.empty()) {
+            context_.stages.release(route_->stages[stage_results.stage].service,
+                                    std::move(stage_results.handles));
+        }
     }
 }
 
--- a/libs/stages/include/stages/stage_plan.hpp
+++ b/libs/stages/include/stages/stage_plan.hpp
@@ -20,6 +20,10 @@
 };
 
 /// Tracks the stages of a request, a directed acyclic graph. Stages without pieces are skipped.
+///
+/// Each piece of a stage has a slot for its result. A slot is filled by the run that was begun for
+/// its piece, and emptied when the result is lost or released. A stage runs while a result is
+/// missing that the request, or a stage that still has to run, reads.
 class stage_plan {
 public:
     /// \param route must outlive the plan.
@@ -28,39 +32,53 @@
     static result<stage_plan> make(const catalog::route& route, std::string request_id,
                                    std::string key, std::vector<unsigned> counts);
 
-    /// Returns the stages whose inputs are complete and marks them as scheduled. Each is returned
-    /// once, unless it has to run again.
-    std::vector<std::size_t> take_ready();
+    /// Returns the stages that have pieces to run, have all their inputs and are not running.
+    std::vector<std::size_t> ready() const;
 
-    /// Returns the results that a stage reads, each with the stage that produced it.
-    std::vector<std::pair<std::string, std::size_t>> inputs_of(std::size_t stage) const;
+    /// Begins a run of the pieces of a stage that have no result.
+    /// \pre the stage is ready.
+    /// \returns the pieces, with their inputs.
+    std::vector<piece> begin_run(std::size_t stage);
 
-    /// Returns the pieces of a stage that have no result.
-    std::vector<piece> pieces_of(std::size_t stage) const;
+    /// Ends the run of a stage. Each result goes to the piece that it was made for, whatever became
+    /// of the stage's other results during the run.
+    /// \param results one for each piece that `begin_run` returned, in that order. Any other number
+    /// is taken as a run without results.
+    /// \returns the handles that go to no piece, because it has a result or they are not distinct.
+    std::vector<std::string> end_run(std::size_t stage, const std::vector<piece_result>& results);
 
-    /// Sets the results of the pieces that `pieces_of` returned, in the same order. If a piece has
-    /// no result, the stage becomes ready again.
-    void set_results(std::size_t stage, const std::vector<piece_result>& results);
+    /// Whether a run of the stage has begun and not ended.
+    bool is_running(std::size_t stage) const { return !stages_[stage].running.empty(); }
 
-    /// Discards lost results, so that their pieces run again. A stage whose results were released
-    /// runs again too if a piece without a result reads them.
+    /// Discards lost results, so that their pieces run again if they are still needed.
     /// \param gone returns whether the result with the given handle is lost.
     void invalidate_results(const std::function<bool(const std::string&)>& gone);
 
     /// Returns whether all results that the request itself reads exist.
     bool complete() const;
 
+    /// Returns the number of pieces of a stage.
+    std::size_t piece_count(std::size_t stage) const { return stages_[stage].results.size(); }
+
+    /// Returns the number of pieces of a stage that have no result.
+    std::size_t missing_results(std::size_t stage) const;
+
+    /// Returns the existing results that a stage reads, each with the stage that produced it.
+    std::vector<std::pair<std::string, std::size_t>> inputs_of(std::size_t stage) const;
+
     /// Returns the results that the request itself reads.
-    std::vector<std::string> final_inputs() const;
+    /// \returns `internal` unless there is exactly one for each piece, and none is there twice.
+    result<std::vector<std::string>> final_inputs() const;
 
-    /// Returns the results that the request itself reads, each with the stage that produced it.
+    /// Returns the existing results that the request itself reads, each with the stage that
+    /// produced it.
     std::vector<std::pair<std::string, std::size_t>> final_results() const;
 
-    /// Returns the results that neither an unfinished stage nor the request itself reads, and marks
-    /// them as released.
+    /// Removes and returns the results that neither an unfinished stage nor the request itself
+    /// reads.
     std::vector<stage_results> take_releasable();
 
-    /// Returns all results that are not released yet, and marks them as released.
+    /// Removes and returns all results.
     std::vector<stage_results> take_all();
 
     /// Returns the duration of the critical path through the stages that follow `stage`.
@@ -69,9 +87,9 @@
     milliseconds critical_path_after(std::size_t stage, Time time_of) const {
         milliseconds longest{0};
         for (std::size_t i = 0; i < stages_.size(); ++i) {
-            if (!stages_[i].handles.empty() && depends_on(i, stage)) {
-                longest = std::max(longest, time_of(i, stages_[i].handles.size()) +
-                                                critical_path_after(i, time_of));
+            if (piece_count(i) > 0 && depends_on(i, stage)) {
+                longest =
+                    std::max(longest, time_of(i, piece_count(i)) + critical_path_after(i, time_of));
             }
         }
         return longest;
@@ -84,26 +102,33 @@
     /// \param time_of remaining duration of a stage, by its index and number of pieces.
     template <class Time>
     milliseconds start_delay(std::size_t stage, Time time_of) const {
+        if (has_dependents(stage)) {
+            return milliseconds{0};
+        }
         milliseconds longest{0}; // through the other unfinished stages
+        const auto unfinished = unfinished_stages();
         for (std::size_t i = 0; i < stages_.size(); ++i) {
-            if (i != stage && !all_pieces_made(i)) {
-                longest = std::max(longest, time_of(i, stages_[i].handles.size()) +
-                                                critical_path_after(i, time_of));
+            if (i != stage && unfinished[i]) {
+                longest =
+                    std::max(longest, time_of(i, piece_count(i)) + critical_path_after(i, time_of));
             }
         }
-        const auto own = time_of(stage, stages_[stage].handles.size());
-        return has_dependents(stage) ? milliseconds{0} : std::max(longest - own, milliseconds{0});
+        return std::max(longest - time_of(stage, piece_count(stage)), milliseconds{0});
     }
 
 private:
     struct progress {
-        std::vector<std::string> handles; ///< one for each piece; empty: no result
-        bool scheduled{false};            ///< running or complete
-        bool released{false}; ///< its results were released, as nothing reads them any more
+        std::vector<std::string> results; ///< handles, one for each piece; empty: no result
+        std::vector<unsigned> running;    ///< numbers of the pieces of the run in progress
     };
-    bool all_pieces_made(std::size_t stage) const;
+    // For each stage, whether it lacks results that the request or an unfinished stage reads.
+    std::vector<bool> unfinished_stages() const;
+    bool has_all_results(std::size_t stage) const { return missing_results(stage) == 0; }
     bool depends_on(std::size_t stage, std::size_t other) const;
     bool has_dependents(std::size_t stage) const;
+    bool is_read_later(std::size_t stage, const std::vector<bool>& unfinished) const;
+    bool holds(const std::string& handle) const;
+    void take_results(std::size_t stage, std::vector<stage_results>& taken);
 
     const catalog::route* route_{nullptr};
     std::string request_id_;
