gateway, stages: a request goes on once its inputs exist

What callers would see: a request whose results were discarded while a stage was running waited for stages that nothing read any more, up to their time-out, and was refused if one of these was refused or failed. Found by reading, in the search for relatives of the mixed-up results.

Cause: every run that had been started counted, whether or not its results were still read. A run that was no longer needed and found its inputs released would even have discarded the results that the request was about to read. And of a group with a failed piece and a lost input, the one that came first decided.

Change: the outcome of a run matters only while its stage lacks results that are read (stage_plan::is_unfinished). Once all inputs of the request exist, the runs that are left are cancelled. A lost input goes before a failed piece, whatever their order, as all pieces are run again; the first failure of a request is kept.

--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -91,6 +91,8 @@
     http::awaitable<void> run_stage(std::size_t stage, std::vector<stages::piece> missing,
                                     stage_runs& runs);
 
+    std::optional<stages_failure> end_run(std::size_t stage, const group_outcome& outcome,
+                                          const stage_runs& runs);
     void log_inputs_gone(std::size_t stage, const stage_runs& runs) const;
     milliseconds start_delay(std::size_t stage) const;
     bool discard_unreachable_results();
--- a/libs/gateway/src/request_stages.cpp
+++ b/libs/gateway/src/request_stages.cpp
@@ -79,8 +79,7 @@
     auto& outcomes = runs.outcomes;
     stage_cancellations_.insert(&runs.cancellation);
     runs.cancellation.add(runs.stage_ended);
-    std::optional<error> failure;
-    std::optional<milliseconds> retry_after;
+    std::optional<stages_failure> failure;
     const auto deadline = stream_started_ ? deadline_ : first_event_deadline_;
     for (;;) {
         auto next_start = time_point::max();
@@ -95,9 +94,9 @@
                          [](const auto& outcome) { return outcome.second.has_value(); });
         if (none_finished) {
             boost::system::error_code interrupted;
-            // After a failure only until the cancelled stages have ended.
-            runs.stage_ended.expires_at(failure ? time_point::max()
-                                                : std::min(next_start, deadline));
+            // After a cancellation only until the runs have ended.
+            runs.stage_ended.expires_at(
+                runs.cancellation.cancelled() ? time_point::max() : std::min(next_start, deadline));
             co_await runs.stage_ended.async_wait(
                 asio::redirect_error(asio::use_awaitable, interrupted));
         }
@@ -106,60 +105,73 @@
                 ++outcome;
                 continue;
             }
-            const auto* const completed = std::get_if<group_completed>(&*outcome->second);
-            auto unclaimed = plan_->end_run(
-                outcome->first,
-                completed == nullptr ? std::vector<stages::piece_result>{} : completed->results);
-            release_results({{outcome->first, std::move(unclaimed)}});
-            if (completed != nullptr) {
-                for (const auto& result : completed->results) {
-                    if (result.outcome == stages::piece_outcome::input_gone) {
-                        ++input_losses_;
-                        log_inputs_gone(outcome->first, runs);
-                        plan_->invalidate_results([](const std::string&) { return true; });
-                        break;
-                    }
-                    if (result.outcome != stages::piece_outcome::made) {
-                        failure = make_error(error_kind::no_capacity,
-                                             "a piece was not completed: " +
-                                                 std::string{to_string(result.outcome)});
-                    }
-                }
-            } else if (const auto* const refused = std::get_if<group_refused>(&*outcome->second)) {
-                failure =
-                    make_error(error_kind::no_capacity, "the stages would not complete in time");
-                retry_after = refused->retry_after;
-            } else if (!failure && !entry_exits_) {
-                // A stage cancelled because another one failed keeps that failure.
-                failure = make_error(error_kind::cancelled, "the results are not needed any more");
+            auto ended = end_run(outcome->first, *outcome->second, runs);
+            if (ended && !failure) { // the other stages are cancelled because of the first failure
+                failure = std::move(ended);
             }
             outcome = outcomes.erase(outcome);
         }
         release_results(plan_->take_releasable());
-        if (input_losses_ > max_input_losses) {
-            failure = make_error(error_kind::no_capacity, "stage results were lost too often");
+        if (!failure && input_losses_ > max_input_losses) {
+            failure = stages_failure{
+                make_error(error_kind::no_capacity, "stage results were lost too often"), {}};
         }
         if (!failure && !plan_->complete() && steady_clock::now() >= deadline) {
-            failure = make_error(error_kind::no_capacity, "the stages were not complete in time");
-            retry_after = default_retry_after;
+            failure = stages_failure{
+                make_error(error_kind::no_capacity, "the stages were not complete in time"),
+                default_retry_after};
         }
-        if (failure) {
+        if (failure || plan_->complete()) {
             runs.cancellation.cancel();
         }
     }
     stage_cancellations_.erase(&runs.cancellation);
-    if (entry_exits_ && !failure && !plan_->complete()) {
-        failure = shutdown_error();
-        retry_after = shutdown_retry_after();
+    if (!failure && !plan_->complete()) {
+        failure = entry_exits_ ? stages_failure{shutdown_error(), shutdown_retry_after()}
+                               : stages_failure{make_error(error_kind::cancelled,
+                                                           "the results are not needed any more"),
+                                                {}};
     }
-    if (!failure && (runs.cancellation.cancelled() || !plan_->complete())) {
-        failure = make_error(error_kind::cancelled, "the results are not needed any more");
+    co_return failure;
+}
+
+// Takes the results of a run. Returns why those that are missing cannot be produced.
+std::optional<request_handler::stages_failure>
+request_handler::end_run(std::size_t stage, const group_outcome& outcome, const stage_runs& runs) {
+    const auto* const completed = std::get_if<group_completed>(&outcome);
+    auto unclaimed = plan_->end_run(
+        stage, completed == nullptr ? std::vector<stages::piece_result>{} : completed->results);
+    release_results({{stage, std::move(unclaimed)}});
+    if (!plan_->is_unfinished(stage)) {
+        return std::nullopt; // complete, or its readers were completed meanwhile
+    }
+    if (const auto* const refused = std::get_if<group_refused>(&outcome)) {
+        return stages_failure{
+            make_error(error_kind::no_capacity, "the stages would not complete in time"),
+            refused->retry_after};
+    }
+    if (completed == nullptr) { // cancelled
+        return std::nullopt;
+    }
+    const auto find_outcome = [&](auto matches) {
+        return std::find_if(completed->results.begin(), completed->results.end(),
+                            [&](const auto& result) { return matches(result.outcome); });
+    };
+    const auto none = completed->results.end();
+    if (find_outcome([](auto one) { return one == stages::piece_outcome::input_gone; }) != none) {
+        ++input_losses_;
+        log_inputs_gone(stage, runs);
+        plan_->invalidate_results([](const std::string&) { return true; });
+        return std::nullopt;
     }
-    if (!failure) {
-        co_return std::nullopt;
+    const auto failed = find_outcome([](auto one) { return one != stages::piece_outcome::made; });
+    if (failed == none) {
+        return std::nullopt;
     }
-    std::optional<stages_failure> failed{stages_failure{std::move(*failure), retry_after}};
-    co_return failed;
+    return stages_failure{
+        make_error(error_kind::no_capacity,
+                   "a piece was not completed: " + std::string{to_string(failed->outcome)}),
+        {}};
 }
 
 // All results are discarded. Stages that are still running made theirs from inputs that existed.
--- a/libs/stages/include/stages/stage_plan.hpp
+++ b/libs/stages/include/stages/stage_plan.hpp
@@ -50,6 +50,9 @@
     /// Whether a run of the stage has begun and not ended.
     bool is_running(std::size_t stage) const { return !stages_[stage].running.empty(); }
 
+    /// Whether the stage lacks results that the request or an unfinished stage reads.
+    bool is_unfinished(std::size_t stage) const { return unfinished_stages()[stage]; }
+
     /// Discards lost results, so that their pieces run again if they are still needed.
     /// \param gone returns whether the result with the given handle is lost.
     void invalidate_results(const std::function<bool(const std::string&)>& gone);
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace boragefront::gateway_tests {
 namespace {
@@ -346,10 +347,18 @@
     if (message.target == "/-/stage-free") {
         co_return co_await with.send(with_body(head_of(200, "", false), "{}"));
     }
-    (void)co_await with.wait(work);
+    const bool inputs_gone = calls_with_inputs_gone > 0;
+    calls_with_inputs_gone -= inputs_gone ? 1 : 0;
+    const bool is_later_call = std::exchange(called_for_pieces_, true);
+    (void)co_await with.wait(is_later_call && later_call_work >= milliseconds{0} ? later_call_work
+                                                                                 : work);
     const auto asked = json::parse(message.body).at("items").as_array();
     json::array items;
     for (const auto& item : asked) {
+        if (inputs_gone) {
+            items.push_back(json::object{{"reason", "gone"}});
+            continue;
+        }
         const auto handle = address() + "/" + id_ + "." + std::to_string(next_handle_++);
         visits_[visit].made.push_back({std::string{item.at("id").as_string()}, handle});
         items.push_back(json::object{{"handle", handle}});
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -101,7 +101,9 @@
     /// Before each response, sends the one before it on the same connection a second time, if that
     /// was a refusal or a response to a call for pieces.
     bool repeats_responses{false};
-    std::size_t flooded_bytes{0}; ///< sent in mode `flooding`
+    std::size_t flooded_bytes{0};     ///< sent in mode `flooding`
+    int calls_with_inputs_gone{0};    ///< next calls for pieces that find their inputs gone
+    milliseconds later_call_work{-1}; ///< of calls for pieces after the first; negative: `work`
 
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
@@ -130,6 +132,7 @@
     endpoint_mode mode_{endpoint_mode::sound};
     int mode_times_{0};
     int next_handle_{1};
+    bool called_for_pieces_{false};
     std::optional<time_point> crashed_at_;
     std::vector<endpoint_visit> visits_;
     std::vector<std::weak_ptr<connection>> open_;
