gateway: a response that names one result for two pieces is not used

What callers would see: an endpoint that answers a call with one handle twice would have given its request one result for two pieces.

Cause: handles were compared with those of earlier responses, not with each other.

Change: such a response counts as broken, like a second copy, and its pieces are tried elsewhere.

Test: "trouble: a response that names a result twice is detected" (gateway_test) failed before.

--- a/libs/gateway/src/duplicate_response_filter.hpp
+++ b/libs/gateway/src/duplicate_response_filter.hpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <deque>
 #include <string>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -22,10 +23,12 @@
 /// is never reused.
 class duplicate_response_filter {
 public:
-    /// Whether any of these results was part of an earlier response.
+    /// Whether any of these results was part of an earlier response, or is named twice in this one.
     bool is_duplicate(const std::vector<stages::piece_result>& results) const {
+        std::unordered_set<std::string_view> named;
         return std::any_of(results.begin(), results.end(), [&](const auto& result) {
-            return !result.handle.empty() && handles_.contains(result.handle);
+            return !result.handle.empty() &&
+                   (handles_.contains(result.handle) || !named.insert(result.handle).second);
         });
     }
 
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -265,7 +265,7 @@
     } else {
         outcome = stages::call_outcome::broken;
         reason = "status " + std::to_string(head.status) + ", " +
-                 (pieces ? std::string{"a duplicate of an earlier response"}
+                 (pieces ? std::string{"names a result of an earlier response, or one twice"}
                          : to_string(pieces.error()));
         // The response to this call may still arrive on the connection in place of a later one.
         endpoints_.close_idle_connections(call.address);
--- a/libs/gateway/tests/duplicate_response_filter_test.cpp
+++ b/libs/gateway/tests/duplicate_response_filter_test.cpp
@@ -26,6 +26,14 @@
     CHECK_FALSE(filter.is_duplicate(make_results("another/a", "another/b")));
 }
 
+// Guards against a request that is given one result for two of its pieces.
+TEST_CASE("trouble: a response that names a result twice is detected") {
+    const duplicate_response_filter filter;
+    CHECK(filter.is_duplicate(make_results("maker/a", "maker/a")));
+    CHECK_FALSE(filter.is_duplicate(make_results("maker/a", "maker/b")));
+    CHECK_FALSE(filter.is_duplicate(make_results("", "")));
+}
+
 TEST_CASE("results without handles are not duplicates of each other") {
     duplicate_response_filter filter;
     const std::vector<piece_result> refused{piece_result{piece_outcome::no_room, ""}};
