tests: the soak draws no port twice

Cause: the soak looks for a free port for each address of a gateway before any of them is bound, and forgot what it had drawn: in seed 1249, one of 50, the data and the ready address of a gateway had the same port, and the gateway ended with "Address already in use".

Change: it remembers the ports that it has drawn in a run.

--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <csignal>
 #include <fstream>
+#include <set>
 
 namespace boragefront::soak {
 namespace {
@@ -29,7 +30,8 @@
 
 // A free address below the ports from which systems connect, so that it is still free when a
 // gateway that was killed starts again.
-std::string free_address(random_source& random) {
+// \param drawn ports of earlier calls, to which nobody may be bound yet.
+std::string free_address(random_source& random, std::set<std::uint16_t>& drawn) {
     constexpr unsigned lowest = 12'000;
     constexpr unsigned highest = 30'000;
     std::uniform_int_distribution<unsigned> ports{lowest, highest};
@@ -39,7 +41,7 @@
         boost::asio::ip::tcp::acceptor probe{io, boost::asio::ip::tcp::v4()};
         boost::system::error_code failure;
         probe.bind({boost::asio::ip::address_v4::loopback(), port}, failure);
-        if (!failure) {
+        if (!failure && drawn.insert(port).second) {
             return local(port);
         }
     }
@@ -72,12 +74,13 @@
     }
     gateways_.resize(sizes.gateways);
     auto random = make_random_source();
+    std::set<std::uint16_t> drawn_ports;
     for (std::size_t i = 0; i < sizes.gateways; ++i) {
         auto& one = gateways_[i];
         one.id = "gateway-" + std::to_string(i);
-        one.data_address = free_address(random);
-        one.control_address = free_address(random);
-        one.ready_address = free_address(random);
+        one.data_address = free_address(random, drawn_ports);
+        one.control_address = free_address(random, drawn_ports);
+        one.ready_address = free_address(random, drawn_ports);
         BOOST_OUTCOME_TRY(one.store_link, loop_.run([&] {
             return stand_ins::relay::listen(loop_.executor(), "127.0.0.1:0", store_->address());
         }));
