http: a message in a transfer coding other than chunked is not used

Cause: Beast decodes "chunked" and passes over all other codings. A request that names another one counted as one without a body, and its body as the next request. The header is then removed with those of the connection, so an endpoint can't tell either.

Change: after the head is read, any transfer coding but a single "chunked" in HTTP/1.1 is refused with 400, and the connection closes (RFC 9112, 6.1 and 6.3). The client does not use such a response, which it read to the end of the connection and passed on encoded. boragefront_requests_refused_malformed counts what could not be parsed.

Why it works: no byte after the head is read, so what the coding hides is never parsed.

--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -304,6 +304,7 @@
         set("boragefront_connections_closed_idle", {}, from.closed_idle);
         set("boragefront_requests_served_at_idle_limit", {}, from.served_at_limit);
         set("boragefront_requests_refused_late", {}, from.refused_late);
+        set("boragefront_requests_refused_malformed", {}, from.refused_malformed);
         set("boragefront_requests_refused_for_memory", {}, from.refused_for_memory);
         set(incomplete, R"(reason="peer_closed")", from.peer_closed);
         set(incomplete, R"(reason="write_failed")", from.write_failed);
--- a/libs/http/include/http/server.hpp
+++ b/libs/http/include/http/server.hpp
@@ -70,6 +70,7 @@
     std::uint64_t closed_idle{0};        ///< connections closed at the idle time limit
     std::uint64_t served_at_limit{0};    ///< requests found as their connection was to be closed
     std::uint64_t refused_late{0};       ///< requests that did not arrive in time
+    std::uint64_t refused_malformed{0};  ///< requests that could not be parsed
     std::uint64_t refused_for_memory{0}; ///< requests whose bodies exceeded the budget of memory
     std::uint64_t peer_closed{0};        ///< responses not completed as the peer closed first
     std::uint64_t write_failed{0};       ///< responses not completed as a write failed
--- a/libs/http/src/beast_messages.cpp
+++ b/libs/http/src/beast_messages.cpp
@@ -1,5 +1,7 @@
 #include "beast_messages.hpp"
 
+#include <iterator>
+
 namespace boragefront::http {
 namespace {
 constexpr unsigned http_1_1 = 11;
@@ -20,6 +22,15 @@
     return headers;
 }
 
+bool has_supported_framing(const beast::http::fields& headers, unsigned version) {
+    const auto [first, last] = headers.equal_range(beast::http::field::transfer_encoding);
+    if (first == last) {
+        return true;
+    }
+    return version >= http_1_1 && std::next(first) == last &&
+           beast::iequals(first->value(), "chunked");
+}
+
 beast::http::request<beast::http::string_body> to_beast(request message, std::string_view host) {
     beast::http::request<beast::http::string_body> out;
     out.method_string(message.method);
--- a/libs/http/src/beast_messages.hpp
+++ b/libs/http/src/beast_messages.hpp
@@ -29,6 +29,12 @@
 
 header_list read_headers(const beast::http::fields& from);
 
+/// Whether this library decodes the framing of a message's body: HTTP/1.1, and no transfer coding
+/// but a single "chunked". Beast ignores other codings, so the end of the body is not known
+/// (RFC 9112, 6.1 and 6.3).
+/// \param version of HTTP, as 11 for 1.1.
+bool has_supported_framing(const beast::http::fields& headers, unsigned version);
+
 beast::http::request<beast::http::string_body> to_beast(request message, std::string_view host);
 beast::http::response<beast::http::string_body> to_beast(response message, bool keep_alive);
 
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -311,6 +311,10 @@
                 co_return make_error(error_kind::connection_lost,
                                      "unrequested switch of protocols");
             }
+            if (!has_supported_framing(parser_->get(), parser_->get().version())) {
+                co_return make_error(error_kind::incomplete_answer,
+                                     "response in a transfer coding that was not offered");
+            }
             if (status >= first_final_status) {
                 head_.status = status;
                 head_.headers = read_headers(parser_->get());
--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -144,6 +144,9 @@
     boost::system::error_code failure;
     begin_wait(wait_kind::header);
     co_await beast::http::async_read_header(stream_, buffer_, parser, awaitable_into(failure));
+    if (!failure && !has_supported_framing(parser.get(), parser.get().version())) {
+        failure = beast::http::error::bad_transfer_encoding;
+    }
     byte_lease memory{state_->memory};
     bool within_budget = true;
     if (!failure && !parser.is_done()) {
--- a/libs/http/src/server_refusals.cpp
+++ b/libs/http/src/server_refusals.cpp
@@ -50,6 +50,7 @@
     } else if (failure.category() == make_error_code(beast::http::error::bad_method).category() &&
                failure != beast::http::error::end_of_stream &&
                failure != beast::http::error::partial_message) {
+        state_->count(&server_statistics::refused_malformed);
         co_await send_problem(make_error(error_kind::bad_request, failure.message()));
     }
 }
--- a/libs/http/tests/hostile_peer_test.cpp
+++ b/libs/http/tests/hostile_peer_test.cpp
@@ -222,6 +222,20 @@
     CHECK(steady_clock::now() - began < early_failure_limit);
 }
 
+// Guards against encoded bytes that are passed on as if they were the response.
+TEST_CASE("a response in a transfer coding other than chunked is not used") {
+    const std::string codings =
+        GENERATE(as<std::string>{}, "gzip", "gzip, chunked", "chunked, gzip");
+    INFO(codings);
+    hostile_peer peer{{"HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\nTransfer-Encoding: " +
+                       codings + "\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}};
+    const auto answer = peer.call(within(milliseconds{500}));
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().kind == error_kind::incomplete_answer);
+    CHECK(answer.error().ran == work_ran::unknown);
+    CHECK(becomes_true([&] { return peer.closed() == 1; }));
+}
+
 TEST_CASE("a line over the length limit is rejected") {
     hostile_peer peer{{chunked_head, flood_chunk}};
     const auto line = peer.first_line(steady_clock::now() + test_timeout);
