http: fields after the last chunk of a request are not headers

Callers could send an API key, a request id or a time limit after the body, and it counted as a header; so a proxy in between and the entry read different requests.

Cause: Beast adds the fields of a trailer to the message's headers, and the server read these after the body.

Change: the headers are read before the body (RFC 9110, 6.5.1).

--- a/libs/http/src/server_connection.cpp
+++ b/libs/http/src/server_connection.cpp
@@ -147,6 +147,9 @@
     if (!failure && !has_supported_framing(parser.get(), parser.get().version())) {
         failure = beast::http::error::bad_transfer_encoding;
     }
+    // Before the body: the parser adds the fields of a trailer to the same list, and these are not
+    // headers (RFC 9110, 6.5.1).
+    auto headers = read_headers(parser.get());
     byte_lease memory{state_->memory};
     bool within_budget = true;
     if (!failure && !parser.is_done()) {
@@ -164,7 +167,7 @@
         serving_ = false;
         co_return false;
     }
-    co_return co_await respond(parser);
+    co_return co_await respond(parser, std::move(headers));
 }
 
 awaitable<bool> server_connection::read_body(parser_type& parser, byte_lease& memory,
@@ -303,12 +306,12 @@
     return stream_.socket().available(failure) > 0 && !failure;
 }
 
-awaitable<bool> server_connection::respond(parser_type& parser) {
+awaitable<bool> server_connection::respond(parser_type& parser, header_list headers) {
     auto message = parser.release();
     keep_alive_ = message.keep_alive();
     response_started_ = response_complete_ = write_failed_ = false;
     const request incoming{std::string{message.method_string()}, std::string{message.target()},
-                           read_headers(message), std::move(message.body())};
+                           std::move(headers), std::move(message.body())};
     stream_.expires_never();
     const auto stop_watching = watch_for_close();
     co_await call_handler(incoming);
--- a/libs/http/src/server_connection.hpp
+++ b/libs/http/src/server_connection.hpp
@@ -137,7 +137,7 @@
     // Whether bytes from the peer can be read at once.
     bool has_input();
 
-    awaitable<bool> respond(parser_type& parser);
+    awaitable<bool> respond(parser_type& parser, header_list headers);
 
     awaitable<void> call_handler(const request& incoming);
 
--- a/libs/http/tests/framing_test.cpp
+++ b/libs/http/tests/framing_test.cpp
@@ -119,6 +119,20 @@
     CHECK(peer.handled().empty());
 }
 
+// Guards against a key, an id or a time limit that is taken from the end of a body.
+TEST_CASE("fields after the last chunk are not headers") {
+    recording_server peer;
+    const auto answer = peer.exchange(
+        "POST / HTTP/1.1\r\nHost: a\r\nBefore: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "4\r\nbody\r\n0\r\nBefore: 2\r\nAfter: 3\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 200"));
+    REQUIRE(peer.handled().size() == 1);
+    const auto handled = peer.handled().front();
+    CHECK(handled.body == "body");
+    CHECK(handled.headers.get("Before") == "1");
+    CHECK_FALSE(handled.headers.has("After"));
+}
+
 TEST_CASE("a request inside a body in chunks or of a stated length stays a body") {
     const bool in_chunks = GENERATE(false, true);
     const std::string framing =
