gateway, boragefrontd: a shutdown takes the grace period of changed settings

Cause: a reload handed the settings on to the traffic state and the control loop. The drain plan and the bound on the shutdown used a copy of the start.

Change: the node holds the newest grace period, which the plan and the bound ask for. On SIGTERM a changed file is read before the shutdown begins: the platform may change it without a signal, and the poll may be a second late.

Why it works: both users ask one place, which each reload sets before it returns.

--- a/boragefrontd/src/main.cpp
+++ b/boragefrontd/src/main.cpp
@@ -80,21 +80,21 @@
     log_change("daemon", "settings_reloaded", {{"cause", std::string{cause}}});
 }
 
-// Waits for the signal that requests a shutdown and returns it. Meanwhile reloads the settings file
-// on SIGHUP and when its text has changed.
+// Waits for the signal that requests a shutdown and returns it. Until then reloads the settings
+// file on SIGHUP and when its text has changed; a last time on that signal, for the grace period.
 int await_shutdown(const sigset_t& signals, daemon::running_role& role) {
     auto current_text = read_settings_text();
     for (;;) {
         const timespec poll_interval{settings_poll_interval_s, 0};
         const int received = sigtimedwait(&signals, nullptr, &poll_interval);
-        if (received == SIGTERM || received == SIGINT) {
-            return received;
-        }
         auto new_text = read_settings_text();
         if (received == SIGHUP || new_text != current_text) {
             reload_settings(role, received == SIGHUP ? "SIGHUP" : "file_changed");
             current_text = std::move(new_text);
         }
+        if (received == SIGTERM || received == SIGINT) {
+            return received;
+        }
     }
 }
 
@@ -115,7 +115,7 @@
     const int received = await_shutdown(signals, role.value());
     log_change("daemon", "shutting_down", {{"signal", std::to_string(received)}});
     {
-        const daemon::shutdown_limit limit{daemon::shutdown_time(settings), [] {
+        const daemon::shutdown_limit limit{daemon::shutdown_time(role.value(), settings), [] {
                                                log_warning("daemon", "shutdown_overdue");
                                                flush_logs(overdue_flush_timeout);
                                                std::quick_exit(exit_shutdown_overdue);
--- a/boragefrontd/src/role.cpp
+++ b/boragefrontd/src/role.cpp
@@ -43,6 +43,20 @@
     void operator()(const std::unique_ptr<sidecar::sidecar_node>& /*node*/) const {}
 };
 
+struct shutdown_timer {
+    const settings::daemon_settings& settings;
+
+    milliseconds operator()(const std::unique_ptr<gateway::gateway_node>& node) const {
+        return std::max(node->grace() - exit_margin, exit_margin);
+    }
+    milliseconds operator()(const std::unique_ptr<entry::entry_node>& /*node*/) const {
+        return settings.drain_timeout;
+    }
+    milliseconds operator()(const std::unique_ptr<sidecar::sidecar_node>& /*node*/) const {
+        return settings.drain_timeout;
+    }
+};
+
 } // namespace
 
 void reload(running_role& role, const settings::daemon_settings& settings) {
@@ -54,10 +68,8 @@
     return std::visit(role_starter{settings, metrics}, settings.role);
 }
 
-milliseconds shutdown_time(const settings::daemon_settings& settings) {
-    const auto* const gateway = std::get_if<settings::gateway_settings>(&settings.role);
-    return gateway == nullptr ? settings.drain_timeout
-                              : std::max(gateway->grace - exit_margin, exit_margin);
+milliseconds shutdown_time(const running_role& role, const settings::daemon_settings& settings) {
+    return std::visit(shutdown_timer{settings}, role);
 }
 
 void shut_down(running_role& role) {
--- a/boragefrontd/src/role.hpp
+++ b/boragefrontd/src/role.hpp
@@ -30,7 +30,8 @@
 
 /// The most time that a shutdown may take, so that the process ends by itself also if a thread of
 /// the role hangs.
-milliseconds shutdown_time(const settings::daemon_settings& settings);
+/// \param settings of the start, for roles whose settings can't change while they run.
+milliseconds shutdown_time(const running_role& role, const settings::daemon_settings& settings);
 
 /// Shuts the role down gracefully and blocks until it has stopped.
 void shut_down(running_role& role);
--- a/boragefrontd/tests/gateway_daemon_test.cpp
+++ b/boragefrontd/tests/gateway_daemon_test.cpp
@@ -4,11 +4,15 @@
 #include "support/process.hpp"
 #include "support/run_program.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 #include <unistd.h>
 
 using namespace boragefront;
@@ -18,19 +22,19 @@
 
 constexpr seconds test_timeout{30}; // long enough that a slow machine does not cause a failure
 
-std::string settings_text(const std::string& more = "") {
+std::string settings_text(const std::string& more = "", int grace_s = 3) {
     return R"({"role": "gateway", "id": "g-1", "data_centre": "a",
         "data_address": "127.0.0.1:0", "control_address": "127.0.0.1:0",
         "platform_address": "127.0.0.1:1",
         "gateway": {"ready_address": "127.0.0.1:0", "work_address": "127.0.0.1:0",
-                    "grace_s": 3, "log_lines_per_second": 100000)" +
-           more + "}}";
+                    "log_lines_per_second": 100000, "grace_s": )" +
+           std::to_string(grace_s) + more + "}}";
 }
 
 // A running gateway with its settings file.
 struct running_daemon {
-    running_daemon() {
-        write(settings_text());
+    explicit running_daemon(const std::string& settings = settings_text()) {
+        write(settings);
         auto started = process::start({BORAGEFRONTD, "--settings", file.string()},
                                       file.string() + ".log", test_timeout);
         REQUIRE(started);
@@ -97,6 +101,33 @@
     CHECK_THAT(outcome.errors, Catch::Contains("gateway.unknown"));
 }
 
+// Guards against requests that the platform cuts at the end of the grace period, because the
+// shutdown still takes the one of the start.
+TEST_CASE("a shutdown takes the grace period of changed settings", "[invariant]") {
+    constexpr int former_grace_s = 25;
+    const bool signalled = GENERATE(true, false);
+    INFO((signalled ? "SIGHUP" : "no signal"));
+    running_daemon daemon{settings_text("", former_grace_s)};
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket caller{io};
+    const auto colon = daemon.address.rfind(':');
+    caller.connect({boost::asio::ip::make_address(daemon.address.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoi(daemon.address.substr(colon + 1)))});
+    // A request that is not complete keeps the gateway from ending early.
+    boost::asio::write(caller, boost::asio::buffer(std::string{
+                                   "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbody"}));
+    std::this_thread::sleep_for(milliseconds{300});
+    daemon.write(settings_text());
+    if (signalled) {
+        daemon.program->send_signal(SIGHUP);
+        std::this_thread::sleep_for(milliseconds{300});
+    }
+    const auto began = steady_clock::now();
+    daemon.program->send_signal(SIGTERM);
+    CHECK(daemon.program->wait_exit(test_timeout) == 0);
+    CHECK(steady_clock::now() - began < seconds{former_grace_s} / 2); // which of the two was taken
+}
+
 TEST_CASE("a gateway keeps serving after a reload with invalid settings") {
     running_daemon daemon;
     blocking_client client;
--- a/libs/gateway/include/gateway/gateway_node.hpp
+++ b/libs/gateway/include/gateway/gateway_node.hpp
@@ -4,6 +4,7 @@
 
 #include "base/error.hpp"
 #include "base/metrics.hpp"
+#include "base/time.hpp"
 #include "settings/settings.hpp"
 
 #include <memory>
@@ -29,6 +30,10 @@
     /// Applies the settings that can change at run time. Thread-safe.
     virtual void reload(const settings::daemon_settings& settings) = 0;
 
+    /// Time from the beginning of a shutdown until the platform kills the process, by the newest
+    /// settings. Thread-safe.
+    virtual milliseconds grace() const = 0;
+
     /// Begins a graceful shutdown. Thread-safe and idempotent.
     virtual void request_shutdown() = 0;
 
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -106,10 +106,13 @@
             return;
         }
         set_decision_rate(role->log_lines_per_second);
+        grace_ = role->grace;
         asio::post(traffic_loop_.io, [this, next = *role] { state_.set_role(next); });
         control_->reload(settings);
     }
 
+    milliseconds grace() const override { return grace_; }
+
     void request_shutdown() override {
         const std::scoped_lock lock{mutex_};
         shutdown_requested_ = true;
@@ -122,7 +125,7 @@
             shutdown_changed_.wait(lock, [this] { return shutdown_requested_; });
         }
         const auto started_at = steady_clock::now();
-        const auto plan = drain_plan::make(started_at, role_.grace);
+        const auto plan = drain_plan::make(started_at, grace());
         log_change("gateway", "draining", {{"open_requests", std::to_string(open_requests())}});
         server_->announce_close();
         asio::post(traffic_loop_.io, [this, plan] { state_.draining = plan; });
@@ -388,7 +391,8 @@
     // Destroyed in reverse order: suspended requests, which are owned by the event loop, refer to
     // the members above it, and connections refer to the event loop.
     settings::daemon_settings settings_;
-    settings::gateway_settings role_;
+    settings::gateway_settings role_; // of the start
+    std::atomic<milliseconds> grace_{role_.grace};
     metrics_registry& metrics_;
     traffic_state state_;
     byte_budget memory_; // of messages in progress
