gateway: a changed limit of memory for messages is taken over

Operators saw nothing: message_memory_mb is among the limits that a gateway takes over on SIGHUP, but the budget kept the limit of the start.

Change: the budget's limit can be replaced, and a reload does so. Leases that exceed a lowered limit stay; others fail until these end.

Measured: "a changed limit holds for leases that grow from then on" (base_test) passes; the interface is new, so the test doesn't build without it.

--- a/libs/base/include/base/byte_budget.hpp
+++ b/libs/base/include/base/byte_budget.hpp
@@ -22,11 +22,15 @@
     std::size_t used() const { return used_; }
     std::size_t limit() const { return limit_; }
 
+    /// Replaces the limit. Leases that exceed a lowered one stay; new ones fail until they end.
+    void set_limit(std::size_t limit) { limit_ = limit; }
+
 private:
     friend class byte_lease;
 
     bool try_take(std::size_t bytes, std::size_t held) {
-        const auto available = held + bytes > small_lease ? limit_ / 2 : limit_;
+        const std::size_t limit = limit_;
+        const auto available = held + bytes > small_lease ? limit / 2 : limit;
         const auto before = used_.fetch_add(bytes);
         if (before + bytes <= available) {
             return true;
@@ -36,7 +40,7 @@
     }
     void give_back(std::size_t bytes) { used_ -= bytes; }
 
-    std::size_t limit_;
+    std::atomic<std::size_t> limit_;
     std::atomic<std::size_t> used_{0};
 };
 
--- a/libs/base/tests/byte_budget_test.cpp
+++ b/libs/base/tests/byte_budget_test.cpp
@@ -41,6 +41,21 @@
     CHECK(budget.used() == 8 * mebibyte);
 }
 
+TEST_CASE("a changed limit holds for leases that grow from then on") {
+    constexpr std::size_t former_limit = 1'000;
+    byte_budget budget{former_limit};
+    byte_lease first{budget};
+    byte_lease second{budget};
+    REQUIRE(first.resize(600));
+    budget.set_limit(500);
+    CHECK(budget.limit() == 500);
+    CHECK(first.size() == 600);
+    CHECK_FALSE(second.resize(1));
+    budget.set_limit(2'000);
+    CHECK(second.resize(1'400));
+    CHECK_FALSE(second.resize(1'401));
+}
+
 TEST_CASE("a lease that is moved is given back once") {
     byte_budget budget{mebibyte};
     {
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -107,6 +107,7 @@
         }
         set_decision_rate(role->log_lines_per_second);
         grace_ = role->grace;
+        memory_.set_limit(role->message_bytes);
         asio::post(traffic_loop_.io, [this, next = *role] { state_.set_role(next); });
         control_->reload(settings);
     }
