http: a caller that reads late gets its whole answer

Callers saw: with a receive buffer of 2,304 bytes, an answer that was read 4 s late, within the request's time limit, came in part and with a reset.

Cause: TCP_USER_TIMEOUT of 3 s, which is to find peers that disappear without a reset, also ends a connection whose peer answers but has no room for data.

The new test, whole and streamed, fails with that option on callers' connections and passes without it; nothing else differs.

Change: callers' connections have keep-alive probes only. Those to endpoints, the store and other entries keep the time-out, which finds a machine that disappears with a request on its way.

Why it works: probes are answered by any peer that is there, whatever it reads. One that is gone is found by the probes while its connection is quiet, else by the time limit of the write.

--- a/libs/base/include/base/tcp.hpp
+++ b/libs/base/include/base/tcp.hpp
@@ -15,9 +15,13 @@
 result<boost::asio::ip::tcp::endpoint> parse_address(std::string_view text);
 
 /// Sets socket options that detect a peer that disappeared without a reset: keep-alive probes on an
-/// idle connection, a time-out for unacknowledged data otherwise. Also disables Nagle's algorithm.
+/// idle connection, a time-out for unacknowledged data otherwise. That time-out also ends a
+/// connection whose peer responds but has no room for data. Also disables Nagle's algorithm.
 void detect_dead_peer(boost::asio::ip::tcp::socket& socket);
 
+/// The same without the time-out for unacknowledged data, for peers that may read late.
+void detect_dead_idle_peer(boost::asio::ip::tcp::socket& socket);
+
 /// Whether a connection is open and has nothing to read.
 bool is_quiet(boost::asio::ip::tcp::socket& socket);
 
--- a/libs/base/src/tcp.cpp
+++ b/libs/base/src/tcp.cpp
@@ -52,7 +52,7 @@
     return tcp::endpoint{ip, static_cast<std::uint16_t>(*port)};
 }
 
-void detect_dead_peer(tcp::socket& socket) {
+void detect_dead_idle_peer(tcp::socket& socket) {
     // Best effort: without these options only the time-outs of calls detect a dead peer.
     boost::system::error_code unsupported;
     socket.set_option(tcp::no_delay{true}, unsupported);
@@ -60,6 +60,11 @@
     socket.set_option(keepalive_idle{probe_after_idle_s}, unsupported);
     socket.set_option(keepalive_interval{probe_interval_s}, unsupported);
     socket.set_option(keepalive_count{probes_unanswered}, unsupported);
+}
+
+void detect_dead_peer(tcp::socket& socket) {
+    detect_dead_idle_peer(socket);
+    boost::system::error_code unsupported;
     socket.set_option(user_timeout{unacknowledged_limit_ms}, unsupported);
 }
 
--- a/libs/http/src/server.cpp
+++ b/libs/http/src/server.cpp
@@ -123,7 +123,7 @@
     static void serve(const asio::any_io_executor& executor, tcp::socket socket,
                       const std::shared_ptr<server_state>& state,
                       const std::shared_ptr<connection_set>& connections) {
-        detect_dead_peer(socket);
+        detect_dead_idle_peer(socket);
         auto accepted = std::make_shared<server_connection>(state, std::move(socket));
         connections->add(accepted);
         asio::co_spawn(executor, run_connection(std::move(accepted), connections),
--- a/libs/http/tests/idle_close_test.cpp
+++ b/libs/http/tests/idle_close_test.cpp
@@ -76,6 +76,13 @@
 public:
     explicit caller(const fixture& peer) { socket_.connect(peer.endpoint()); }
 
+    // \param receive_buffer in bytes, set before the connection exists.
+    caller(const fixture& peer, int receive_buffer) {
+        socket_.open(tcp::v4());
+        socket_.set_option(asio::socket_base::receive_buffer_size{receive_buffer});
+        socket_.connect(peer.endpoint());
+    }
+
     void send(const std::string& bytes) {
         boost::system::error_code ignored; // `read_response` reports a connection that was closed
         asio::write(socket_, asio::buffer(bytes), ignored);
@@ -257,6 +264,32 @@
     CHECK(text.starts_with("HTTP/1.1 408"));
 }
 
+// Guards against a response of which a caller that reads late gets a part and a reset: the kernel's
+// time-out for unacknowledged data also ended connections whose peer had no room for a while.
+TEST_CASE("a caller with a small window that reads seconds late gets its whole response") {
+    const std::string body(20'000, 'x');
+    const bool streamed = GENERATE(false, true);
+    INFO((streamed ? "streamed" : "whole"));
+    fixture peer{[&](const request& /*incoming*/, responder& out) -> awaitable<void> {
+        if (!streamed) {
+            (void)co_await out.send(make_json_response(200, body));
+            co_return;
+        }
+        response head;
+        head.status = 200;
+        (void)co_await out.begin(std::move(head));
+        (void)co_await out.write(body);
+        (void)co_await out.finish();
+    }};
+    constexpr int smallest_buffer = 2'304;
+    caller late{peer, smallest_buffer};
+    late.send(get("/", "Connection: close\r\n"));
+    std::this_thread::sleep_for(milliseconds{4'500});
+    const auto text = late.read_to_end();
+    CHECK(late.end() == asio::error::eof);
+    CHECK(text.find(body) != std::string::npos);
+}
+
 // Guards against a response that is destroyed by the reset that follows when a connection with
 // unread bytes is closed.
 TEST_CASE("a response arrives whole although bytes behind its request remain unread") {
