--- a/libs/http/tests/framing_test.cpp
+++ b/libs/http/tests/framing_test.cpp
@@ -75,7 +75,8 @@
 const std::string hidden = "POST /hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
 const std::string hidden_length = std::to_string(hidden.size());
 
-std::string as_chunk(const std::string& text) {
+// The size line before a chunk of fewer than 256 bytes.
+std::string chunk_header(const std::string& text) {
     constexpr std::string_view digits = "0123456789abcdef";
     return {digits[text.size() / 16], digits[text.size() % 16], '\r', '\n'};
 }
@@ -100,7 +101,7 @@
     INFO(framing << (in_chunks ? ", in chunks" : ""));
     recording_server peer;
     const std::string head = "POST /visible HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n\r\n";
-    const auto body = in_chunks ? as_chunk(hidden) + hidden + "\r\n0\r\n\r\n" : hidden;
+    const auto body = in_chunks ? chunk_header(hidden) + hidden + "\r\n0\r\n\r\n" : hidden;
     const auto answer = peer.exchange(head + body);
     INFO(answer);
     CHECK(answer.starts_with("HTTP/1.1 400"));
@@ -114,7 +115,7 @@
     recording_server peer;
     const auto answer =
         peer.exchange("POST /visible HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n" +
-                      as_chunk(hidden) + hidden + "\r\n0\r\n\r\n");
+                      chunk_header(hidden) + hidden + "\r\n0\r\n\r\n");
     CHECK(answer.starts_with("HTTP/1.1 400"));
     CHECK(peer.handled().empty());
 }
@@ -140,7 +141,7 @@
     recording_server peer;
     const auto answer =
         peer.exchange("POST /visible HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n\r\n" +
-                      (in_chunks ? as_chunk(hidden) + hidden + "\r\n0\r\n\r\n" : hidden));
+                      (in_chunks ? chunk_header(hidden) + hidden + "\r\n0\r\n\r\n" : hidden));
     CHECK(answer.starts_with("HTTP/1.1 200"));
     REQUIRE(peer.handled().size() == 1);
     CHECK(peer.handled().front().target == "/visible");
