http: a response that ends with the connection is not whole if the write of its request failed

What callers saw: a worker answered an upload of 10 MB at once with a 200 without a length, sent a part of the body and reset the connection. A stream of this kind ended with its last chunk, as if it were complete.

Cause: a body that doesn't fit the socket's buffer is written while the response is read. The system reports the error of a connection to one operation only. The write met the reset, and of its outcome only "not written" was kept; the read then saw an orderly end, which is the end of a body without a length.

A plain socket shows the same: after a reset, send gives ECONNRESET and the next recv 0 bytes.

Change: the error of the write is kept, and a response that ends with its connection fails with it.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -174,7 +174,7 @@
                 pending_.erase(0, newline + 1);
                 co_return line;
             }
-            if (parser_->is_done()) {
+            if (is_complete()) {
                 co_return take_pending();
             }
             searched = pending_.size();
@@ -187,14 +187,14 @@
     }
 
     awaitable<result<std::optional<std::string>>> next_bytes(time_point deadline) override {
-        while (pending_.empty() && !parser_->is_done()) {
+        while (pending_.empty() && !is_complete()) {
             BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
         }
         co_return take_pending();
     }
 
     awaitable<result<std::string>> read_rest(time_point deadline) override {
-        while (!parser_->is_done()) {
+        while (!is_complete()) {
             BOOST_OUTCOME_CO_TRY(co_await read_more(deadline));
         }
         co_return std::exchange(pending_, {});
@@ -208,6 +208,7 @@
     struct body_write {
         outgoing_request message;
         bool done{false};
+        boost::system::error_code failure{};
     };
 
     void write_concurrently(outgoing_request message) {
@@ -215,9 +216,19 @@
         beast::http::async_write(connection_->stream, write_->message,
                                  [write = write_](boost::system::error_code failure, std::size_t) {
                                      write->done = !failure;
+                                     write->failure = failure;
                                  });
     }
 
+    bool is_complete() const { return parser_->is_done() && !receive_failure_; }
+
+    // The system reports an error of the connection to one operation only. If that was the write of
+    // the request, the read of the response sees an orderly end.
+    boost::system::error_code hidden_failure() const {
+        const bool ended_by_close = parser_->is_done() && parser_->need_eof();
+        return ended_by_close && write_ != nullptr ? write_->failure : boost::system::error_code{};
+    }
+
     // Whether the next read returns without waiting.
     bool has_more_to_read() {
         return !pending_.empty() || parser_->is_done() || connection_ == nullptr ||
@@ -253,7 +264,7 @@
         buffer.commit(size);
         if (failure && failure != asio::error::would_block) {
             // A second read might report a reset as an orderly end.
-            receive_failure_ = failure;
+            receive_failure_ = failure == asio::error::eof ? boost::system::error_code{} : failure;
             return false;
         }
         return true;
@@ -329,7 +340,7 @@
     awaitable<result<void>> discard_response(time_point deadline) {
         const auto until = std::min(deadline, steady_clock::now() + unmatched_response_timeout);
         std::size_t discarded = 0;
-        while (!parser_->is_done()) {
+        while (!is_complete()) {
             BOOST_OUTCOME_CO_TRY(co_await read_more(until));
             discarded += std::exchange(pending_, {}).size();
             if (discarded > max_unmatched_bytes) {
@@ -357,7 +368,7 @@
             co_return make_error(error_kind::deadline_exceeded,
                                  "response incomplete at the deadline");
         }
-        if (receive_failure_ && receive_failure_ != asio::error::eof) {
+        if (receive_failure_) {
             co_return call_failure(receive_failure_, guard_.cancelled());
         }
         std::array<char, read_size> bytes{};
@@ -374,6 +385,10 @@
         if (failure) {
             co_return call_failure(failure, guard_.cancelled());
         }
+        receive_failure_ = hidden_failure();
+        if (receive_failure_) {
+            co_return call_failure(receive_failure_, guard_.cancelled());
+        }
         append_body(bytes.data(), bytes.size() - body.size);
         if (pending_.size() > body_limit_ || over_budget_) {
             co_return make_error(error_kind::too_large, work_ran::unknown,
@@ -412,7 +427,7 @@
     std::function<bool()> end_when_silent_;
     time_point silent_at_;
     bool single_use_;
-    boost::system::error_code receive_failure_; // of a read that did not wait
+    boost::system::error_code receive_failure_; // ends the response
     std::optional<body_parser> parser_;
     std::shared_ptr<body_write> write_; // shared with the completion handler
     response head_;
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -48,6 +48,15 @@
     return size.data() + text + "\r\n";
 }
 
+std::string with_id(std::string text, const std::string& id) {
+    constexpr std::string_view placeholder = "{id}";
+    for (auto at = text.find(placeholder); at != std::string::npos;
+         at = text.find(placeholder, at + id.size())) {
+        text.replace(at, placeholder.size(), id);
+    }
+    return text;
+}
+
 std::string event(int number) {
     return "id: " + std::to_string(number) + "\ndata: event-" + std::to_string(number) + "\n\n";
 }
@@ -89,6 +98,15 @@
         co_return true;
     }
 
+    // Reads until the peer closes.
+    asio::awaitable<void> discard_input() {
+        std::array<char, 16U << 10U> bytes{};
+        boost::system::error_code failure;
+        while (!failure) {
+            co_await socket.async_read_some(asio::buffer(bytes), into(failure));
+        }
+    }
+
     tcp::socket socket;
     beast::flat_buffer buffer;
     int served{0};               ///< requests answered on it
@@ -184,7 +202,12 @@
         beast::http::request_parser<beast::http::string_body> parser;
         parser.body_limit(max_body_bytes);
         boost::system::error_code failure;
-        co_await beast::http::async_read(with->socket, with->buffer, parser, into(failure));
+        if (script && script->before_body) {
+            co_await beast::http::async_read_header(with->socket, with->buffer, parser,
+                                                    into(failure));
+        } else {
+            co_await beast::http::async_read(with->socket, with->buffer, parser, into(failure));
+        }
         if (failure) {
             co_return;
         }
@@ -219,6 +242,9 @@
     if (message.target.starts_with("/-/stage-")) {
         co_return co_await answer_pieces(with, visit);
     }
+    if (script) {
+        co_return co_await answer_scripted(with, visit);
+    }
     const auto mode = take_mode();
     if (mode == endpoint_mode::refusing || mode == endpoint_mode::inputs_gone) {
         const unsigned status = mode == endpoint_mode::refusing ? 503 : 409;
@@ -254,6 +280,23 @@
     co_return co_await answer_plain(with, visit, mode);
 }
 
+asio::awaitable<bool> endpoint_stand_in::answer_scripted(connection& with, std::size_t visit) {
+    const auto response = *script;
+    visits_[visit].ran = true;
+    visits_[visit].answered = co_await with.send(with_id(response.bytes, visits_[visit].id));
+    asio::steady_timer timer{executor_, response.end_after};
+    boost::system::error_code ignored;
+    co_await timer.async_wait(into(ignored));
+    if (response.end == connection_end::reset) {
+        with.socket.set_option(asio::socket_base::linger{true, 0}, ignored);
+    }
+    if (response.end == connection_end::shut_down) {
+        with.socket.shutdown(tcp::socket::shutdown_send, ignored);
+        co_await with.discard_input();
+    }
+    co_return response.end == connection_end::none;
+}
+
 asio::awaitable<bool> endpoint_stand_in::answer_plain(connection& with, std::size_t visit,
                                                       endpoint_mode mode) {
     const auto id = visits_[visit].id;
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -39,6 +39,22 @@
     pausing,   ///< after `cut_after` events is silent for `pause`, and goes on
 };
 
+/// How an endpoint ends the connection of a scripted response.
+enum class connection_end : std::uint8_t {
+    none,      ///< keeps it for further requests
+    shut_down, ///< ends its own side, and reads until the peer closes
+    reset,
+};
+
+/// A response that is written byte by byte, whether or not it is valid.
+struct scripted_response {
+    std::string bytes{};     ///< "{id}" stands for the id of the request
+    bool before_body{false}; ///< written as soon as the head of the request has arrived; the body
+                             ///< is not read
+    connection_end end{connection_end::none};
+    milliseconds end_after{0}; ///< since the bytes were sent
+};
+
 /// A result of stage work.
 struct made_result {
     std::string request_id; ///< for which it was made
@@ -105,6 +121,9 @@
     int calls_with_inputs_gone{0};    ///< next calls for pieces that find their inputs gone
     milliseconds later_call_work{-1}; ///< of calls for pieces after the first; negative: `work`
 
+    /// Sent in place of all responses but those to calls for pieces.
+    std::optional<scripted_response> script{};
+
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
 
@@ -113,6 +132,7 @@
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> serve(std::shared_ptr<connection> with);
     boost::asio::awaitable<bool> answer(connection& with, std::size_t visit);
+    boost::asio::awaitable<bool> answer_scripted(connection& with, std::size_t visit);
     boost::asio::awaitable<bool> answer_plain(connection& with, std::size_t visit,
                                               endpoint_mode mode);
     boost::asio::awaitable<bool> answer_stream(connection& with, std::size_t visit,
--- a/tests/gateway/src/published_configuration.hpp
+++ b/tests/gateway/src/published_configuration.hpp
@@ -64,6 +64,13 @@
     return boost::json::serialize(value);
 }
 
+/// A configuration that limits the bodies of requests to `bytes`.
+inline std::string with_body_limit(const std::string& text, std::size_t bytes) {
+    auto value = boost::json::parse(text);
+    value.as_object()["limits"] = {{"max_body_bytes", bytes}};
+    return boost::json::serialize(value);
+}
+
 /// A configuration with another list of workspaces, given as JSON.
 inline std::string with_workspaces(const std::string& text, std::string_view workspaces) {
     auto value = boost::json::parse(text);
