http: the first error of a response stays the outcome of all later reads

What callers saw: a worker's answer without a length was reset while the request was also being offered to a second worker, which turned it away.

Cause: the system reports the error of a connection to one operation only. A read that doesn't wait met the reset; while the replacement was open its result was dropped, and the next read without waiting saw an orderly end, which took the place of the error. A read that waits kept no error at all: Asio's reactor doesn't try again after one, so a second read waited until its deadline.

Change: the first error of a read is kept, and each later read of the response fails with it at once. An orderly end isn't an error, nor is a cancelled read, which leaves the connection as it was.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -222,8 +222,17 @@
 
     bool is_complete() const { return parser_->is_done() && !receive_failure_; }
 
-    // The system reports an error of the connection to one operation only. If that was the write of
-    // the request, the read of the response sees an orderly end.
+    // The system reports an error of the connection to one operation only, and an orderly end to
+    // later ones. A cancelled read leaves the connection as it was.
+    void record_failure(const boost::system::error_code& failure) {
+        if (!receive_failure_ && failure != asio::error::would_block &&
+            failure != asio::error::eof && failure != asio::error::operation_aborted) {
+            receive_failure_ = failure;
+        }
+    }
+
+    // The error of the connection, if the write of the request met it and the read of the response
+    // an orderly end.
     boost::system::error_code hidden_failure() const {
         const bool ended_by_close = parser_->is_done() && parser_->need_eof();
         return ended_by_close && write_ != nullptr ? write_->failure : boost::system::error_code{};
@@ -231,8 +240,8 @@
 
     // Whether the next read returns without waiting.
     bool has_more_to_read() {
-        return !pending_.empty() || parser_->is_done() || connection_ == nullptr ||
-               parse_received();
+        return !pending_.empty() || parser_->is_done() || receive_failure_ ||
+               connection_ == nullptr || parse_received();
     }
 
     // Waits until the socket can be read, without ending the connection. Returns false once `until`
@@ -262,12 +271,8 @@
         socket.non_blocking(true, failure);
         const auto size = socket.read_some(buffer.prepare(space), failure);
         buffer.commit(size);
-        if (failure && failure != asio::error::would_block) {
-            // A second read might report a reset as an orderly end.
-            receive_failure_ = failure == asio::error::eof ? boost::system::error_code{} : failure;
-            return false;
-        }
-        return true;
+        record_failure(failure);
+        return !failure || failure == asio::error::would_block;
     }
 
     // Parses bytes of the body that have been received. Returns whether they contain any of its
@@ -288,7 +293,7 @@
         }
         if (failure && failure != beast::http::error::need_more &&
             failure != beast::http::error::need_buffer) {
-            receive_failure_ = failure;
+            record_failure(failure);
             return true;
         }
         recycle_if_done();
@@ -382,13 +387,13 @@
         if (failure == beast::http::error::need_buffer) {
             failure = {};
         }
+        if (!failure) {
+            failure = hidden_failure();
+        }
         if (failure) {
+            record_failure(failure);
             co_return call_failure(failure, guard_.cancelled());
         }
-        receive_failure_ = hidden_failure();
-        if (receive_failure_) {
-            co_return call_failure(receive_failure_, guard_.cancelled());
-        }
         append_body(bytes.data(), bytes.size() - body.size);
         if (pending_.size() > body_limit_ || over_budget_) {
             co_return make_error(error_kind::too_large, work_ran::unknown,
