http: a response with a status outside 100 to 599 is malformed

What callers saw: a worker's head with the status 000, 001 or 099 and nothing else, followed by a whole 200 on the same connection: the caller got the 200. 600 and 999 were passed on with the worker's signature. A whole response with the status 000 on a connection that stays open gave 504 at the deadline (3 s).

Cause: each status under 200 counted as that of an interim response, and none was too large. RFC 9110, section 15: only 100 to 599 are valid.

Evidence: the new test failed on the code before in 10 of 20 cases: 000, 001 and 099 alone (504 instead of 502) and before a whole 200 (200 with the signature); 600 and 999 alone (passed on) and before a whole 200 (504). Handled already, and kept in the test: 20, 2000, -20, 0x0 and an empty status, 502 each.

Change: such a response fails the call once its head is read, also for stages, the store and sidecars, which use the same client. The test passes.

--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -26,7 +26,9 @@
 constexpr std::size_t max_interim_responses = 8;   // normally at most one 100 and one 103
 constexpr std::size_t max_head_size = 16U << 10U;  // equals the platform's limit for callers
 constexpr std::size_t max_line_length = 1U << 20U; // a stream event takes a few hundred bytes
+constexpr unsigned min_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned max_status = 599; // RFC 9110, 15: others are invalid
 constexpr unsigned status_switching_protocols = 101;
 // A body up to this size fits the socket's send buffer, so that writing it does not wait for the
 // peer.
@@ -323,6 +325,10 @@
                 co_return call_failure(failure, guard_.cancelled());
             }
             const auto status = parser_->get().result_int();
+            if (status < min_status || status > max_status) {
+                co_return make_error(error_kind::incomplete_answer,
+                                     "response with the invalid status " + std::to_string(status));
+            }
             if (status == status_switching_protocols) {
                 co_return make_error(error_kind::connection_lost,
                                      "unrequested switch of protocols");
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -51,6 +51,10 @@
     CHECK_FALSE(answer.value().headers.has("Boragefront-Response-Signature"));
 }
 
+void check_not_passed_on(const std::string& bytes) {
+    check_not_passed_on({bytes}, deployment::make_request("order.example", "r1"));
+}
+
 } // namespace
 
 // Guards against a part of a response that passes as the whole because the write of the request,
@@ -113,3 +117,15 @@
         CHECK(answer.value().body == sound.body);
     }
 }
+
+// Guards against a head with an invalid status that passes as a response, or as an interim response
+// before the bytes that follow it.
+TEST_CASE("trouble: a response whose status is not between 100 and 599 is not passed on",
+          "[invariant]") {
+    const auto status = GENERATE(as<std::string>{}, "000", "001", "099", "600", "999", "20", "2000",
+                                 "-20", "0x0", "");
+    const bool then_whole = GENERATE(false, true);
+    const auto end =
+        then_whole ? "\r\n" + whole_response : receipt + "Content-Length: 5\r\n\r\nwhole";
+    check_not_passed_on("HTTP/1.1 " + status + " Status\r\n" + end);
+}
