http: a response with a folded line in its head is malformed

What callers saw: a worker's head in which a line began with a blank or a tab, after another field: a 200 whose value before had grown by that line, here the signature (`r1.signed X-Bad: 1`). The worker never gave such a signature.

Cause: Boost.Beast replaces the line break of a folded line by a blank. RFC 9112, 5.2, lets a gateway do so or discard the response; a value joined from two lines may be a signature or the id of a request.

Handled already, and kept in the test: a blank, tab, NUL, control byte, DEL, 8-bit byte or CR in a name, a blank behind it, no name, no colon: 502 each, in both kinds of head.

Change: the client reads a head itself and looks for a folded line before the parser sees it, as the parser leaves no trace of one. It consumes whole lines only, and a field only once the first byte of the next line is there, so that a fold is found however it is split (writes of 1, 7 and 1,000 bytes are tested). Lines of a body aren't looked at.

--- a/libs/http/src/beast_messages.cpp
+++ b/libs/http/src/beast_messages.cpp
@@ -31,6 +31,21 @@
            beast::iequals(first->value(), "chunked");
 }
 
+bool has_folded_line(std::string_view received) {
+    constexpr std::string_view line_end = "\r\n";
+    while (!received.empty()) {
+        if (received.front() == ' ' || received.front() == '\t') {
+            return true;
+        }
+        const auto end = received.find(line_end);
+        if (end == 0 || end == std::string_view::npos) {
+            return false;
+        }
+        received.remove_prefix(end + line_end.size());
+    }
+    return false;
+}
+
 beast::http::request<beast::http::string_body> to_beast(request message, std::string_view host) {
     beast::http::request<beast::http::string_body> out;
     out.method_string(message.method);
--- a/libs/http/src/beast_messages.hpp
+++ b/libs/http/src/beast_messages.hpp
@@ -35,6 +35,12 @@
 /// \param version of HTTP, as 11 for 1.1.
 bool has_supported_framing(const beast::http::fields& headers, unsigned version);
 
+/// Whether a line begins with a blank, which continues the line before it (RFC 9112, 5.2). Beast
+/// replaces the line break by a blank.
+/// \param received of a message: its head or a rest of it that begins with a line, and what
+/// follows.
+bool has_folded_line(std::string_view received);
+
 beast::http::request<beast::http::string_body> to_beast(request message, std::string_view host);
 beast::http::response<beast::http::string_body> to_beast(response message, bool keep_alive);
 
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/read_size.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -17,6 +18,7 @@
 namespace {
 
 constexpr std::size_t read_size = 8192;
+constexpr std::size_t max_read_size = 64U << 10U;
 // With more unmatched responses the connection counts as desynchronized.
 constexpr std::size_t max_unmatched_responses = 2;
 constexpr std::size_t max_unmatched_bytes = 256U << 10U; // many times the typical response size
@@ -314,14 +316,38 @@
         parser_->body_limit(body_limit_);
     }
 
+    // Reads until the parser has a head. A head with a folded line is malformed: the parser would
+    // add the line to the value of the field before it.
+    awaitable<boost::system::error_code> receive_head() {
+        auto& buffer = connection_->buffer;
+        boost::system::error_code failure;
+        while (!parser_->is_header_done()) {
+            const auto received = buffer.cdata();
+            if (has_folded_line({static_cast<const char*>(received.data()), received.size()})) {
+                co_return beast::http::error::bad_value;
+            }
+            buffer.consume(parser_->put(received, failure));
+            if (failure == beast::http::error::need_more) {
+                const auto size = co_await connection_->stream.async_read_some(
+                    buffer.prepare(beast::read_size(buffer, max_read_size)),
+                    awaitable_into(failure));
+                buffer.commit(size);
+                if (failure == asio::error::eof && parser_->got_some()) {
+                    parser_->put_eof(failure);
+                }
+            }
+            if (failure) {
+                co_return failure;
+            }
+        }
+        co_return boost::system::error_code{};
+    }
+
     // Reads up to the head of the final response.
     awaitable<result<void>> read_head(time_point deadline) {
         for (std::size_t interim = 0; interim <= max_interim_responses; ++interim) {
-            boost::system::error_code failure;
             connection_->stream.expires_at(deadline);
-            co_await beast::http::async_read_header(connection_->stream, connection_->buffer,
-                                                    *parser_, awaitable_into(failure));
-            if (failure) {
+            if (const auto failure = co_await receive_head()) {
                 co_return call_failure(failure, guard_.cancelled());
             }
             const auto status = parser_->get().result_int();
--- a/libs/http/tests/hostile_peer_test.cpp
+++ b/libs/http/tests/hostile_peer_test.cpp
@@ -35,11 +35,14 @@
     return asio::redirect_error(asio::use_awaitable, failure);
 }
 
+constexpr std::size_t flood_size = 16U << 10U;
+
 // What a peer sends for each request: `first` once, then `repeated` until the client closes.
 struct peer_script {
     std::string first;
     std::string repeated{};
-    milliseconds pause{0}; ///< between repetitions
+    milliseconds pause{0};             ///< between repetitions
+    std::size_t part_size{flood_size}; ///< of `first`, in each write
 };
 
 // A scripted peer and a client, each on its own thread.
@@ -131,7 +134,7 @@
                 break;
             }
             read.erase(0, size);
-            co_await asio::async_write(socket, asio::buffer(script_.first), into(failure));
+            co_await write_first(socket, failure);
             while (!failure && !script_.repeated.empty()) {
                 co_await asio::async_write(socket, asio::buffer(script_.repeated), into(failure));
                 if (script_.pause > milliseconds{0}) {
@@ -144,6 +147,16 @@
         ++closed_;
     }
 
+    awaitable<void> write_first(tcp::socket& socket, boost::system::error_code& failure) {
+        socket.set_option(tcp::no_delay{true});
+        const std::string_view all = script_.first;
+        for (std::size_t sent = 0; sent < all.size() && !failure; sent += script_.part_size) {
+            const auto part = all.substr(sent, script_.part_size);
+            co_await asio::async_write(socket, asio::buffer(part.data(), part.size()),
+                                       into(failure));
+        }
+    }
+
     peer_script script_;
     asio::io_context io_{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard_{io_.get_executor()};
@@ -177,7 +190,7 @@
     return static_cast<std::size_t>(used.ru_maxrss);
 }
 
-const std::string flood(16U << 10U, 'x');
+const std::string flood(flood_size, 'x');
 const std::string flood_chunk = "4000\r\n" + flood + "\r\n";
 const std::string chunked_head =
     "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -236,6 +249,32 @@
     CHECK(becomes_true([&] { return peer.closed() == 1; }));
 }
 
+// Guards against a line that is taken for a part of the field before it, however it arrives.
+TEST_CASE("a response with a folded line is not used") {
+    const std::string blank = GENERATE(" ", "\t");
+    const std::size_t part_size = GENERATE(1, 7, 1'000);
+    CAPTURE(blank, part_size);
+    hostile_peer peer{{"HTTP/1.1 200 OK\r\nId: mine\r\nConnection: close\r\nSigned: value\r\n" +
+                           blank + "Line: 1\r\nContent-Length: 5\r\n\r\nwhole",
+                       {},
+                       milliseconds{0},
+                       part_size}};
+    const auto answer = peer.call(within(test_timeout));
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().kind == error_kind::connection_lost);
+    CHECK(becomes_true([&] { return peer.closed() == 1; }));
+}
+
+// Guards against a body whose lines are taken for lines of the head.
+TEST_CASE("a body with lines that begin with a blank is passed on") {
+    const std::string body = " one\r\n two\r\n";
+    hostile_peer peer{{"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body}};
+    const auto answer = peer.call(within(test_timeout));
+    REQUIRE(answer);
+    CHECK(answer.value().body == body);
+}
+
 TEST_CASE("a line over the length limit is rejected") {
     hostile_peer peer{{chunked_head, flood_chunk}};
     const auto line = peer.first_line(steady_clock::now() + test_timeout);
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -129,3 +129,16 @@
         then_whole ? "\r\n" + whole_response : receipt + "Content-Length: 5\r\n\r\nwhole";
     check_not_passed_on("HTTP/1.1 " + status + " Status\r\n" + end);
 }
+
+// Guards against a malformed line that is passed on as a field, or as a part of the value before.
+TEST_CASE("trouble: a response with a malformed field name is not passed on", "[invariant]") {
+    using namespace std::string_literals;
+    const auto line =
+        GENERATE(values({"X Bad: 1"s, "X-Bad : 1"s, "X\tBad: 1"s, "X\0Bad: 1"s, "X\x01"s + "Bad: 1",
+                         "X\x7f"s + "Bad: 1", "X\xe9"s + "Bad: 1", "X\rBad: 1"s, ": 1"s,
+                         "no colon"s, " X-Bad: 1"s, "\tX-Bad: 1"s, " "s}));
+    const bool interim = GENERATE(false, true);
+    const auto& head = interim ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n"s
+                               : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + receipt;
+    check_not_passed_on(head + line + "\r\n\r\n" + (interim ? whole_response : "whole"));
+}
