--- a/libs/http/src/beast_messages.hpp
+++ b/libs/http/src/beast_messages.hpp
@@ -35,10 +35,11 @@
 /// \param version of HTTP, as 11 for 1.1.
 bool has_supported_framing(const beast::http::fields& headers, unsigned version);
 
-/// Whether a line begins with a blank, which continues the line before it (RFC 9112, 5.2). Beast
-/// replaces the line break by a blank.
-/// \param received of a message: its head or a rest of it that begins with a line, and what
-/// follows.
+/// Whether a line of a message's head continues the line before it by beginning with a blank
+/// (RFC 9112, 5.2). Beast joins such lines and leaves no trace of it.
+/// \param received bytes of the message, from the start of a line of its head; the head may be
+/// incomplete, and a body may follow.
+/// \returns false also if that is not known yet.
 bool has_folded_line(std::string_view received);
 
 beast::http::request<beast::http::string_body> to_beast(request message, std::string_view host);
--- a/libs/http/src/client.cpp
+++ b/libs/http/src/client.cpp
@@ -224,28 +224,29 @@
                                  });
     }
 
-    bool is_complete() const { return parser_->is_done() && !receive_failure_; }
+    bool is_complete() const { return parser_->is_done() && !failure_; }
 
     // The system reports an error of the connection to one operation only, and an orderly end to
     // later ones. A cancelled read leaves the connection as it was.
     void record_failure(const boost::system::error_code& failure) {
-        if (!receive_failure_ && failure != asio::error::would_block &&
-            failure != asio::error::eof && failure != asio::error::operation_aborted) {
-            receive_failure_ = failure;
+        if (!failure_ && failure != asio::error::would_block && failure != asio::error::eof &&
+            failure != asio::error::operation_aborted) {
+            failure_ = failure;
         }
     }
 
-    // The error of the connection, if the write of the request met it and the read of the response
-    // an orderly end.
-    boost::system::error_code hidden_failure() const {
+    // The error that the write of the request met, if the response ended with the connection: the
+    // read then sees an orderly end. The write reports it first, as both complete in order on one
+    // thread.
+    boost::system::error_code write_failure_at_end() const {
         const bool ended_by_close = parser_->is_done() && parser_->need_eof();
         return ended_by_close && write_ != nullptr ? write_->failure : boost::system::error_code{};
     }
 
     // Whether the next read returns without waiting.
     bool has_more_to_read() {
-        return !pending_.empty() || parser_->is_done() || receive_failure_ ||
-               connection_ == nullptr || parse_received();
+        return !pending_.empty() || parser_->is_done() || failure_ || connection_ == nullptr ||
+               parse_received();
     }
 
     // Waits until the socket can be read, without ending the connection. Returns false once `until`
@@ -405,8 +406,8 @@
             co_return make_error(error_kind::deadline_exceeded,
                                  "response incomplete at the deadline");
         }
-        if (receive_failure_) {
-            co_return call_failure(receive_failure_, guard_.cancelled());
+        if (failure_) {
+            co_return call_failure(failure_, guard_.cancelled());
         }
         std::array<char, read_size> bytes{};
         auto& body = parser_->get().body();
@@ -420,7 +421,7 @@
             failure = {};
         }
         if (!failure) {
-            failure = hidden_failure();
+            failure = write_failure_at_end();
         }
         if (failure) {
             record_failure(failure);
@@ -464,7 +465,7 @@
     std::function<bool()> end_when_silent_;
     time_point silent_at_;
     bool single_use_;
-    boost::system::error_code receive_failure_; // ends the response
+    boost::system::error_code failure_; // the first one, which is the outcome of all later reads
     std::optional<body_parser> parser_;
     std::shared_ptr<body_write> write_; // shared with the completion handler
     response head_;
--- a/tests/gateway/broken_responses_test.cpp
+++ b/tests/gateway/broken_responses_test.cpp
@@ -138,7 +138,7 @@
                          "X\x7f"s + "Bad: 1", "X\xe9"s + "Bad: 1", "X\rBad: 1"s, ": 1"s,
                          "no colon"s, " X-Bad: 1"s, "\tX-Bad: 1"s, " "s}));
     const bool interim = GENERATE(false, true);
-    const auto& head = interim ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n"s
-                               : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + receipt;
+    const auto head = interim ? "HTTP/1.1 103 Early Hints\r\nLink: x\r\n"s
+                              : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + receipt;
     check_not_passed_on(head + line + "\r\n\r\n" + (interim ? whole_response : "whole"));
 }
