gateway, quarantine: a response counts as sound when it is whole or goes on, not when it begins

Such a loss was no evidence, and the first event had been recorded as a response that clears all parts of the prompt, so that losses before it would not have counted either.

Change: `observed_response` tells when a response is sound: when it is whole, or its content has gone on for 1 s, and again each second, so that a long stream clears the crashes that it outlives. Only that clears parts, ends a quarantine and counts as one of the five other responses. A request that is lost earlier is evidence: in full if its response had just begun (its head, or one piece of content), for half if it had gone on, and then only if it began after the crash before, so that the long streams that engines take along count for nothing. Entries tell each other when content began, in a new optional field; programs without it take such a record for one of a waiting request. `connection_lost` also logs the time since the first content, and whether the response was sound.

--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -66,31 +66,43 @@
     }
 }
 
-// Records an attempt that the endpoint broke off. If no content of its response had arrived, the
-// endpoint may have crashed because of it.
-void request_handler::record_lost_connection(const send_attempt& attempt, const error& failure) {
+// Records an attempt that the endpoint broke off. Unless its response had turned out to be sound,
+// the endpoint may have crashed because of it.
+void request_handler::record_lost_connection(const send_attempt& attempt,
+                                             const quarantine::observed_response& response,
+                                             const error& failure) {
     const bool lost = failure.kind == error_kind::connection_lost ||
                       failure.kind == error_kind::incomplete_answer;
     if (!lost || caller_disconnected_) {
         return;
     }
-    constexpr std::array names{"none", "head", "content"};
+    using quarantine::response_progress;
+    constexpr std::array names{"none", "head", "first_content", "content"};
     std::string parts;
     for (const auto& part : shared_parts_) {
         parts += (parts.empty() ? "" : ",") + part;
     }
     const auto now = steady_clock::now();
-    log_decision("request", "connection_lost",
-                 {{"request", caller_.id},
-                  {"endpoint", attempt.endpoint},
-                  {"incarnation", std::to_string(attempt.incarnation)},
-                  {"response", names.at(static_cast<std::size_t>(progress_))},
-                  {"shared_parts", parts},
-                  {"since_sent_ms",
-                   std::to_string(std::chrono::floor<milliseconds>(now - attempt.at).count())}});
-    if (progress_ != response_progress::content && !shared_parts_.empty()) {
+    const auto content_at = response.content_at();
+    const bool gone_on = response.progress() == response_progress::content;
+    log_decision(
+        "request", "connection_lost",
+        {{"request", caller_.id},
+         {"endpoint", attempt.endpoint},
+         {"incarnation", std::to_string(attempt.incarnation)},
+         {"response", names.at(static_cast<std::size_t>(response.progress()))},
+         {"since_content_ms",
+          content_at ? std::to_string(std::chrono::floor<milliseconds>(now - *content_at).count())
+                     : ""},
+         {"sound", response.is_sound() ? "true" : "false"},
+         {"shared_parts", parts},
+         {"since_sent_ms",
+          std::to_string(std::chrono::floor<milliseconds>(now - attempt.at).count())}});
+    if (!response.is_sound() && !shared_parts_.empty()) {
         context_.state.record_lost({attempt.endpoint, attempt.incarnation, shared_parts_,
-                                    attempt.at, progress_ == response_progress::head},
+                                    attempt.at,
+                                    response.progress() != response_progress::none && !gone_on,
+                                    gone_on ? content_at : std::nullopt},
                                    now);
     }
 }
@@ -98,9 +110,15 @@
 // Records that content of the response to an attempt arrived.
 void request_handler::record_content(const send_attempt& attempt, time_point now) {
     context_.state.record_alive(attempt.endpoint, attempt.incarnation, attempt.at, now);
-    if (std::exchange(progress_, response_progress::content) != response_progress::content &&
-        !shared_parts_.empty()) {
-        context_.state.record_response(shared_parts_, now);
+    if (response_.record_content(now)) {
+        record_sound_response(now);
+    }
+}
+
+// Records that the response is whole, or has gone on for long enough to clear its prompt.
+void request_handler::record_sound_response(time_point now) {
+    if (!shared_parts_.empty()) {
+        context_.state.record_sound(shared_parts_, now);
     }
 }
 
@@ -156,12 +174,12 @@
     }
     auto prepared = prepare_send(*chosen, *pool, std::move(*inputs), now);
     last_endpoint_ = chosen->id;
-    progress_ = response_progress::none;
+    response_ = {};
     auto stream = co_await context_.endpoints.open(prepared.address, std::move(prepared.message),
                                                    prepared.options);
     if (!stream) {
         record_failed_open(prepared, stream.error(), now);
-        record_lost_connection(prepared.attempt, stream.error());
+        record_lost_connection(prepared.attempt, response_, stream.error());
         co_return co_await handle_failure(stream.error(), stream.error().ran != work_ran::no);
     }
     context_.state.reachability().record_reached(chosen->data_centre);
@@ -284,7 +302,8 @@
 request_handler::handle_response(http::response_stream& stream, const send_attempt& attempt) {
     const auto head = platform::read_response_head(stream.head());
     head_at_ = steady_clock::now();
-    progress_ = response_progress::head;
+    response_ = {};
+    response_.record_head();
     record_response_head(head, attempt);
     if (head.request_id.empty() && stream.on_reused_connection()) {
         // This may be a late response to any earlier request on the connection, so it says nothing
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -5,6 +5,7 @@
 #include "http/server.hpp"
 #include "platform/requests.hpp"
 #include "progress_tracker.hpp"
+#include "quarantine/observed_response.hpp"
 #include "request_context.hpp"
 #include "stages/stage_plan.hpp"
 
@@ -35,8 +36,6 @@
     http::awaitable<void> run();
 
 private:
-    // How much of an attempt's response has arrived.
-    enum class response_progress : std::uint8_t { none, head, content };
     struct send_attempt {
         std::string endpoint;
         std::uint64_t incarnation;
@@ -145,8 +144,11 @@
     void record_outcome(const send_attempt& attempt, balancing::send_outcome outcome);
     void record_failed_open(const prepared_send& prepared, const error& failure,
                             time_point began_at);
-    void record_lost_connection(const send_attempt& attempt, const error& failure);
+    void record_lost_connection(const send_attempt& attempt,
+                                const quarantine::observed_response& response,
+                                const error& failure);
     void record_content(const send_attempt& attempt, time_point now);
+    void record_sound_response(time_point now);
 
     void end_waits();
     static error shutdown_error();
@@ -204,8 +206,8 @@
     time_point stages_done_at_{};
     std::string stage_times_; // "service:milliseconds" of each finished stage, for the log
     std::string last_endpoint_;
-    bool endpoint_leaving_{false};                        // by its last response
-    response_progress progress_{response_progress::none}; // of the last attempt
+    bool endpoint_leaving_{false};           // by its last response
+    quarantine::observed_response response_; // to the last attempt
     request_summary summary_;
 };
 
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -91,7 +91,7 @@
         auto chunk = co_await stream.next_bytes(deadline_);
         if (!chunk) {
             record_outcome(attempt, to_send_outcome(chunk.error()));
-            record_lost_connection(attempt, chunk.error());
+            record_lost_connection(attempt, response_, chunk.error());
             co_return co_await handle_failure(chunk.error(), true);
         }
         if (!chunk.value()) {
@@ -112,7 +112,9 @@
     const bool failed = response.status >= first_server_error;
     record_outcome(attempt, failed ? send_outcome::failed : send_outcome::answered);
     if (!failed) {
-        record_content(attempt, steady_clock::now());
+        const auto now = steady_clock::now();
+        record_content(attempt, now);
+        record_sound_response(now);
     }
     if (failed && may_retry() && acquire_retry()) {
         log_decision("request", "sent_again",
@@ -165,7 +167,7 @@
                 if (events.has_partial_event()) {
                     failure = make_error(error_kind::incomplete_answer,
                                          "the stream ended in the middle of an event");
-                } else if (progress_ != response_progress::content && !stream.has_explicit_end()) {
+                } else if (!response_.content_at() && !stream.has_explicit_end()) {
                     failure = make_error(error_kind::incomplete_answer,
                                          "the connection ended before the first event");
                 }
@@ -213,10 +215,11 @@
     }
     if (failure) {
         record_outcome(attempt, to_send_outcome(*failure));
-        record_lost_connection(attempt, *failure);
+        record_lost_connection(attempt, response_, *failure);
         co_return co_await handle_failure(*failure, true);
     }
     record_outcome(attempt, send_outcome::answered);
+    record_sound_response(steady_clock::now());
     if (!stream_started_) {
         stream_started_ = true;
         (void)co_await responder_.begin(platform::make_caller_response(stream.head()));
--- a/libs/gateway/src/suspected_parts.cpp
+++ b/libs/gateway/src/suspected_parts.cpp
@@ -10,8 +10,10 @@
     for (const auto& report : reports) {
         wire::suspected_part part{report.part, {}};
         for (const auto& crash : report.crashes) {
-            part.crashes.push_back({crash.engine, age(crash.crashed_at), age(crash.sent_at),
-                                    crash.response_begun, crash.cleared});
+            part.crashes.push_back(
+                {crash.engine, age(crash.crashed_at), age(crash.sent_at), crash.response_begun,
+                 crash.cleared,
+                 crash.content_at ? std::optional{age(*crash.content_at)} : std::nullopt});
         }
         parts.push_back(std::move(part));
     }
@@ -25,8 +27,10 @@
     for (const auto& part : parts) {
         quarantine::part_report report{part.part, {}};
         for (const auto& crash : part.crashes) {
-            report.crashes.push_back({crash.engine, now - crash.crashed_ago, now - crash.sent_ago,
-                                      crash.response_begun, crash.cleared});
+            report.crashes.push_back(
+                {crash.engine, now - crash.crashed_ago, now - crash.sent_ago, crash.response_begun,
+                 crash.cleared,
+                 crash.content_ago ? std::optional{now - *crash.content_ago} : std::nullopt});
         }
         reports.push_back(std::move(report));
     }
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -98,8 +98,8 @@
     }
 }
 
-void traffic_state::record_response(const std::vector<std::string>& parts, time_point began_at) {
-    if (quarantine_.record_response(parts, began_at)) {
+void traffic_state::record_sound(const std::vector<std::string>& parts, time_point now) {
+    if (quarantine_.record_sound(parts, now)) {
         publish_suspects();
     }
 }
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -96,11 +96,11 @@
     const fleet_view& fleet() const { return fleet_; }
     const balancing::entry_group& entry_group() const { return group_; }
 
-    /// Which parts of prompts crash engines. `record_lost`, `record_response`, `record_alive` and
+    /// Which parts of prompts crash engines. `record_lost`, `record_sound`, `record_alive` and
     /// `merge_suspects` bring the observations.
     quarantine::prompt_quarantine& prompt_quarantine() { return quarantine_; }
     void record_lost(const quarantine::lost_request& request, time_point now);
-    void record_response(const std::vector<std::string>& parts, time_point began_at);
+    void record_sound(const std::vector<std::string>& parts, time_point now);
     void record_alive(std::string_view endpoint, std::uint64_t incarnation, time_point sent_at,
                       time_point now);
     void merge_suspects(const std::vector<quarantine::part_report>& reports, time_point now);
--- a/libs/quarantine/include/quarantine/prompt_quarantine.hpp
+++ b/libs/quarantine/include/quarantine/prompt_quarantine.hpp
@@ -22,18 +22,21 @@
     std::vector<crash_record> crashes;
 };
 
-/// A request that an engine broke off before any content of its response arrived.
+/// A request that an engine broke off before its response turned out to be sound.
 struct lost_request {
     std::string engine; ///< id
     std::uint64_t incarnation{0};
     std::vector<std::string> parts; ///< shared parts of its prompt
     time_point sent_at{};
-    bool response_begun{false}; ///< the head of its response had arrived
+    bool response_begun{false}; ///< its response had begun to arrive, and not gone on
+    /// When content began to arrive of a response that had gone on.
+    std::optional<time_point> content_at{};
 };
 
 /// The decisions of one entry, from what it and the others observed. A part is in quarantine while
-/// it was involved in several crashes, has not been answered since the first of them, and requests
-/// without it have. One entry tries it again with a single request, at growing intervals.
+/// it was involved in several crashes, no response to it was sound since the first of them, and
+/// responses to requests without it were. One entry tries it again with a single request, at
+/// growing intervals.
 ///
 /// Memory is bounded: of the suspected parts the most recent ones are kept. Reads no clock.
 class prompt_quarantine {
@@ -48,9 +51,8 @@
     /// \returns whether the reports changed, as all functions below that return a `bool`.
     bool record_lost(const lost_request& request, time_point now);
 
-    /// Records that content of a response arrived.
-    /// \param began_at when the first content of it arrived.
-    bool record_response(const std::vector<std::string>& parts, time_point began_at);
+    /// Records that a response is whole, or has gone on for `sound_response_time`.
+    bool record_sound(const std::vector<std::string>& parts, time_point now);
 
     /// Records a sign of life of an engine. One that still responds to requests from before has not
     /// crashed, but only broke off a connection.
--- a/libs/quarantine/src/crash_evidence.cpp
+++ b/libs/quarantine/src/crash_evidence.cpp
@@ -12,6 +12,23 @@
 // Far longer than a message takes to reach all entries.
 constexpr seconds cleared_retention{60};
 
+// Whether a crash is evidence of its own beside one that counted before it.
+bool is_separate(const crash_record& record, time_point counted_at) {
+    const bool apart = record.crashed_at - counted_at >= min_crash_interval;
+    if (record.response_begun) {
+        return apart;
+    }
+    return record.content_at ? apart && *record.content_at > counted_at
+                             : record.sent_at > counted_at;
+}
+
+unsigned weight_of(const crash_record& record) {
+    if (record.response_begun) {
+        return cause_weight;
+    }
+    return record.content_at ? content_weight : bystander_weight;
+}
+
 } // namespace
 
 bool crash_evidence::add(const crash_record& record) {
@@ -19,9 +36,13 @@
                                     [&](const auto& one) { return one.engine == record.engine; });
     if (known != records_.end()) {
         const bool changed = (record.response_begun && !known->response_begun) ||
-                             (record.cleared && !known->cleared);
+                             (record.cleared && !known->cleared) ||
+                             (record.content_at && !known->content_at);
         known->response_begun = known->response_begun || record.response_begun;
         known->cleared = known->cleared || record.cleared;
+        if (!known->content_at) {
+            known->content_at = record.content_at;
+        }
         return changed;
     }
     const auto later = std::find_if(records_.begin(), records_.end(), [&](const auto& one) {
@@ -37,10 +58,10 @@
     return true;
 }
 
-bool crash_evidence::clear_before(time_point responded_at) {
+bool crash_evidence::clear_before(time_point sound_at) {
     bool changed = false;
     for (auto& record : records_) {
-        if (!record.cleared && record.crashed_at < responded_at) {
+        if (!record.cleared && record.crashed_at < sound_at) {
             record.cleared = changed = true;
         }
     }
@@ -70,12 +91,8 @@
         if (record.cleared) {
             continue;
         }
-        const bool separate =
-            !counted_at ||
-            (record.response_begun ? record.crashed_at - *counted_at >= min_crash_interval
-                                   : record.sent_at > *counted_at);
-        if (separate) {
-            sum += record.response_begun ? cause_weight : bystander_weight;
+        if (!counted_at || is_separate(record, *counted_at)) {
+            sum += weight_of(record);
             counted_at = record.crashed_at;
         }
     }
--- a/libs/quarantine/src/prompt_quarantine.cpp
+++ b/libs/quarantine/src/prompt_quarantine.cpp
@@ -12,7 +12,7 @@
 constexpr unsigned repeat_weight =
     2 * cause_weight; // from it on, a repeat is likely to crash another engine
 // In an outage all parts stay without response. Then none of them is the cause.
-constexpr std::size_t min_other_responses = 5;
+constexpr std::size_t min_other_responses = 5; // that are sound
 constexpr milliseconds first_retry_interval{20'000};
 constexpr milliseconds max_retry_interval{300'000};
 constexpr std::size_t max_suspects = 256;
@@ -47,22 +47,22 @@
     bool changed = false;
     for (const auto& part : request.parts) {
         auto& one = suspects_[part];
-        changed =
-            one.evidence.add({engine, now, request.sent_at, request.response_begun}) || changed;
+        changed = one.evidence.add({engine, now, request.sent_at, request.response_begun, false,
+                                    request.content_at}) ||
+                  changed;
         schedule_retry(one);
     }
     evict(now);
     return changed;
 }
 
-bool prompt_quarantine::record_response(const std::vector<std::string>& parts,
-                                        time_point began_at) {
-    responses_.record(parts, began_at);
+bool prompt_quarantine::record_sound(const std::vector<std::string>& parts, time_point now) {
+    responses_.record(parts, now);
     bool changed = false;
     for (const auto& part : parts) {
         const auto found = suspects_.find(part);
         if (found != suspects_.end()) {
-            changed = found->second.evidence.clear_before(began_at) || changed;
+            changed = found->second.evidence.clear_before(now) || changed;
         }
     }
     return changed;
@@ -94,13 +94,13 @@
 bool prompt_quarantine::merge(const std::vector<part_report>& reports, time_point now) {
     bool changed = false;
     for (const auto& report : reports) {
-        const auto responded_at = responses_.last(report.part);
+        const auto sound_at = responses_.last(report.part);
         auto& one = suspects_[report.part];
         for (const auto& crash : report.crashes) {
             changed = one.evidence.add(crash) || changed;
         }
-        if (responded_at) {
-            changed = one.evidence.clear_before(*responded_at) || changed;
+        if (sound_at) {
+            changed = one.evidence.clear_before(*sound_at) || changed;
         }
         schedule_retry(one);
     }
--- a/libs/quarantine/src/recent_responses.cpp
+++ b/libs/quarantine/src/recent_responses.cpp
@@ -8,8 +8,8 @@
 
 } // namespace
 
-void recent_responses::record(const std::vector<std::string>& parts, time_point began_at) {
-    latest_.push_front(began_at);
+void recent_responses::record(const std::vector<std::string>& parts, time_point sound_at) {
+    latest_.push_front(sound_at);
     if (latest_.size() > max_latest) {
         latest_.pop_back();
     }
@@ -18,7 +18,7 @@
             by_recency_.erase(found->second);
             by_part_.erase(found);
         }
-        by_recency_.push_front({part, began_at});
+        by_recency_.push_front({part, sound_at});
         by_part_.emplace(part, by_recency_.begin());
         if (by_part_.size() > max_parts) {
             by_part_.erase(by_recency_.back().part);
@@ -29,7 +29,7 @@
 
 std::optional<time_point> recent_responses::last(std::string_view part) const {
     const auto found = by_part_.find(part);
-    return found == by_part_.end() ? std::nullopt : std::optional{found->second->began_at};
+    return found == by_part_.end() ? std::nullopt : std::optional{found->second->sound_at};
 }
 
 bool recent_responses::any_after(time_point since, std::size_t count) const {
--- a/libs/quarantine/tests/prompt_quarantine_test.cpp
+++ b/libs/quarantine/tests/prompt_quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "quarantine/observed_response.hpp"
 #include "quarantine/prompt_quarantine.hpp"
 
 #include <catch2/catch.hpp>
@@ -26,11 +27,17 @@
                                 now - milliseconds{100}, response_begun},
                                now);
     }
+    // As `crash`, 30 ms after the first content of the response, of which more had arrived.
+    void crash_after_content(const std::vector<std::string>& parts) {
+        quarantine.record_lost({"engine-" + std::to_string(++engines), 1, parts,
+                                now - milliseconds{100}, false, now - milliseconds{30}},
+                               now);
+    }
     void advance(milliseconds time) { now += time; }
     void respond(const std::vector<std::string>& parts, int times = 1) {
         for (int i = 0; i < times; ++i) {
             advance(milliseconds{10});
-            quarantine.record_response(parts, now);
+            quarantine.record_sound(parts, now);
         }
     }
     // Crashes at which "deadly" recurs, while requests without it are answered.
@@ -70,6 +77,33 @@
     CHECK(quarantine.may_repeat({"common", "other"}));
 }
 
+// Crashes after the first event were no evidence, so the part crashed engines without end.
+TEST_CASE_METHOD(quarantine_fixture,
+                 "a part that recurs at crashes early in the response is refused from the sixth") {
+    for (int i = 0; i < 6; ++i) {
+        CHECK_FALSE(refuses({"common", "deadly"}));
+        crash_after_content({"common", "deadly"});
+        advance(milliseconds{300});
+        respond({"common"}, 5);
+    }
+    CHECK(refuses({"common", "deadly"}));
+    CHECK_FALSE(refuses({"common", "other"}));
+    CHECK_FALSE(quarantine.may_repeat({"common", "deadly"}));
+}
+
+// Long streams that an engine takes along began before the crash that precedes its own.
+TEST_CASE_METHOD(quarantine_fixture,
+                 "long streams that are lost in crash after crash put no part in quarantine") {
+    const auto content_at = now;
+    for (int i = 0; i < 20; ++i) {
+        quarantine.record_lost(
+            {"engine-" + std::to_string(++engines), 1, {"rare"}, now, false, content_at}, now);
+        advance(milliseconds{400});
+        respond({"common"}, 5);
+    }
+    CHECK_FALSE(refuses({"rare"}));
+}
+
 TEST_CASE_METHOD(quarantine_fixture, "the first part may be the one that is refused") {
     for (int i = 0; i < 3; ++i) {
         crash({"deadly", "subject-" + std::to_string(i)});
@@ -154,22 +188,22 @@
 TEST_CASE_METHOD(quarantine_fixture, "an entry learns of a part from another one") {
     quarantine_deadly();
     for (int i = 0; i < 5; ++i) {
-        other.record_response({"common"}, now);
+        other.record_sound({"common"}, now);
     }
     CHECK(other.merge(quarantine.report(), now));
     CHECK_FALSE(other.merge(quarantine.report(), now + seconds{1}));
     CHECK(other.refused_for({"deadly"}, now));
     // And of its release.
-    CHECK(other.record_response({"deadly"}, now + milliseconds{1}));
+    CHECK(other.record_sound({"deadly"}, now + milliseconds{1}));
     CHECK(quarantine.merge(other.report(), now + milliseconds{2}));
     CHECK_FALSE(refuses({"deadly"}));
 }
 
 TEST_CASE_METHOD(quarantine_fixture, "a part that was answered elsewhere is not suspected again") {
     for (int i = 0; i < 5; ++i) {
-        other.record_response({"common"}, start + seconds{9});
+        other.record_sound({"common"}, start + seconds{9});
     }
-    other.record_response({"deadly"}, start + seconds{9});
+    other.record_sound({"deadly"}, start + seconds{9});
     quarantine_deadly();
     CHECK(refuses({"deadly"}));
     other.merge(quarantine.report(), now);
@@ -183,7 +217,7 @@
     quarantine_deadly();
     respond({"common"}, 5);
     for (int i = 0; i < 5; ++i) {
-        other.record_response({"common"}, now);
+        other.record_sound({"common"}, now);
     }
     other.merge(quarantine.report(), now);
     int retries = 0;
@@ -202,8 +236,12 @@
     CHECK(retries >= 2);
     CHECK(retries <= 3);
     advance(seconds{300});
+    // The first content of the trial's response is no proof yet.
+    observed_response trial;
+    trial.record_head();
+    CHECK_FALSE(trial.record_content(now));
     auto& retrier = quarantine.begin({"deadly"}, now) ? other : quarantine;
-    CHECK(retrier.record_response({"deadly"}, now));
+    CHECK(retrier.record_sound({"deadly"}, now));
     CHECK_FALSE(retrier.refused_for({"deadly"}, now));
 }
 
@@ -233,7 +271,9 @@
     double deadly_share{0.05};
     double per_second{25}; // requests, of the fleet
     bool first_part_deadly{false};
-    bool heads_arrive{true};       // before the crash
+    // What has arrived of a response at the crash.
+    response_progress crash_at{response_progress::head};
+    milliseconds stream_time{0};   // of sound responses, from their first content to their end
     milliseconds other_crashes{0}; // interval of crashes with another cause; 0: none
 };
 
@@ -249,7 +289,15 @@
         bool deadly;
         time_point sent_at;
         time_point begins_at;
+        observed_response response{};
+        time_point next_event{};
+        time_point ends_at{time_point::max()};
     };
+    constexpr milliseconds event_interval{50};
+    const milliseconds crash_after =
+        setup.crash_at == response_progress::content         ? event_interval * 3 + milliseconds{30}
+        : setup.crash_at == response_progress::first_content ? milliseconds{30}
+                                                             : milliseconds{0};
     std::vector<std::string> names;
     for (std::size_t i = 0; i < setup.entries; ++i) {
         names.push_back("entry-" + std::to_string(i));
@@ -270,10 +318,15 @@
             fifth_crash = now;
         }
         for (const auto& request : open) {
-            if (request.engine == engine) {
+            if (request.engine == engine && !request.response.is_sound()) {
+                const auto progress = request.response.progress();
+                const bool gone_on = progress == response_progress::content;
+                const bool begun = progress == response_progress::first_content ||
+                                   (&request == cause && setup.crash_at == response_progress::head);
                 entries[request.entry].record_lost(
                     {"engine-" + std::to_string(engine), lives[static_cast<std::size_t>(engine)],
-                     request.parts, request.sent_at, &request == cause && setup.heads_arrive},
+                     request.parts, request.sent_at, begun,
+                     gone_on ? request.response.content_at() : std::nullopt},
                     now);
             }
         }
@@ -308,9 +361,23 @@
                 }
             }
         }
+        for (auto& request : open) {
+            if (now < std::max(request.begins_at, request.next_event)) {
+                continue;
+            }
+            if (!request.response.content_at()) {
+                request.ends_at = now + (request.deadly ? crash_after : setup.stream_time);
+            }
+            request.next_event = now + event_interval;
+            const bool has_content =
+                !request.deadly || setup.crash_at >= response_progress::first_content;
+            if (has_content && request.response.record_content(now)) {
+                entries[request.entry].record_sound(request.parts, now);
+            }
+        }
         for (;;) {
             const auto due = std::find_if(open.begin(), open.end(), [&](const auto& request) {
-                return request.begins_at <= now;
+                return request.ends_at <= now;
             });
             if (due == open.end()) {
                 break;
@@ -318,7 +385,7 @@
             if (due->deadly) {
                 crash(due->engine, &*due, now);
             } else {
-                entries[due->entry].record_response(due->parts, now);
+                entries[due->entry].record_sound(due->parts, now);
                 open.erase(due);
             }
         }
@@ -357,13 +424,42 @@
 TEST_CASE("a fleet tells the part also if no head of a response arrives") {
     const auto seed = GENERATE(range(1U, 40U));
     fleet_setup setup;
-    setup.heads_arrive = false;
+    setup.crash_at = response_progress::none;
+    INFO("seed " << seed);
+    const auto outcome = run_fleet(setup, seed);
+    CHECK(outcome.deadly_sent_late <= 3);
+    CHECK(outcome.sound_refused * 100 <= outcome.sound);
+}
+
+// Engines that crashed after the first event were never put down to the part. Long streams are lost
+// with each of them, and sound requests with the same first part are to notice nothing.
+TEST_CASE("a fleet tells the part also if content of the response arrives") {
+    const auto seed = GENERATE(range(1U, 40U));
+    fleet_setup setup;
+    setup.crash_at = GENERATE(response_progress::first_content, response_progress::content);
+    setup.stream_time = seed % 2 == 0 ? seconds{8} : milliseconds{200};
+    setup.first_part_deadly = seed % 4 < 2;
+    setup.entries = seed % 3 == 0 ? 12 : 3;
     INFO("seed " << seed);
     const auto outcome = run_fleet(setup, seed);
+    CHECK(outcome.crashes > 0);
     CHECK(outcome.deadly_sent_late <= 3);
     CHECK(outcome.sound_refused * 100 <= outcome.sound);
 }
 
+// A rolling restart without a grace period, in which most streams are lost.
+TEST_CASE("long streams that engines lose one after the other put no part in quarantine") {
+    const auto seed = GENERATE(range(1U, 40U));
+    fleet_setup setup;
+    setup.deadly_share = 0;
+    setup.stream_time = seconds{8};
+    setup.other_crashes = milliseconds{400 + 200 * (seed % 4)};
+    setup.engines = seed % 2 == 0 ? 12 : 40;
+    INFO("seed " << seed);
+    const auto outcome = run_fleet(setup, seed);
+    CHECK(outcome.sound_refused == 0);
+}
+
 TEST_CASE("crashes with another cause put no part in quarantine") {
     const auto seed = GENERATE(range(1U, 40U));
     fleet_setup setup;
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -167,6 +167,8 @@
     milliseconds sent_ago{0};
     bool response_begun{false};
     bool cleared{false};
+    /// Since when content of the response had been arriving; empty: none had.
+    std::optional<milliseconds> content_ago{};
 };
 
 /// A part of a prompt that is suspected to crash engines.
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -140,6 +140,9 @@
             written.set_sent_ms_ago(as_count(crash.sent_ago));
             written.set_response_begun(crash.response_begun);
             written.set_cleared(crash.cleared);
+            if (crash.content_ago) {
+                written.set_content_ms_ago(as_count(*crash.content_ago));
+            }
         }
     }
 }
@@ -158,7 +161,10 @@
             }
             part.crashes.push_back({crash.engine(), read_milliseconds(crash.crashed_ms_ago()),
                                     read_milliseconds(crash.sent_ms_ago()), crash.response_begun(),
-                                    crash.cleared()});
+                                    crash.cleared(),
+                                    crash.has_content_ms_ago()
+                                        ? std::optional{read_milliseconds(crash.content_ms_ago())}
+                                        : std::nullopt});
         }
         parts.push_back(std::move(part));
     }
--- a/tests/gateway/quarantine_test.cpp
+++ b/tests/gateway/quarantine_test.cpp
@@ -63,9 +63,16 @@
 } // namespace
 
 // Requests with one part crashed engine after engine: each was sent to a second one, and the next
-// request with the part to a third.
+// request with the part to a third. If the first event had arrived, that went on without end.
 TEST_CASE("a part of a prompt that crashes engines is not sent on", "[invariant]") {
+    const int crashes_after = GENERATE(0, 1);
+    INFO("crashes after " << crashes_after << " events");
     crashing_deployment fleet;
+    fleet.system.on_loop([&] {
+        for (auto* const endpoint : fleet.endpoints) {
+            endpoint->crashes_after = crashes_after;
+        }
+    });
     int crashes = 0;
     int sound = 0;
     constexpr int rounds = 40;
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -350,13 +350,14 @@
     const auto frame = [this](const std::string& text) { return unframed ? text : chunk(text); };
     (void)co_await with.send(head_of(200, id, true) + "Content-Type: text/event-stream\r\n" +
                              (unframed ? "\r\n" : "Transfer-Encoding: chunked\r\n\r\n"));
-    if (crashes_with(visits_[visit].message)) {
-        (void)co_await with.wait(gap);
-        crashed_at_ = steady_clock::now();
-        stop();
-        co_return false;
-    }
+    const bool crashes = crashes_with(visits_[visit].message);
     for (int sent = 0; number < events; ++sent) {
+        if (crashes && sent == crashes_after) {
+            (void)co_await with.wait(gap);
+            crashed_at_ = steady_clock::now();
+            stop();
+            co_return false;
+        }
         while (mode == endpoint_mode::trickling && sent == cut_after) {
             if (!co_await with.send(frame(": still here\n\n")) || !co_await with.wait(gap)) {
                 visits_[visit].left = true;
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -113,7 +113,8 @@
     int sequence{1};               ///< number of its reports, as it registers
     bool unframed{false};          ///< streams have neither a length nor chunks
     std::string retry_after{};     ///< in mode `refusing`; empty: none
-    std::string crashes_on{};      ///< a part of a prompt; crashes after the head of the response
+    std::string crashes_on{};      ///< a part of a prompt; crashes while it answers it
+    int crashes_after{0};          ///< events of the response; 0: its head
     /// Before each response, sends the one before it on the same connection a second time, if that
     /// was a refusal or a response to a call for pieces.
     bool repeats_responses{false};
