balancing, gateway: what an endpoint asked for holds while its registration is missing

Callers: an endpoint had asked for no requests for 20 s. An endpoint that can't take requests refuses or delays them.

Cause: `endpoint_pool::set_endpoints` drops an endpoint whose registration has been missing for 1.2 s, and with it all that its process had said. The same process, under the same id and incarnation, came back as a new one.

Change: the time that a process named, its limit and its allowance while cold are `process_terms`. While the process isn't listed, `unlisted_processes` keeps them, by id and incarnation, at most 1,024. They survive another address of the process, and don't concern another incarnation. A Retry-After is attributed to the incarnation that was asked, also if it arrives while that isn't listed; before, a late one of a former process held for its successor. The pool alone holds the time; stage queues take it from there, so that it survives there too. In dumps such an endpoint is `holds_off`, apart from `failed_lately`.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -5,11 +5,13 @@
 #include "balancing/announced_limit.hpp"
 #include "balancing/cold_limiter.hpp"
 #include "balancing/entry_group.hpp"
+#include "balancing/unlisted_processes.hpp"
 #include "base/random.hpp"
 #include "base/time.hpp"
 #include "capacity/endpoint_estimates.hpp"
 #include "catalog/types.hpp"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -98,7 +100,8 @@
 /// Chooses among the endpoints of one service. Holds no connections and reads no clock.
 class endpoint_pool {
 public:
-    /// Replaces the endpoints. Keeps the observed state of those that remain.
+    /// Replaces the endpoints. Keeps the observed state of those that remain, and what a process
+    /// asked for also while it is not listed.
     void set_endpoints(const std::vector<catalog::endpoint>& endpoints,
                        const std::set<std::string, std::less<>>& evacuated,
                        const catalog::service& service, time_point now);
@@ -136,7 +139,9 @@
     void on_request_ended(const std::string& id, std::uint64_t ticket, send_outcome outcome,
                           time_point now);
     /// Records that an endpoint accepts no requests for a time.
-    void on_retry_after(const std::string& id, milliseconds retry_after, time_point now);
+    /// \param incarnation of the endpoint that was asked; another one is not concerned.
+    void on_retry_after(const std::string& id, std::uint64_t incarnation, milliseconds retry_after,
+                        time_point now);
     void on_load_report(const std::string& id, reported_load load, time_point now);
     /// Records whether a response announced a limit.
     /// \param incarnation of the endpoint that was asked.
@@ -179,6 +184,9 @@
     /// Shortest time between two requests of all entries to each endpoint with a limit, by id.
     std::map<std::string, milliseconds, std::less<>> send_intervals() const;
 
+    /// Until when endpoints asked for no requests, by id. Others may be chosen.
+    std::map<std::string, time_point, std::less<>> pauses(time_point now) const;
+
     /// All endpoints, for dumps.
     /// \param group among which limits are divided.
     std::vector<endpoint_description> describe(time_point now, const entry_group& group = {}) const;
@@ -196,13 +204,15 @@
         time_point latency_at{};          // newest observation
         double failure_rate{0};           // exponentially weighted
         unsigned consecutive_failures{0};
-        time_point backoff_until{}; // no new requests before
+        time_point backoff_until{}; // after failures
         time_point cold_until{};
-        cold_limiter cold;
         reported_load load;
         time_point load_reported_at{};
-        announced_limit limit;
+        process_terms terms;
+        // No new requests before.
+        time_point available_at() const { return std::max(backoff_until, terms.paused_until); }
     };
+    tracked_endpoint& track(const catalog::endpoint& listed, time_point now);
     static std::optional<limit_description>
     describe_limit(const tracked_endpoint& candidate, const entry_group& group, time_point now);
 
@@ -230,6 +240,7 @@
                                                const choice_request& request, time_point now) const;
 
     std::map<std::string, tracked_endpoint> endpoints_;
+    unlisted_processes unlisted_;
     catalog::service service_;
     capacity::endpoint_estimates estimates_;
     std::optional<double> typical_latency_ms_;
--- a/libs/balancing/src/endpoint_choice.cpp
+++ b/libs/balancing/src/endpoint_choice.cpp
@@ -192,11 +192,11 @@
     std::vector<const tracked_endpoint*> missing; // used only if there is no listed one
     std::vector<const tracked_endpoint*> avoided;
     for (const auto& [id, candidate] : endpoints_) {
-        const auto next_send = candidate.limit.next_send(group, id, now);
+        const auto next_send = candidate.terms.limit.next_send(group, id, now);
         const bool limited =
-            (now < candidate.cold_until && !candidate.cold.may_send(cold, group, id, now)) ||
+            (now < candidate.cold_until && !candidate.terms.cold.may_send(cold, group, id, now)) ||
             (next_send && *next_send > now);
-        if (!is_eligible(candidate, request) || now < candidate.backoff_until || limited) {
+        if (!is_eligible(candidate, request) || now < candidate.available_at() || limited) {
             continue;
         }
         const bool is_avoided =
@@ -237,7 +237,7 @@
 
 bool endpoint_pool::is_healthy(const tracked_endpoint& candidate, time_point now) {
     return catalog::status_of(candidate.endpoint, now) == registration_status::ready &&
-           now >= candidate.backoff_until && candidate.consecutive_failures == 0;
+           now >= candidate.available_at() && candidate.consecutive_failures == 0;
 }
 
 std::optional<chosen_endpoint> endpoint_pool::find_healthy(const std::string& id,
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -21,6 +21,24 @@
 
 } // namespace
 
+// The state of a listed endpoint. Another process starts without what was observed; what a process
+// asked for holds at another address too.
+endpoint_pool::tracked_endpoint& endpoint_pool::track(const catalog::endpoint& listed,
+                                                      time_point now) {
+    auto& kept = endpoints_[listed.id];
+    const bool same_process =
+        kept.endpoint.id == listed.id && kept.endpoint.incarnation == listed.incarnation;
+    if (same_process && kept.endpoint.address == listed.address) {
+        return kept;
+    }
+    unlisted_.keep(kept.endpoint.id, kept.endpoint.incarnation, kept.terms, now);
+    const auto cold = same_process && listed.incarnation != 0 ? kept.terms.cold : cold_limiter{};
+    kept = tracked_endpoint{};
+    kept.terms = unlisted_.take(listed.id, listed.incarnation);
+    kept.terms.cold = cold;
+    return kept;
+}
+
 void endpoint_pool::set_endpoints(const std::vector<catalog::endpoint>& endpoints,
                                   const std::set<std::string, std::less<>>& evacuated,
                                   const catalog::service& service, time_point now) {
@@ -31,11 +49,7 @@
             continue;
         }
         listed[candidate.id] = candidate.incarnation;
-        auto& kept = endpoints_[candidate.id];
-        if (kept.endpoint.id.empty() || kept.endpoint.incarnation != candidate.incarnation ||
-            kept.endpoint.address != candidate.address) {
-            kept = tracked_endpoint{};
-        }
+        auto& kept = track(candidate, now);
         if (kept.endpoint.seen_at != candidate.seen_at) {
             kept.cold_until = candidate.seen_at + candidate.cold_remaining;
         }
@@ -43,11 +57,15 @@
         kept.evacuated = evacuated.contains(candidate.data_centre);
     }
     std::erase_if(endpoints_, [&](const auto& candidate) {
-        return !listed.contains(candidate.first) ||
-               (candidate.second.endpoint.removed_at &&
-                catalog::status_of(candidate.second.endpoint, now) ==
-                    registration_status::withdrawn &&
-                candidate.second.requests.empty());
+        const auto& [id, tracked] = candidate;
+        const bool gone = !listed.contains(id) || (tracked.endpoint.removed_at &&
+                                                   catalog::status_of(tracked.endpoint, now) ==
+                                                       registration_status::withdrawn &&
+                                                   tracked.requests.empty());
+        if (gone) {
+            unlisted_.keep(id, tracked.endpoint.incarnation, tracked.terms, now);
+        }
+        return gone;
     });
     estimates_.retain(listed);
 }
@@ -78,13 +96,13 @@
 
 milliseconds endpoint_pool::retry_after(time_point now, const entry_group& group) const {
     const auto first = first_available(now, [&](const tracked_endpoint& candidate) {
-        const auto next = candidate.limit.next_send(group, candidate.endpoint.id, now);
+        const auto next = candidate.terms.limit.next_send(group, candidate.endpoint.id, now);
         if (!next) {
-            return candidate.backoff_until;
+            return candidate.available_at();
         }
         // Another entry may have the share, and a caller that returns may reach it.
-        const auto at = *next == time_point::max() ? now + candidate.limit.interval() : *next;
-        return std::max(candidate.backoff_until, at);
+        const auto at = *next == time_point::max() ? now + candidate.terms.limit.interval() : *next;
+        return std::max(candidate.available_at(), at);
     });
     return first
                ? std::chrono::ceil<milliseconds>(std::max<duration>(*first - now, initial_backoff))
@@ -94,8 +112,8 @@
 bool endpoint_pool::backed_off_until(time_point until, time_point now,
                                      const entry_group& group) const {
     const auto first = first_available(now, [&](const tracked_endpoint& candidate) {
-        const auto next = candidate.limit.next_send(group, candidate.endpoint.id, now);
-        return std::max(candidate.backoff_until, next.value_or(candidate.backoff_until));
+        const auto next = candidate.terms.limit.next_send(group, candidate.endpoint.id, now);
+        return std::max(candidate.available_at(), next.value_or(candidate.available_at()));
     });
     return first && *first > until;
 }
@@ -108,9 +126,9 @@
         auto& candidate = found->second;
         candidate.requests[ticket] = {now};
         if (now < candidate.cold_until) {
-            candidate.cold.record_send(cold, group, now);
+            candidate.terms.cold.record_send(cold, group, now);
         }
-        candidate.limit.record_send(group, id, now);
+        candidate.terms.limit.record_send(group, id, now);
     }
     return ticket;
 }
@@ -207,12 +225,25 @@
     }
 }
 
-void endpoint_pool::on_retry_after(const std::string& id, milliseconds retry_after,
-                                   time_point now) {
+void endpoint_pool::on_retry_after(const std::string& id, std::uint64_t incarnation,
+                                   milliseconds retry_after, time_point now) {
     const auto found = endpoints_.find(id);
-    if (found != endpoints_.end()) {
-        found->second.backoff_until = std::max(found->second.backoff_until, now + retry_after);
+    if (found == endpoints_.end() || found->second.endpoint.incarnation != incarnation) {
+        unlisted_.pause(id, incarnation, retry_after, now);
+        return;
     }
+    auto& until = found->second.terms.paused_until;
+    until = std::max(until, now + retry_after);
+}
+
+std::map<std::string, time_point, std::less<>> endpoint_pool::pauses(time_point now) const {
+    std::map<std::string, time_point, std::less<>> paused;
+    for (const auto& [id, candidate] : endpoints_) {
+        if (candidate.terms.paused_until > now) {
+            paused.emplace(id, candidate.terms.paused_until);
+        }
+    }
+    return paused;
 }
 
 void endpoint_pool::on_load_report(const std::string& id, reported_load load, time_point now) {
@@ -230,16 +261,18 @@
                                     const limit_report& report) {
     const auto found = endpoints_.find(id);
     if (found != endpoints_.end() && found->second.endpoint.incarnation == incarnation) {
-        (void)found->second.limit.record(report);
+        (void)found->second.terms.limit.record(report);
+    } else {
+        unlisted_.record_limit(stable_hash(id), incarnation, report);
     }
 }
 
 std::vector<shared_limit> endpoint_pool::limit_reports() const {
     std::vector<shared_limit> reports;
     for (const auto& [id, candidate] : endpoints_) {
-        if (candidate.limit.was_announced()) {
+        if (candidate.terms.limit.was_announced()) {
             reports.push_back(
-                {stable_hash(id), candidate.endpoint.incarnation, candidate.limit.newest()});
+                {stable_hash(id), candidate.endpoint.incarnation, candidate.terms.limit.newest()});
         }
     }
     return reports;
@@ -256,7 +289,9 @@
     for (const auto& one : reports) {
         const auto found = by_hash.find(one.endpoint);
         if (found != by_hash.end() && found->second->endpoint.incarnation == one.incarnation) {
-            (void)found->second->limit.record(one.report);
+            (void)found->second->terms.limit.record(one.report);
+        } else {
+            unlisted_.record_limit(one.endpoint, one.incarnation, one.report);
         }
     }
 }
@@ -264,7 +299,7 @@
 std::optional<limit_description> endpoint_pool::describe_limit(const tracked_endpoint& candidate,
                                                                const entry_group& group,
                                                                time_point now) {
-    const auto& limit = candidate.limit;
+    const auto& limit = candidate.terms.limit;
     if (!limit.in_force()) {
         return std::nullopt;
     }
@@ -274,14 +309,14 @@
 
 bool endpoint_pool::has_limit(const std::string& id) const {
     const auto found = endpoints_.find(id);
-    return found != endpoints_.end() && found->second.limit.in_force();
+    return found != endpoints_.end() && found->second.terms.limit.in_force();
 }
 
 std::map<std::string, milliseconds, std::less<>> endpoint_pool::send_intervals() const {
     std::map<std::string, milliseconds, std::less<>> intervals;
     for (const auto& [id, candidate] : endpoints_) {
-        if (candidate.limit.in_force()) {
-            intervals.emplace(id, candidate.limit.interval());
+        if (candidate.terms.limit.in_force()) {
+            intervals.emplace(id, candidate.terms.limit.interval());
         }
     }
     return intervals;
@@ -334,6 +369,9 @@
     if (candidate.endpoint.removed_at) {
         return "missing";
     }
+    if (now < candidate.terms.paused_until) {
+        return "holds_off";
+    }
     if (now < candidate.backoff_until) {
         return "failed_lately";
     }
--- a/libs/balancing/tests/endpoint_pool_test.cpp
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -1,4 +1,5 @@
 #include "balancing/endpoint_pool.hpp"
+#include "base/hash.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -263,10 +264,10 @@
     refresh();
     const auto ticket = pool.on_request_sent("one", no_limit, group, start);
     pool.on_request_ended("one", ticket, send_outcome::refused, start);
-    pool.on_retry_after("one", seconds{8}, start);
+    pool.on_retry_after("one", 0, seconds{8}, start);
     CHECK(count_choices(20, {}, start + milliseconds{7'900}) ==
           std::map<std::string, int>{{"two", 20}});
-    pool.on_retry_after("two", seconds{10}, start);
+    pool.on_retry_after("two", 0, seconds{10}, start);
     CHECK(pool.retry_after(start) == seconds{8});
     CHECK(pool.backed_off_until(start + seconds{7}, start));
     CHECK_FALSE(pool.backed_off_until(start + seconds{8}, start));
@@ -276,3 +277,88 @@
     CHECK_FALSE(choose({}, start + milliseconds{7'900}));
     CHECK(choose({}, start + seconds{8})->id == "one");
 }
+
+// An outage of the platform made the entry forget the time, as the registration had expired.
+TEST_CASE_METHOD(pool_fixture,
+                 "the time that an endpoint named holds when its registration comes back",
+                 "[invariant]") {
+    const bool expires = GENERATE(true, false); // or is absent from a copy of the platform's state
+    add("one").incarnation = 7;
+    add("two");
+    refresh();
+    pool.on_retry_after("one", 7, seconds{20}, start);
+    if (expires) {
+        endpoints[0].removed_at = start + seconds{5};
+        refresh(start + seconds{8});
+        endpoints[0].removed_at.reset();
+    } else {
+        const auto one = endpoints[0];
+        endpoints.erase(endpoints.begin());
+        refresh(start + seconds{8});
+        endpoints.insert(endpoints.begin(), one);
+    }
+    endpoints[0].address = GENERATE("10.0.0.1:80", "10.0.0.9:80");
+    refresh(start + seconds{9});
+    CHECK(count_choices(20, {}, start + seconds{19}) == std::map<std::string, int>{{"two", 20}});
+    CHECK_FALSE(pool.find_healthy("one", start + seconds{19}));
+    CHECK(pool.pauses(start + seconds{19}).contains("one"));
+    CHECK(pool.find_healthy("one", start + seconds{20}));
+}
+
+// Its response may arrive once its registration has expired.
+TEST_CASE_METHOD(pool_fixture, "a time that an endpoint names while it is not listed holds") {
+    refresh();
+    pool.on_retry_after("one", 7, seconds{20}, start);
+    add("one").incarnation = 7;
+    refresh(start + seconds{2});
+    CHECK_FALSE(choose({}, start + seconds{19}));
+    CHECK(choose({}, start + seconds{20}));
+}
+
+TEST_CASE_METHOD(pool_fixture, "a new process with the same id gets requests at once") {
+    add("one").incarnation = 7;
+    refresh();
+    pool.on_retry_after("one", 7, seconds{20}, start);
+    endpoints[0].incarnation = 8;
+    refresh(start + seconds{3});
+    CHECK(choose({}, start + seconds{3}));
+    // Nor does a late response of the former one concern it.
+    pool.on_retry_after("one", 7, seconds{20}, start + seconds{3});
+    CHECK(choose({}, start + seconds{4}));
+}
+
+// The limit was forgotten like the time, until the next response named it.
+TEST_CASE_METHOD(pool_fixture, "an announced limit holds when the registration comes back",
+                 "[invariant]") {
+    add("one").incarnation = 7;
+    refresh();
+    pool.on_limit_report("one", 7, {2.0, start});
+    endpoints[0].removed_at = start + seconds{5};
+    refresh(start + seconds{8});
+    // Others report it meanwhile.
+    pool.merge_limits({{stable_hash("one"), 7, {1.0, start + seconds{6}}}});
+    endpoints[0].removed_at.reset();
+    refresh(start + seconds{9});
+    REQUIRE(pool.has_limit("one"));
+    CHECK(pool.limits(group, start + seconds{9}).at("one").per_second == 1);
+}
+
+// A process that moved to another address got the requests of a cold start once more.
+TEST_CASE_METHOD(pool_fixture, "a cold endpoint has one allowance, whatever its address") {
+    const cold_limit cold{2, 1.5, 5};
+    auto& one = add("one");
+    one.incarnation = 7;
+    one.seen_at = start;
+    one.cold_remaining = seconds{60};
+    refresh();
+    int sent = 0;
+    for (const auto* const address : {"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}) {
+        endpoints[0].address = address;
+        refresh();
+        while (sent < 100 && choose({}, start, cold)) {
+            pool.on_request_sent("one", cold, group, start);
+            ++sent;
+        }
+    }
+    CHECK(sent <= 5);
+}
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -288,7 +288,7 @@
     }
     auto* const pool = context_.state.pool(service_);
     if (head.retry_after && !head.misdirected && pool != nullptr) {
-        pool->on_retry_after(attempt.endpoint, *head.retry_after, now);
+        pool->on_retry_after(attempt.endpoint, attempt.incarnation, *head.retry_after, now);
         log_decision("request", "endpoint_holds_off",
                      {{"endpoint", attempt.endpoint},
                       {"retry_after_ms", std::to_string(head.retry_after->count())}});
--- a/libs/gateway/src/stage_dispatch.cpp
+++ b/libs/gateway/src/stage_dispatch.cpp
@@ -158,6 +158,9 @@
     queue.queue.set_avoided_data_centres(state_.reachability().avoided_data_centres(now));
     if (const auto* const pool = state_.pool(service); pool != nullptr) {
         queue.queue.set_call_intervals(pool->send_intervals());
+        for (const auto& [endpoint, until] : pool->pauses(now)) {
+            queue.queue.on_retry_after(endpoint, std::chrono::ceil<milliseconds>(until - now), now);
+        }
     }
     for (auto& call : queue.queue.next_calls(now)) {
         asio::co_spawn(executor_, run_call(service, std::move(call)),
@@ -303,8 +306,9 @@
          {"reason", reason}});
     auto& queue = queues_.at(service)->queue;
     queue.call_ended(call.id, outcome, results, now);
-    if (head.retry_after) {
-        queue.on_retry_after(call.endpoint, *head.retry_after, now);
+    if (auto* const pool = state_.pool(service);
+        head.retry_after && !head.misdirected && pool != nullptr) {
+        pool->on_retry_after(call.endpoint, call.incarnation, *head.retry_after, now);
     }
     run_queue(service);
 }
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -248,12 +248,7 @@
     const auto mode = take_mode();
     if (mode == endpoint_mode::refusing || mode == endpoint_mode::inputs_gone) {
         const unsigned status = mode == endpoint_mode::refusing ? 503 : 409;
-        const auto later =
-            retry_after.empty() ? std::string{} : "Retry-After: " + retry_after + "\r\n";
-        co_return co_await send_repeatable(with,
-                                           with_body(head_of(status, visits_[visit].id, false) +
-                                                         later + "Boragefront-Not-Executed: 1\r\n",
-                                                     ""));
+        co_return co_await send_repeatable(with, refusal(status, visits_[visit].id));
     }
     visits_[visit].ran = true;
     if (!co_await with.wait(work)) {
@@ -280,6 +275,11 @@
     co_return co_await answer_plain(with, visit, mode);
 }
 
+std::string endpoint_stand_in::refusal(unsigned status, const std::string& id) const {
+    const auto later = retry_after.empty() ? std::string{} : "Retry-After: " + retry_after + "\r\n";
+    return with_body(head_of(status, id, false) + later + "Boragefront-Not-Executed: 1\r\n", "");
+}
+
 asio::awaitable<bool> endpoint_stand_in::answer_scripted(connection& with, std::size_t visit) {
     const auto response = *script;
     visits_[visit].ran = true;
@@ -391,6 +391,10 @@
     if (message.target == "/-/stage-free") {
         co_return co_await with.send(with_body(head_of(200, "", false), "{}"));
     }
+    if (refused_calls > 0) {
+        --refused_calls;
+        co_return co_await send_repeatable(with, refusal(503, ""));
+    }
     const bool inputs_gone = calls_with_inputs_gone > 0;
     calls_with_inputs_gone -= inputs_gone ? 1 : 0;
     const bool is_later_call = std::exchange(called_for_pieces_, true);
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -112,7 +112,7 @@
     int born{1};                   ///< start time that it registers, in milliseconds
     int sequence{1};               ///< number of its reports, as it registers
     bool unframed{false};          ///< streams have neither a length nor chunks
-    std::string retry_after{};     ///< in mode `refusing`; empty: none
+    std::string retry_after{};     ///< of refusals; empty: none
     std::string crashes_on{};      ///< a part of a prompt; crashes while it answers it
     int crashes_after{0};          ///< events of the response; 0: its head
     /// Before each response, sends the one before it on the same connection a second time, if that
@@ -120,6 +120,7 @@
     bool repeats_responses{false};
     std::size_t flooded_bytes{0};     ///< sent in mode `flooding`
     int calls_with_inputs_gone{0};    ///< next calls for pieces that find their inputs gone
+    int refused_calls{0};             ///< next calls for pieces that are refused
     milliseconds later_call_work{-1}; ///< of calls for pieces after the first; negative: `work`
 
     /// Sent in place of all responses but those to calls for pieces.
@@ -133,6 +134,7 @@
     boost::asio::awaitable<void> accept_loop();
     boost::asio::awaitable<void> serve(std::shared_ptr<connection> with);
     boost::asio::awaitable<bool> answer(connection& with, std::size_t visit);
+    std::string refusal(unsigned status, const std::string& id) const;
     boost::asio::awaitable<bool> answer_scripted(connection& with, std::size_t visit);
     boost::asio::awaitable<bool> answer_plain(connection& with, std::size_t visit,
                                               endpoint_mode mode);
--- a/tests/gateway/trouble_test.cpp
+++ b/tests/gateway/trouble_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <future>
 
 using namespace boragefront;
@@ -271,6 +272,58 @@
     CHECK(system.on_loop([&] { return only.visits().size(); }) == 1);
 }
 
+// The gateway forgot the time with the registration, and sent the endpoint its usual share.
+TEST_CASE("trouble: the time that an endpoint named holds when its registration comes back") {
+    deployment system;
+    system.publish_configuration();
+    const std::string host = GENERATE("plain.example", "staged.example");
+    INFO(host);
+    const std::string service = host == "plain.example" ? "plain" : "first";
+    auto& named = system.add_endpoint("i-1", service);
+    auto& other = system.add_endpoint("i-2", service);
+    system.add_endpoint("i-3", "second");
+    auto& model = system.add_endpoint("i-4", "model");
+    system.on_loop([&] {
+        model.events = 2;
+        named.retry_after = "60";
+        named.set_mode(endpoint_mode::refusing, 1);
+        named.refused_calls = 1;
+    });
+    auto& gateway = system.start_ready_gateway();
+    int sent = 0;
+    const auto send = [&] {
+        const auto id = "r" + std::to_string(++sent);
+        return host == "plain.example"
+                   ? system.call_lines(gateway, deployment::make_request(host, id))
+                   : system.call_lines(gateway, deployment::make_staged_request(host, id, "1,1"));
+    };
+    const auto visits_to = [&](const endpoint_stand_in& endpoint) {
+        return system.on_loop([&] { return endpoint.visits().size(); });
+    };
+    const auto send_until = [&](const std::function<bool()>& condition) {
+        const auto until = steady_clock::now() + seconds{10};
+        while (!condition() && steady_clock::now() < until) {
+            (void)send();
+        }
+        return condition();
+    };
+    const auto send_for = [&](milliseconds time) {
+        const auto until = steady_clock::now() + time;
+        (void)send_until([&] { return steady_clock::now() >= until; });
+    };
+    REQUIRE(send_until([&] { return visits_to(named) == 1; }));
+    system.remove(named);
+    send_for(milliseconds{1'800}); // a missing registration is given up
+    system.on_loop([&] { other.sequence = 2; });
+    system.register_again(other, service, "ready"); // a change, at which it is dropped
+    send_for(seconds{1});
+    system.register_again(named, service, "ready");
+    send_for(seconds{1}); // the gateway has learned of it
+    const auto before = visits_to(other);
+    REQUIRE(send_until([&] { return visits_to(other) >= before + 20; }));
+    CHECK(visits_to(named) == 1);
+}
+
 TEST_CASE("trouble: a stream without framing is whole, or goes on elsewhere if it breaks off") {
     deployment system;
     system.publish_configuration();
