tests: the case of a registration that comes back also fails for stage endpoints without the fix

The endpoint stays missing until the list has dropped it (3 s), and the other one is slower, so that stage calls would prefer the one that had named the time. Linter: no moves of trivial types.

--- a/libs/balancing/include/balancing/unlisted_processes.hpp
+++ b/libs/balancing/include/balancing/unlisted_processes.hpp
@@ -31,7 +31,8 @@
     /// Keeps the terms of a process whose registration has gone.
     /// \param incarnation of the endpoint; terms of an unknown one (0) are not kept, as the next
     /// process with its id could not be told from it.
-    void keep(std::string_view id, std::uint64_t incarnation, process_terms terms, time_point now);
+    void keep(std::string_view id, std::uint64_t incarnation, const process_terms& terms,
+              time_point now);
 
     /// Removes the terms of a process that is registered again.
     /// \returns them; those of a new process if none were kept.
--- a/libs/balancing/src/unlisted_processes.cpp
+++ b/libs/balancing/src/unlisted_processes.cpp
@@ -15,17 +15,17 @@
 
 } // namespace
 
-void unlisted_processes::keep(std::string_view id, std::uint64_t incarnation, process_terms terms,
-                              time_point now) {
+void unlisted_processes::keep(std::string_view id, std::uint64_t incarnation,
+                              const process_terms& terms, time_point now) {
     if (incarnation != 0 && matters(terms, now)) {
-        processes_.insert_or_assign({stable_hash(id), incarnation}, process{std::move(terms), now});
+        processes_.insert_or_assign({stable_hash(id), incarnation}, process{terms, now});
         purge(now);
     }
 }
 
 process_terms unlisted_processes::take(std::string_view id, std::uint64_t incarnation) {
-    auto found = processes_.extract({stable_hash(id), incarnation});
-    return found.empty() ? process_terms{} : std::move(found.mapped().terms);
+    const auto found = processes_.extract({stable_hash(id), incarnation});
+    return found.empty() ? process_terms{} : found.mapped().terms;
 }
 
 void unlisted_processes::pause(std::string_view id, std::uint64_t incarnation,
@@ -33,7 +33,7 @@
     const auto found = processes_.find({stable_hash(id), incarnation});
     auto terms = found == processes_.end() ? process_terms{} : found->second.terms;
     terms.paused_until = std::max(terms.paused_until, now + retry_after);
-    keep(id, incarnation, std::move(terms), now);
+    keep(id, incarnation, terms, now);
 }
 
 void unlisted_processes::record_limit(std::uint64_t endpoint, std::uint64_t incarnation,
--- a/tests/gateway/trouble_test.cpp
+++ b/tests/gateway/trouble_test.cpp
@@ -288,6 +288,7 @@
         named.retry_after = "60";
         named.set_mode(endpoint_mode::refusing, 1);
         named.refused_calls = 1;
+        other.work = milliseconds{50}; // so that the one that named the time would be preferred
     });
     auto& gateway = system.start_ready_gateway();
     int sent = 0;
@@ -313,14 +314,14 @@
     };
     REQUIRE(send_until([&] { return visits_to(named) == 1; }));
     system.remove(named);
-    send_for(milliseconds{1'800}); // a missing registration is given up
+    send_for(milliseconds{3'300}); // a missing registration is given up, and then forgotten
     system.on_loop([&] { other.sequence = 2; });
-    system.register_again(other, service, "ready"); // a change, at which it is dropped
+    system.register_again(other, service, "ready"); // a change, at which that takes effect
     send_for(seconds{1});
     system.register_again(named, service, "ready");
     send_for(seconds{1}); // the gateway has learned of it
     const auto before = visits_to(other);
-    REQUIRE(send_until([&] { return visits_to(other) >= before + 20; }));
+    REQUIRE(send_until([&] { return visits_to(named) > 1 || visits_to(other) >= before + 20; }));
     CHECK(visits_to(named) == 1);
 }
 
