gateway: the line of an ended request tells how its stream ended

What callers saw: streams that ended as complete before their last event. The line "ended" said neither how many events were passed on nor whether the endpoint's response ended by its framing or with its connection, so that the record could not tell a lost reset, an orderly end without framing and an explicit end apart. No change of behaviour.

--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -21,10 +21,12 @@
 
 /// Summary of a finished request for logs and metrics.
 struct request_summary {
-    std::string outcome;  ///< "answered" or the name of an error kind
-    unsigned status{0};   ///< of the response; 0 if the connection was closed instead
-    bool complete{false}; ///< whether the response was sent completely
-    std::string reason{}; ///< of a refusal or failure
+    std::string outcome;      ///< "answered" or the name of an error kind
+    unsigned status{0};       ///< of the response; 0 if the connection was closed instead
+    bool complete{false};     ///< whether the response was sent completely
+    std::string reason{};     ///< of a refusal or failure
+    std::uint64_t events{0};  ///< of a stream, passed on to the caller
+    std::string stream_end{}; ///< how the last endpoint's stream ended; empty: it did not
 };
 
 /// Runs as one coroutine on the traffic thread. Its references must outlive it.
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -161,9 +161,11 @@
             auto chunk = co_await stream.next_bytes(stream_deadline(progress));
             if (!chunk) {
                 failure = chunk.error();
+                summary_.stream_end = properties_of(failure->kind).name;
                 break;
             }
             if (!chunk.value()) {
+                summary_.stream_end = stream.has_explicit_end() ? "explicit" : "connection_closed";
                 if (events.has_partial_event()) {
                     failure = make_error(error_kind::incomplete_answer,
                                          "the stream ended in the middle of an event");
@@ -206,6 +208,7 @@
         if (batch.last_id) {
             last_event_id_ = batch.last_id;
         }
+        summary_.events += batch.count;
         if (caller_disconnected_ || !co_await responder_.write(batch.bytes)) {
             caller_disconnected_ = true;
             record_outcome(attempt, send_outcome::cancelled);
