gateway: a response without framing isn't whole if its endpoint ended with it

What callers saw: a stream, in chunks for them, that ended with its last chunk before its last event (ORDER); a part of a plain response as the whole (MIXED).

Cause: a response with neither a length nor chunks ends with its connection. A process that ends with nothing unread in its sockets closes its connections in an orderly way, so that the end of a crashed endpoint's connection is the same as that of a whole response. The gateway took it for the end of the response, and stated that end to its caller by a last chunk or a length.

Change: before it does, it checks by a request to the health path, on a connection of its own, whether the endpoint still runs. Any response of the endpoint, or a connection that it accepts and holds for 300 ms, shows that. A refused or broken connection, or another endpoint at the address, makes the response incomplete: it is sent again or resumed where that is allowed, and broken off for the caller where it isn't. Responses with a length or chunks are not checked. Line end_checked, counter boragefront_unframed_ends_total.

--- a/libs/catalog/include/catalog/types.hpp
+++ b/libs/catalog/include/catalog/types.hpp
@@ -79,6 +79,7 @@
 /// A service: a pool of equivalent endpoints.
 struct service {
     std::string name;
+    std::string health_path;            ///< of health checks; empty: unknown
     unsigned connection_limit{0};       ///< per endpoint, for all callers; 0: unknown
     milliseconds cold_start{0};         ///< time for which an endpoint is cold after its start
     double cold_requests_per_second{0}; ///< limit of a cold endpoint; 0: unlimited
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -232,7 +232,7 @@
                            chosen.data_centre,
                            platform::forward(request_, forwarding),
                            {},
-                           {chosen.id, chosen.incarnation,
+                           {chosen.id, chosen.address, chosen.incarnation,
                             pool.on_request_sent(chosen.id, context_.state.cold_limit_of(service_),
                                                  context_.state.entry_group(), now),
                             now}};
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -40,6 +40,7 @@
 private:
     struct send_attempt {
         std::string endpoint;
+        std::string address;
         std::uint64_t incarnation;
         std::uint64_t ticket;
         time_point at;
@@ -118,6 +119,9 @@
                                             const send_attempt& attempt);
     http::awaitable<next_step> relay_response(http::response_stream& stream,
                                               const send_attempt& attempt);
+    http::awaitable<std::optional<error>> check_end(const http::response_stream& stream,
+                                                    const send_attempt& attempt);
+    http::awaitable<std::optional<error>> check_survival(const send_attempt& attempt);
     http::awaitable<next_step> handle_failure(const error& failure, bool may_have_run);
     void record_response_head(const platform::response_head& head, const send_attempt& attempt);
 
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t max_response_bytes = 16U << 20U; // same as the HTTP client's default
 constexpr std::size_t max_event_bytes = 1U << 20U;     // events take a few hundred bytes
 constexpr unsigned first_server_error = 500;
+// For a health check after the end of a response, which delays only that end.
+constexpr milliseconds survival_timeout{300};
 
 } // namespace
 
@@ -67,6 +69,49 @@
                                                                   route_->event_gap_goal));
 }
 
+// Checks a response whose connection has ended in an orderly way. Without a length or chunks, the
+// end of the connection is the end of the response, unless the endpoint ended with it.
+http::awaitable<std::optional<error>>
+request_handler::check_end(const http::response_stream& stream, const send_attempt& attempt) {
+    if (stream.has_explicit_end()) {
+        co_return std::nullopt;
+    }
+    co_return co_await check_survival(attempt);
+}
+
+// Whether an endpoint still runs, by a health check. One that accepts the check and takes its time
+// does. Returns an error if it has ended, or if that can't be told.
+http::awaitable<std::optional<error>> request_handler::check_survival(const send_attempt& attempt) {
+    const auto* const pool = context_.state.pool(service_);
+    if (pool == nullptr || pool->service().health_path.empty()) {
+        co_return std::nullopt;
+    }
+    auto message = platform::make_health_request(pool->service().health_path, attempt.endpoint);
+    http::call_options options;
+    options.deadline = std::min(deadline_, steady_clock::now() + survival_timeout);
+    options.connection = http::connection_use::single_use;
+    options.cancel = &add_cancel_source();
+    const auto health =
+        co_await context_.endpoints.call(attempt.address, std::move(message), options);
+    const bool survived = health ? platform::is_health_of(health.value(), attempt.endpoint)
+                                 : health.error().kind == error_kind::deadline_exceeded;
+    log_decision("request", "end_checked",
+                 {{"request", caller_.id},
+                  {"endpoint", attempt.endpoint},
+                  {"survived", survived ? "true" : "false"},
+                  {"reason", health ? "status " + std::to_string(health.value().status)
+                                    : to_string(health.error())}});
+    context_.state.metrics()
+        .get_counter("boragefront_unframed_ends_total",
+                     std::string{"endpoint=\""} + (survived ? "survived" : "gone") + '"')
+        .add();
+    if (survived) {
+        co_return std::nullopt;
+    }
+    co_return make_error(error_kind::incomplete_answer,
+                         "the endpoint ended with a response that states no end");
+}
+
 http::awaitable<request_handler::next_step>
 request_handler::relay_response(http::response_stream& stream, const send_attempt& attempt) {
     if (auto* const pool = context_.state.pool(service_); pool != nullptr) {
@@ -95,6 +140,11 @@
             co_return co_await handle_failure(chunk.error(), true);
         }
         if (!chunk.value()) {
+            if (const auto failure = co_await check_end(stream, attempt)) {
+                record_outcome(attempt, to_send_outcome(*failure));
+                record_lost_connection(attempt, response_, *failure);
+                co_return co_await handle_failure(*failure, true);
+            }
             break;
         }
         (void)consume(*chunk.value());
@@ -172,6 +222,8 @@
                 } else if (!response_.content_at() && !stream.has_explicit_end()) {
                     failure = make_error(error_kind::incomplete_answer,
                                          "the connection ended before the first event");
+                } else {
+                    failure = co_await check_end(stream, attempt);
                 }
                 break;
             }
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -212,6 +212,13 @@
             co_return;
         }
         const auto message = parser.release();
+        if (message.target() == "/healthz") {
+            if (!co_await with->send(
+                    with_body("HTTP/1.1 200 OK\r\nBoragefront-Instance-Id: " + id_ + "\r\n", ""))) {
+                co_return;
+            }
+            continue;
+        }
         endpoint_visit visit;
         visit.message.method = std::string{message.method_string()};
         visit.message.target = std::string{message.target()};
@@ -290,6 +297,9 @@
     if (response.end == connection_end::reset) {
         with.socket.set_option(asio::socket_base::linger{true, 0}, ignored);
     }
+    if (response.end == connection_end::crash) {
+        stop();
+    }
     if (response.end == connection_end::shut_down) {
         with.socket.shutdown(tcp::socket::shutdown_send, ignored);
         co_await with.discard_input();
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -44,6 +44,7 @@
     none,      ///< keeps it for further requests
     shut_down, ///< ends its own side, and reads until the peer closes
     reset,
+    crash, ///< the endpoint ends, with all its connections
 };
 
 /// A response that is written byte by byte, whether or not it is valid.
@@ -126,6 +127,7 @@
     /// Sent in place of all responses but those to calls for pieces.
     std::optional<scripted_response> script{};
 
+    /// Requests and calls, without health checks.
     const std::vector<endpoint_visit>& visits() const { return visits_; }
     std::size_t runs() const;
 
--- a/tests/gateway/src/published_configuration.hpp
+++ b/tests/gateway/src/published_configuration.hpp
@@ -34,7 +34,8 @@
   "stream_resume":true,"timeout_ms":9000,"target_latency_ms":2000,"max_attempts":2,
   "stages":[{"service":"first","after":[],"bytes":1000},
             {"service":"second","after":[],"bytes":1000}]}],
- "services":[{"name":"plain"},{"name":"other"},{"name":"orders"},{"name":"model"},
+ "services":[{"name":"plain","health_path":"/healthz"},{"name":"other","health_path":"/healthz"},
+  {"name":"orders","health_path":"/healthz"},{"name":"model","health_path":"/healthz"},
   {"name":"first","pieces":{"slots":1,"batch":4,"call_ms":5,"item_ms":1,"handle_s":4}},
   {"name":"second","pieces":{"slots":1,"batch":4,"call_ms":5,"item_ms":1,"handle_s":4}}],
  "tenants":[{"name":"team","api_keys":["key"]}]})";
