gateway: a survival check that is reset is repeated, and a resumed stream may have nothing left

What callers would see: a whole stream without framing broken off, or run again, because the check for its endpoint met the endpoint's limit of connections or a lost packet; and one whose endpoint ended right after it broken off because the endpoint that was asked for the rest states no end either.

Cause: any failure of the check but a time-out counted as the endpoint's end, and an empty resumed response without framing as one that had not begun.

Change: the check has a file of its own. Only a refused connection, another endpoint at the address, or three connects without an answer show that the endpoint has ended; a check that is reset is repeated. A stream that has begun may be resumed by a response without events, which is checked as others are.

--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -121,7 +121,6 @@
                                               const send_attempt& attempt);
     http::awaitable<std::optional<error>> check_end(const http::response_stream& stream,
                                                     const send_attempt& attempt);
-    http::awaitable<std::optional<error>> check_survival(const send_attempt& attempt);
     http::awaitable<next_step> handle_failure(const error& failure, bool may_have_run);
     void record_response_head(const platform::response_head& head, const send_attempt& attempt);
 
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -4,6 +4,7 @@
 #include "request_handler.hpp"
 #include "request_limits.hpp"
 #include "send_outcomes.hpp"
+#include "survival_check.hpp"
 
 #include <algorithm>
 
@@ -25,8 +26,6 @@
 constexpr std::size_t max_response_bytes = 16U << 20U; // same as the HTTP client's default
 constexpr std::size_t max_event_bytes = 1U << 20U;     // events take a few hundred bytes
 constexpr unsigned first_server_error = 500;
-// For a health check after the end of a response, which delays only that end.
-constexpr milliseconds survival_timeout{300};
 
 } // namespace
 
@@ -69,43 +68,27 @@
                                                                   route_->event_gap_goal));
 }
 
-// Checks a response whose connection has ended in an orderly way. Without a length or chunks, the
-// end of the connection is the end of the response, unless the endpoint ended with it.
+// Checks a response that has ended without an error. Without a length or chunks it ends with its
+// connection, also if the endpoint ended in the middle of it.
 http::awaitable<std::optional<error>>
 request_handler::check_end(const http::response_stream& stream, const send_attempt& attempt) {
-    if (stream.has_explicit_end()) {
-        co_return std::nullopt;
-    }
-    co_return co_await check_survival(attempt);
-}
-
-// Whether an endpoint still runs, by a health check. One that accepts the check and takes its time
-// does. Returns an error if it has ended, or if that can't be told.
-http::awaitable<std::optional<error>> request_handler::check_survival(const send_attempt& attempt) {
     const auto* const pool = context_.state.pool(service_);
-    if (pool == nullptr || pool->service().health_path.empty()) {
+    if (stream.has_explicit_end() || pool == nullptr || pool->service().health_path.empty()) {
         co_return std::nullopt;
     }
-    auto message = platform::make_health_request(pool->service().health_path, attempt.endpoint);
-    http::call_options options;
-    options.deadline = std::min(deadline_, steady_clock::now() + survival_timeout);
-    options.connection = http::connection_use::single_use;
-    options.cancel = &add_cancel_source();
-    const auto health =
-        co_await context_.endpoints.call(attempt.address, std::move(message), options);
-    const bool survived = health ? platform::is_health_of(health.value(), attempt.endpoint)
-                                 : health.error().kind == error_kind::deadline_exceeded;
+    checked_endpoint checked{attempt.endpoint, attempt.address, pool->service().health_path};
+    const auto found =
+        co_await check_survival(context_.endpoints, std::move(checked), add_cancel_source());
     log_decision("request", "end_checked",
                  {{"request", caller_.id},
                   {"endpoint", attempt.endpoint},
-                  {"survived", survived ? "true" : "false"},
-                  {"reason", health ? "status " + std::to_string(health.value().status)
-                                    : to_string(health.error())}});
+                  {"survived", found.survived ? "true" : "false"},
+                  {"reason", found.reason}});
     context_.state.metrics()
         .get_counter("boragefront_unframed_ends_total",
-                     std::string{"endpoint=\""} + (survived ? "survived" : "gone") + '"')
+                     std::string{"endpoint=\""} + (found.survived ? "survived" : "gone") + '"')
         .add();
-    if (survived) {
+    if (found.survived) {
         co_return std::nullopt;
     }
     co_return make_error(error_kind::incomplete_answer,
@@ -219,7 +202,7 @@
                 if (events.has_partial_event()) {
                     failure = make_error(error_kind::incomplete_answer,
                                          "the stream ended in the middle of an event");
-                } else if (!response_.content_at() && !stream.has_explicit_end()) {
+                } else if (!stream_started_ && !stream.has_explicit_end()) {
                     failure = make_error(error_kind::incomplete_answer,
                                          "the connection ended before the first event");
                 } else {
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -213,6 +213,11 @@
         }
         const auto message = parser.release();
         if (message.target() == "/healthz") {
+            if (resets_health_checks) {
+                with->socket.set_option(asio::socket_base::linger{true, 0}, failure);
+                with->socket.close();
+                co_return;
+            }
             if (!co_await with->send(
                     with_body("HTTP/1.1 200 OK\r\nBoragefront-Instance-Id: " + id_ + "\r\n", ""))) {
                 co_return;
@@ -388,6 +393,11 @@
             co_return false;
         }
     }
+    if (crashes && crashes_after >= events) {
+        crashed_at_ = steady_clock::now();
+        stop();
+        co_return false;
+    }
     if (unframed) {
         visits_[visit].answered = true;
         co_return false;
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -103,19 +103,20 @@
     /// The mode of the next `times` requests; sound afterwards. Calls for pieces are not counted.
     void set_mode(endpoint_mode mode, int times = 1'000'000);
 
-    milliseconds work{0};          ///< time until it answers
-    int events{0};                 ///< of a stream; 0: a plain answer
-    milliseconds gap{5};           ///< between events
-    int cut_after{2};              ///< events, in mode `cut`
-    milliseconds pause{0};         ///< in mode `pausing`
-    bool announces_leaving{false}; ///< in all responses
-    std::string limit{};           ///< requests per second, in all responses; empty: none
-    int born{1};                   ///< start time that it registers, in milliseconds
-    int sequence{1};               ///< number of its reports, as it registers
-    bool unframed{false};          ///< streams have neither a length nor chunks
-    std::string retry_after{};     ///< of refusals; empty: none
-    std::string crashes_on{};      ///< a part of a prompt; crashes while it answers it
-    int crashes_after{0};          ///< events of the response; 0: its head
+    milliseconds work{0};             ///< time until it answers
+    int events{0};                    ///< of a stream; 0: a plain answer
+    milliseconds gap{5};              ///< between events
+    int cut_after{2};                 ///< events, in mode `cut`
+    milliseconds pause{0};            ///< in mode `pausing`
+    bool announces_leaving{false};    ///< in all responses
+    std::string limit{};              ///< requests per second, in all responses; empty: none
+    std::int64_t born{1};             ///< start time that it registers, in milliseconds
+    int sequence{1};                  ///< number of its reports, as it registers
+    bool resets_health_checks{false}; ///< as an endpoint above its limit of connections
+    bool unframed{false};             ///< streams have neither a length nor chunks
+    std::string retry_after{};        ///< of refusals; empty: none
+    std::string crashes_on{};         ///< a part of a prompt; crashes while it answers it
+    int crashes_after{0};             ///< events of the response; 0: its head
     /// Before each response, sends the one before it on the same connection a second time, if that
     /// was a refusal or a response to a call for pieces.
     bool repeats_responses{false};
--- a/tests/gateway/stream_end_test.cpp
+++ b/tests/gateway/stream_end_test.cpp
@@ -101,6 +101,37 @@
     CHECK(on_loop([&] { return model.runs(); }) == 1);
 }
 
+// Guards against sound streams that are broken off because the endpoint resets connections above
+// its limit.
+TEST_CASE_METHOD(unframed_deployment,
+                 "a whole stream without a length is complete if its endpoint has no connection "
+                 "to spare") {
+    on_loop([&] { model.resets_health_checks = true; });
+    const auto answer = stream("once.example");
+    REQUIRE(answer);
+    CHECK_FALSE(answer.value().broken);
+    CHECK(count_events(answer.value()) == all_events);
+}
+
+// Guards against a whole stream that is broken off because the endpoint that is asked for the rest
+// has none, and states no end either.
+TEST_CASE_METHOD(
+    unframed_deployment,
+    "a whole stream without a length is complete although its endpoint ended with it") {
+    on_loop([&] {
+        model.crashes_on = "crash";
+        model.crashes_after = all_events;
+        model.gap = milliseconds{250}; // the gateway learns of the other meanwhile
+    });
+    auto streamed = std::async(std::launch::async, [&] { return stream("stream.example"); });
+    REQUIRE(becomes_true([&] { return model.visits().size() == 1; }));
+    (void)add_model("i-3");
+    const auto answer = streamed.get();
+    REQUIRE(answer);
+    CHECK_FALSE(answer.value().broken);
+    CHECK(count_events(answer.value()) == all_events);
+}
+
 // Guards against a part of a plain response that passes as the whole because its endpoint crashed.
 TEST_CASE_METHOD(unframed_deployment,
                  "trouble: a response without a length whose endpoint crashes is not passed on",
