gateway: a stream whose events have no ids is not resumed

What callers saw: events that came twice (ORDER), on a route whose streams may be resumed, if the events have no ids. Found by the review of this issue.

Cause: the resumption named no event, so the next endpoint began anew, and nothing that it sent could be told from what had been delivered.

Change: a stream is resumed, or moved from a silent endpoint, only if the last event that its caller has got has an id. Otherwise it is broken off.

Evidence: gateway_stream_end_test, "a stream whose events have no ids is not resumed", on the commit before: 4 events instead of 2, and two runs. With the change it passed.

--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -73,6 +73,7 @@
         if (!already_delivered) {
             batch.bytes += event;
             ++batch.count;
+            batch.ends_with_id = id.has_value();
             if (id) {
                 batch.last_id = id;
             }
--- a/libs/gateway/src/event_splitter.hpp
+++ b/libs/gateway/src/event_splitter.hpp
@@ -15,6 +15,7 @@
     std::string bytes;
     std::size_t count{0};
     std::optional<std::uint64_t> last_id; ///< of the last event with an id, if that id is a number
+    bool ends_with_id{false};             ///< whether the last event has such an id
 };
 
 /// Buffers bytes until an event is complete. Comments are no events; they are passed on with the
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -29,7 +29,7 @@
 
 bool request_handler::may_retry() const {
     return route_->idempotency == catalog::idempotency_class::idempotent && !caller_disconnected_ &&
-           has_time_left();
+           has_time_left() && has_resumption_point_;
 }
 
 bool request_handler::has_time_left() const {
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -205,7 +205,8 @@
     std::optional<http::response> last_failed_response_; // sent to the caller if no retry succeeds
     bool stream_started_{false};                 // whether the response head was sent to the caller
     std::optional<std::uint64_t> last_event_id_; // last one sent to the caller
-    std::optional<time_point> head_at_;          // when the last endpoint's response head arrived
+    bool has_resumption_point_{true};   // whether the last event sent to the caller has an id
+    std::optional<time_point> head_at_; // when the last endpoint's response head arrived
     std::optional<time_point> first_event_at_;
     std::map<std::size_t, time_point> stage_started_at_; // by index, of the last start
     time_point stages_done_at_{};
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -180,6 +180,7 @@
         batch.bytes += completed.bytes;
         batch.count += completed.count;
         batch.last_id = completed.last_id ? completed.last_id : batch.last_id;
+        batch.ends_with_id = completed.count > 0 ? completed.ends_with_id : batch.ends_with_id;
         too_large = events.pending_bytes() > max_event_bytes ||
                     !lease_response_memory(events.pending_bytes() + batch.bytes.size());
         return completed.count > 0 || too_large;
@@ -243,6 +244,7 @@
         if (batch.last_id) {
             last_event_id_ = batch.last_id;
         }
+        has_resumption_point_ = batch.ends_with_id;
         summary_.events += batch.count;
         if (caller_disconnected_ || !co_await responder_.write(batch.bytes)) {
             caller_disconnected_ = true;
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -57,8 +57,9 @@
     return text;
 }
 
-std::string event(int number) {
-    return "id: " + std::to_string(number) + "\ndata: event-" + std::to_string(number) + "\n\n";
+std::string event(int number, bool has_id) {
+    const auto text = std::to_string(number);
+    return (has_id ? "id: " + text + "\n" : "") + "data: event-" + text + "\n\n";
 }
 
 } // namespace
@@ -385,10 +386,11 @@
         }
         ++number;
         if (mode == endpoint_mode::cut && sent == cut_after) {
-            (void)co_await with.send(frame(event(number).substr(0, 6)));
+            (void)co_await with.send(frame(event(number, events_have_ids).substr(0, 6)));
             co_return false;
         }
-        if (!co_await with.send(frame(event(number))) || !co_await with.wait(gap)) {
+        if (!co_await with.send(frame(event(number, events_have_ids))) ||
+            !co_await with.wait(gap)) {
             visits_[visit].left = true;
             co_return false;
         }
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -103,8 +103,9 @@
     /// The mode of the next `times` requests; sound afterwards. Calls for pieces are not counted.
     void set_mode(endpoint_mode mode, int times = 1'000'000);
 
-    milliseconds work{0};             ///< time until it answers
-    int events{0};                    ///< of a stream; 0: a plain answer
+    milliseconds work{0}; ///< time until it answers
+    int events{0};        ///< of a stream; 0: a plain answer
+    bool events_have_ids{true};
     milliseconds gap{5};              ///< between events
     int cut_after{2};                 ///< events, in mode `cut`
     milliseconds pause{0};            ///< in mode `pausing`
--- a/tests/gateway/stream_end_test.cpp
+++ b/tests/gateway/stream_end_test.cpp
@@ -132,6 +132,25 @@
     CHECK(count_events(answer.value()) == all_events);
 }
 
+// Guards against events that come twice because another endpoint begins the stream anew.
+TEST_CASE_METHOD(published_deployment, "a stream whose events have no ids is not resumed",
+                 "[invariant]") {
+    auto& one = add_endpoint("i-1", "model");
+    auto& two = add_endpoint("i-2", "model");
+    on_loop([&] {
+        for (auto* const endpoint : {&one, &two}) {
+            endpoint->events = all_events;
+            endpoint->events_have_ids = false;
+            endpoint->set_mode(endpoint_mode::cut);
+        }
+    });
+    const auto answer = call_lines(start_ready_gateway(), make_request("stream.example", "r1"));
+    REQUIRE(answer);
+    CHECK(answer.value().broken);
+    CHECK(count_events(answer.value()) == events_before_crash);
+    CHECK(on_loop([&] { return one.runs() + two.runs(); }) == 1);
+}
+
 // Guards against a part of a plain response that passes as the whole because its endpoint crashed.
 TEST_CASE_METHOD(unframed_deployment,
                  "trouble: a response without a length whose endpoint crashes is not passed on",
