--- a/libs/catalog/include/catalog/types.hpp
+++ b/libs/catalog/include/catalog/types.hpp
@@ -128,6 +128,7 @@
     std::string service;
     std::string address; ///< "ip:port"
     std::string data_centre;
+    std::string version; ///< of its software, only compared for equality; empty: unknown
     unsigned slots{1};
     endpoint_state state{endpoint_state::ready};
     milliseconds cold_remaining{0};         ///< remaining cold time, counted from `seen_at`
--- a/libs/gateway/src/published_state.cpp
+++ b/libs/gateway/src/published_state.cpp
@@ -106,6 +106,7 @@
     }
     const bool changed = !known.readable || known.endpoint.removed_at.has_value() ||
                          known.endpoint.state != decoded.value().state ||
+                         known.endpoint.version != decoded.value().version ||
                          known.endpoint.incarnation != decoded.value().incarnation;
     known.endpoint = std::move(decoded.value());
     known.endpoint.seen_at = held.changed_at;
@@ -116,6 +117,7 @@
                     {"service", known.endpoint.service},
                     {"address", known.endpoint.address},
                     {"data_centre", known.endpoint.data_centre},
+                    {"version", known.endpoint.version},
                     {"state",
                      known.endpoint.state == catalog::endpoint_state::ready ? "ready" : "draining"},
                     {"cold_ms", std::to_string(known.endpoint.cold_remaining.count())},
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -272,6 +272,7 @@
          {"events", std::to_string(summary_.events)},
          {"last_event", last_event_id_ ? std::to_string(*last_event_id_) : "none"},
          {"stream_end", summary_.stream_end},
+         {"resumes", caller_.resumed_attempt},
          {"sends", std::to_string(attempts_)},
          {"refused", std::to_string(refusals_)},
          {"stages_ms", std::to_string(stages_done_at_ == time_point{}
