continuation, gateway: a stream goes on only at the software version that began it

Cause: endpoints of a service were taken for equivalent. Neither the resumption of a response, nor the replacement of a silent endpoint, nor a caller's take-up asked which version had begun the stream; after a restart of all entries nobody knew.

From its first event on, a stream goes on only at endpoints of the version that sent it; if none is left, it is broken off at once. The entry records service and version by the attempt's id; while a service has had several versions, entries tell each other by gossip, and one that has just started asks its peers. A take-up goes on at the version of the attempt that Resumes names. If that isn't known, it goes on only if the service has had one version for as long as the stream may have lasted: as the entry or a peer has seen, or, if neither has, as far as the store's history and the starts of the service's endpoints show it. Otherwise 503 at once, not run.

Why this works: the choice of an endpoint, the only place where a stream gets one, has the version as a condition, and what isn't known isn't guessed.

deployment::await_ready also waits for the store's history, so that the existing test of a take-up without Resumes stays as it is.

--- a/libs/balancing/include/balancing/endpoint_pool.hpp
+++ b/libs/balancing/include/balancing/endpoint_pool.hpp
@@ -10,6 +10,7 @@
 #include "base/time.hpp"
 #include "capacity/endpoint_estimates.hpp"
 #include "catalog/types.hpp"
+#include "continuation/version.hpp"
 
 #include <algorithm>
 #include <deque>
@@ -49,6 +50,8 @@
     const std::set<std::string>* allowed_data_centres{nullptr}; ///< null: all
     /// Data centres to choose from only if no other one has an endpoint; null: none.
     const std::set<std::string, std::less<>>* avoided_data_centres{nullptr};
+    /// Software version at which a stream goes on; empty: any.
+    std::optional<continuation::version_key> version{};
     /// Maximum cost at which the endpoint that shares the prompt is chosen regardless of its load.
     milliseconds affinity_max_wait{0};
     /// Time lost by a failure; weighs the failure rate of an endpoint.
@@ -61,6 +64,7 @@
     std::string address;
     std::string data_centre;
     std::uint64_t incarnation{0};
+    continuation::version_key version{continuation::version_key::unknown};
 };
 
 /// What an entry tells others of the limit of an endpoint.
@@ -123,6 +127,9 @@
     /// Why no endpoint can be chosen.
     unavailability unavailability_reason() const;
 
+    /// Whether an endpoint may get the request, now or when it is available.
+    bool has_candidate(const choice_request& request, time_point now) const;
+
     /// Time until an endpoint may become available, at this entry or at another one.
     /// \param group among which limits are divided.
     milliseconds retry_after(time_point now, const entry_group& group = {}) const;
--- a/libs/balancing/src/endpoint_choice.cpp
+++ b/libs/balancing/src/endpoint_choice.cpp
@@ -34,7 +34,8 @@
 constexpr double choice_jitter = 0.1; // keeps entries from all choosing the same endpoint
 
 chosen_endpoint to_chosen(const catalog::endpoint& endpoint) {
-    return {endpoint.id, endpoint.address, endpoint.data_centre, endpoint.incarnation};
+    return {endpoint.id, endpoint.address, endpoint.data_centre, endpoint.incarnation,
+            continuation::make_version_key(endpoint.version)};
 }
 
 double milliseconds_of(duration value) {
@@ -58,6 +59,9 @@
 bool endpoint_pool::is_eligible(const tracked_endpoint& candidate,
                                 const choice_request& request) const {
     return !candidate.evacuated &&
+           (!request.version ||
+            continuation::is_same_version(
+                continuation::make_version_key(candidate.endpoint.version), *request.version)) &&
            (request.tried == nullptr || !request.tried->contains(candidate.endpoint.id)) &&
            (request.allowed_data_centres == nullptr ||
             request.allowed_data_centres->contains(candidate.endpoint.data_centre));
--- a/libs/balancing/src/endpoint_pool.cpp
+++ b/libs/balancing/src/endpoint_pool.cpp
@@ -79,6 +79,13 @@
     return any_in_service ? unavailability::all_unavailable : unavailability::none_in_service;
 }
 
+bool endpoint_pool::has_candidate(const choice_request& request, time_point now) const {
+    return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& one) {
+        return catalog::status_of(one.second.endpoint, now) != registration_status::withdrawn &&
+               is_eligible(one.second, request);
+    });
+}
+
 // When the first endpoint in service becomes available; empty if none is in service.
 template <class AvailableAt>
 std::optional<time_point> endpoint_pool::first_available(time_point now,
--- a/libs/balancing/tests/endpoint_pool_test.cpp
+++ b/libs/balancing/tests/endpoint_pool_test.cpp
@@ -80,6 +80,30 @@
     CHECK(count_choices(20, request) == std::map<std::string, int>{{"cut_off", 20}});
 }
 
+// Guards against a stream that goes on at another software version because that one is faster.
+TEST_CASE_METHOD(pool_fixture, "a stream goes on only at endpoints of its software version",
+                 "[invariant]") {
+    add("old").version = "v1";
+    add("fresh").version = "v2";
+    add("unknown");
+    refresh();
+    answer("old", milliseconds{900});
+    answer("fresh", milliseconds{1});
+    choice_request request;
+    request.version = continuation::make_version_key("v1");
+    CHECK(count_choices(100, request) == std::map<std::string, int>{{"old", 100}});
+    CHECK(pool.has_candidate(request, start));
+    const std::set<std::string> tried{"old"};
+    request.tried = &tried;
+    CHECK_FALSE(pool.has_candidate(request, start));
+    CHECK_FALSE(choose(request));
+    request.tried = nullptr;
+    request.version = continuation::version_key::unknown;
+    CHECK_FALSE(choose(request));
+    request.version.reset();
+    CHECK(choose(request));
+}
+
 TEST_CASE_METHOD(pool_fixture, "draining and evacuated endpoints get no requests", "[invariant]") {
     add("stays");
     add("leaves").state = catalog::endpoint_state::draining;
--- a/libs/gateway/src/control_loop.cpp
+++ b/libs/gateway/src/control_loop.cpp
@@ -41,7 +41,11 @@
 // Changes up to this size travel with gossip. A round's answers must arrive within
 // `gossip_timeout` on the slowest links.
 constexpr std::uint64_t max_gossip_delta_bytes = 32U << 10U;
-constexpr unsigned max_full_syncs = 2; // one, and a second in case that peer is gone
+// Software versions are asked for at start-up, from several peers, as one may have been cut off.
+constexpr std::size_t wanted_histories = 8;
+constexpr milliseconds history_request_time{10'000};
+constexpr milliseconds history_wait{1}; // for changes that the store has already
+constexpr unsigned max_full_syncs = 2;  // one, and a second in case that peer is gone
 // From one part of a transfer of published state to the next.
 constexpr milliseconds transfer_timeout{1'000};
 // A transfer gets the bandwidth of the link to itself for this long before a second one from
@@ -162,9 +166,12 @@
                [this, reports = std::move(reports)]() mutable { suspects_ = std::move(reports); });
 }
 
-void control_loop::set_observations(wire::fleet_observations observations) {
-    asio::post(io_, [this, observations = std::move(observations)]() mutable {
+void control_loop::set_observations(wire::fleet_observations observations,
+                                    wire::fleet_observations with_history) {
+    asio::post(io_, [this, observations = std::move(observations),
+                     with_history = std::move(with_history)]() mutable {
         observations_ = std::move(observations);
+        observations_with_history_ = std::move(with_history);
     });
 }
 
@@ -230,6 +237,10 @@
     log_era_change(part.name, part.replica, before, "store");
     note_era(part.replica.through().era);
     publish();
+    if (part.name == endpoints_part && !std::exchange(history_read_, true)) {
+        asio::co_spawn(io_, read_history(part.prefix, part.replica.through()),
+                       exception_logger{component, "read_history"});
+    }
     co_return true;
 }
 
@@ -359,6 +370,7 @@
                                  published_.endpoint_keys().through(), to_message(suspects_, now)};
     request.observations = observations_;
     request.max_delta_bytes = max_gossip_delta_bytes;
+    request.wants_versions = wants_versions(address, now);
     // At start-up the response contains the full published state, so only a few peers are asked for
     // it at a time.
     const bool is_full_sync = !published_.complete() && full_syncs_ < max_full_syncs;
@@ -384,6 +396,72 @@
     }
 }
 
+// Whether this entry, as it has just started, asks for past software versions.
+bool control_loop::wants_versions(const std::string& address, time_point now) const {
+    return serving_since_ && now - *serving_since_ < history_request_time &&
+           history_sources_.size() < wanted_histories && !history_sources_.contains(address);
+}
+
+// Reads which endpoints the store's history tells of, to learn of versions that have left before
+// this entry started.
+http::awaitable<void> control_loop::read_history(std::string_view prefix,
+                                                 catalog::store_position through) {
+    const auto changes = co_await changes_before(prefix, through);
+    metrics_
+        .get_counter("boragefront_store_histories_total",
+                     std::string{"outcome=\""} + (changes ? "read" : "unknown") + '"')
+        .add();
+    if (!changes) {
+        log_change("store", "history_unknown", {{"through", std::to_string(through.at)}});
+        co_return;
+    }
+    std::map<std::string, bool, std::less<>> is_readable; // by key of an endpoint
+    std::vector<catalog::endpoint> seen;
+    for (const auto& item : *changes) {
+        auto& readable = is_readable[item.key];
+        if (!item.value) {
+            continue;
+        }
+        if (auto endpoint = platform::read_endpoint(item.key, *item.value)) {
+            readable = true;
+            seen.push_back(std::move(endpoint.value()));
+        }
+    }
+    const bool complete = std::all_of(changes->begin(), changes->end(), [&](const auto& item) {
+        return item.value || is_readable.find(item.key)->second;
+    });
+    log_change("store", "history_read",
+               {{"changes", std::to_string(changes->size())},
+                {"through", std::to_string(through.at)},
+                {"departures_known", complete ? "true" : "false"}});
+    if (complete && callbacks_.record_past_versions) {
+        callbacks_.record_past_versions(std::move(seen));
+    }
+}
+
+// The oldest changes that the store still has, up to a position or later. Empty if it doesn't tell.
+http::awaitable<std::optional<std::vector<catalog::published_item>>>
+control_loop::changes_before(std::string_view prefix, catalog::store_position through) {
+    std::optional<std::vector<catalog::published_item>> oldest;
+    revision forgotten = 0;
+    revision kept = through.at;
+    while (forgotten < kept) {
+        const auto after = forgotten + (kept - forgotten) / 2;
+        const catalog::store_position position{through.era, after};
+        const auto changes =
+            co_await store_.watch(prefix, position, history_wait, history_wait + long_poll_margin);
+        if (changes && changes.value().through.era == through.era) {
+            oldest = changes.value().items;
+            kept = after;
+        } else if (!changes && changes.error().kind == error_kind::expired) {
+            forgotten = after + 1;
+        } else {
+            co_return std::nullopt;
+        }
+    }
+    co_return oldest;
+}
+
 bool control_loop::may_start_transfer(time_point now) {
     // One that an exception has ended must not keep its place.
     std::erase_if(transfers_, [&](time_point began_at) {
@@ -444,6 +522,9 @@
     peers_.merge_gossip(gossip.others, now);
     merge_suspects(gossip.suspected_parts, now);
     merge_observations(gossip.self, gossip.observations);
+    if (gossip.observations.versions) {
+        history_sources_.insert(gossip.self.control_address);
+    }
     bool changed = apply_delta(operators_part, published_.operator_keys(), gossip.configuration,
                                gossip.self.id);
     changed =
@@ -516,7 +597,7 @@
     merge_observations(message.self, message.observations);
     wire::gossip_answer response;
     response.self = self();
-    response.observations = observations_;
+    response.observations = message.wants_versions ? observations_with_history_ : observations_;
     response.suspected_parts = to_message(suspects_, now);
     response.others = peers_.gossip_sample(now, random_);
     const auto& operators = published_.operator_keys();
--- a/libs/gateway/src/control_loop.hpp
+++ b/libs/gateway/src/control_loop.hpp
@@ -23,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
     std::function<void(std::vector<quarantine::part_report>)> merge_suspects;
     /// Observations of the entry with this id; may be empty.
     std::function<void(std::string, wire::fleet_observations)> merge_observations{};
+    /// Registrations in the store's history, of which all departures are known; may be empty.
+    std::function<void(std::vector<catalog::endpoint>)> record_past_versions{};
     std::function<std::string()> dump_traffic; ///< JSON; blocks until the traffic thread responds
     std::function<std::size_t()> open_requests;
     std::function<void()> on_heartbeat{}; ///< several times a second; may be empty
@@ -64,8 +67,10 @@
     /// Sets what other entries are told of suspected parts of prompts.
     void set_suspects(std::vector<quarantine::part_report> reports);
 
-    /// Sets what other entries are told of late entries and of endpoints.
-    void set_observations(wire::fleet_observations observations);
+    /// Sets what other entries are told of late entries, of endpoints and of streams.
+    /// \param with_history the same for entries that have just started.
+    void set_observations(wire::fleet_observations observations,
+                          wire::fleet_observations with_history);
 
     /// Whether the control thread still runs its gossip loop. If not, the entry's state goes stale.
     bool is_responsive(time_point now) const;
@@ -116,6 +121,10 @@
     http::awaitable<void> gossip_loop();
     http::awaitable<void> gossip_with(std::string address);
     bool may_start_transfer(time_point now);
+    bool wants_versions(const std::string& address, time_point now) const;
+    http::awaitable<void> read_history(std::string_view prefix, catalog::store_position through);
+    http::awaitable<std::optional<std::vector<catalog::published_item>>>
+    changes_before(std::string_view prefix, catalog::store_position through);
     http::awaitable<void> transfer_state(std::string address);
     void record_gossip_result(const std::string& address, const error* failure, time_point since);
     void apply_gossip(const wire::gossip_answer& gossip);
@@ -161,6 +170,9 @@
         last_contact_; // when the store last responded, by part
     std::vector<quarantine::part_report> suspects_;
     wire::fleet_observations observations_; ///< of this entry
+    wire::fleet_observations observations_with_history_;
+    std::set<std::string> history_sources_; ///< peers that have told of past software versions
+    bool history_read_{false};              ///< of the store
     std::optional<time_point> serving_since_;
     bool draining_{false};
     std::atomic<duration::rep>
--- a/libs/gateway/src/gateway_node.cpp
+++ b/libs/gateway/src/gateway_node.cpp
@@ -195,6 +195,11 @@
                            state_.merge_observations(from, received, steady_clock::now());
                        });
         };
+        callbacks.record_past_versions = [this](std::vector<catalog::endpoint> seen) {
+            asio::post(traffic_loop_.io, [this, seen = std::move(seen)] {
+                state_.record_past_versions(seen, steady_clock::now());
+            });
+        };
         callbacks.dump_traffic = [this] { return dump(); };
         callbacks.open_requests = [this] { return open_requests(); };
         callbacks.on_heartbeat = [this] {
@@ -237,7 +242,9 @@
         const auto now = steady_clock::now();
         traffic_stalls_.record_heartbeat(now);
         report_stalls(control_stalls_, "control", now);
-        control_->set_observations(state_.observations(now));
+        auto observed = state_.observations(now);
+        auto with_history = state_.with_history(observed, now);
+        control_->set_observations(std::move(observed), std::move(with_history));
         heartbeat_timer_.expires_at(now + heartbeat_interval);
         heartbeat_timer_.async_wait([this](boost::system::error_code failure) {
             if (!failure) {
--- a/libs/gateway/src/request_attempts.cpp
+++ b/libs/gateway/src/request_attempts.cpp
@@ -29,7 +29,7 @@
 
 bool request_handler::may_retry() const {
     return route_->idempotency == catalog::idempotency_class::idempotent && !caller_disconnected_ &&
-           has_time_left() && has_resumption_point_;
+           has_time_left() && has_resumption_point_ && may_go_on();
 }
 
 bool request_handler::has_time_left() const {
@@ -232,7 +232,7 @@
                            chosen.data_centre,
                            platform::forward(request_, forwarding),
                            {},
-                           {chosen.id, chosen.address, chosen.incarnation,
+                           {chosen.id, chosen.address, chosen.incarnation, chosen.version,
                             pool.on_request_sent(chosen.id, context_.state.cold_limit_of(service_),
                                                  context_.state.entry_group(), now),
                             now}};
--- a/libs/gateway/src/request_choice.cpp
+++ b/libs/gateway/src/request_choice.cpp
@@ -72,6 +72,7 @@
     }
     balancing::choice_request criteria;
     criteria.tried = &tried_endpoints_;
+    criteria.version = version_;
     criteria.allowed_data_centres = allowed_data_centres_ ? &*allowed_data_centres_ : nullptr;
     criteria.near_data_centre = state.data_centre();
     const auto inputs = inputs_location();
@@ -96,7 +97,7 @@
         const auto now = steady_clock::now();
         auto chosen = find_endpoint(now);
         const auto* const pool = context_.state.pool(service_);
-        if (chosen || pool == nullptr || now >= give_up_at || is_ended_early() ||
+        if (chosen || pool == nullptr || now >= give_up_at || is_ended_early() || !may_go_on() ||
             pool->backed_off_until(give_up_at, now, context_.state.entry_group()) ||
             pool->unavailability_reason() == balancing::unavailability::none_in_service) {
             co_return chosen;
--- a/libs/gateway/src/request_handler.cpp
+++ b/libs/gateway/src/request_handler.cpp
@@ -116,6 +116,11 @@
         received_at_ + (route_->latency_goal > milliseconds{0} ? route_->latency_goal : time_left);
     std::uniform_real_distribution<double> draw{0, 1};
     service_ = catalog::choose_service(*route_, draw(context_.state.random()));
+    if (route_->streaming && !caller_.last_event_id.empty()) {
+        if (auto refusal = find_origin()) {
+            return refusal;
+        }
+    }
     if (!route_->stages.empty()) {
         auto plan = stages::stage_plan::make(*route_, caller_.id, caller_.piece_key,
                                              caller_.pieces_per_stage);
@@ -161,6 +166,66 @@
                       "a part of the prompt crashed the endpoints that processed it");
 }
 
+// Finds where the stream began that the caller resumes, and restricts the request to that service
+// and software version. Returns an error if the stream may not go on here.
+std::optional<error> request_handler::find_origin() {
+    auto& state = context_.state;
+    const auto origin = caller_.resumed_attempt.empty()
+                            ? std::nullopt
+                            : state.stream_origins().find(caller_.resumed_attempt, received_at_);
+    if (origin) {
+        const auto& services = route_->services;
+        const auto began_at =
+            std::find_if(services.begin(), services.end(), [&](const auto& candidate) {
+                return candidate.weight > 0 &&
+                       continuation::make_service_key(candidate.service) == origin->service;
+            });
+        if (began_at == services.end()) {
+            return make_error(error_kind::no_endpoint,
+                              "the route leads no more to the service that began the stream");
+        }
+        service_ = began_at->service;
+        version_ = origin->version;
+    } else {
+        version_ = state.sole_version(service_, *route_, received_at_);
+        if (!version_) {
+            return make_error(error_kind::no_endpoint,
+                              "the software version that began the stream is not known");
+        }
+    }
+    if (state.pool(service_) != nullptr && !may_go_on()) {
+        return make_error(error_kind::no_endpoint,
+                          "no endpoint has the software version that began the stream");
+    }
+    return std::nullopt;
+}
+
+// Whether there is another endpoint with the software version that began the stream, if it has
+// begun.
+bool request_handler::may_go_on() const {
+    if (!version_) {
+        return true;
+    }
+    balancing::choice_request criteria;
+    criteria.tried = &tried_endpoints_;
+    criteria.allowed_data_centres = allowed_data_centres_ ? &*allowed_data_centres_ : nullptr;
+    criteria.version = version_;
+    const auto* const pool = context_.state.pool(service_);
+    return pool != nullptr && pool->has_candidate(criteria, steady_clock::now());
+}
+
+// Records where the stream began, before the caller receives its first event.
+void request_handler::record_origin(const send_attempt& attempt) {
+    version_ = version_.value_or(attempt.version);
+    const continuation::stream_origin origin{continuation::make_service_key(service_), *version_};
+    auto& origins = context_.state.stream_origins();
+    const auto now = steady_clock::now();
+    origins.record(caller_.id, origin, now);
+    if (!caller_.resumed_attempt.empty() && origins.find(caller_.resumed_attempt, now) == origin) {
+        origins.record(caller_.resumed_attempt, origin, now); // keeps it while the stream goes on
+    }
+}
+
 // A route may name services that the configuration does not have.
 std::optional<error> request_handler::missing_service() const {
     const auto& services = snapshot_->published.config->services;
--- a/libs/gateway/src/request_handler.hpp
+++ b/libs/gateway/src/request_handler.hpp
@@ -42,6 +42,7 @@
         std::string endpoint;
         std::string address;
         std::uint64_t incarnation;
+        continuation::version_key version;
         std::uint64_t ticket;
         time_point at;
     };
@@ -85,6 +86,9 @@
     std::optional<error> admit();
     static error quarantine_error();
     std::optional<error> missing_service() const;
+    std::optional<error> find_origin();
+    bool may_go_on() const;
+    void record_origin(const send_attempt& attempt);
     const catalog::service& stage_service(std::size_t stage) const;
 
     http::awaitable<bool> run_stages();
@@ -181,6 +185,8 @@
     std::optional<std::set<std::string>>
         allowed_data_centres_; // by home regions; empty optional: all
     std::string service_;
+    /// Software version that began the stream, at which alone it may go on; empty: it has not begun
+    std::optional<continuation::version_key> version_;
     int priority_{0};
     time_point deadline_{};             // the earlier of the caller's and the route's
     time_point first_event_deadline_{}; // callers of streams have disconnected by then
--- a/libs/gateway/src/request_responses.cpp
+++ b/libs/gateway/src/request_responses.cpp
@@ -225,6 +225,7 @@
         progress.record(batch.count, steady_clock::now());
         if (!first_event_at_) {
             first_event_at_ = steady_clock::now();
+            record_origin(attempt);
         }
         if (!stream_started_ && !shared_prompt().empty()) {
             context_.state.prompt_locations().record(shared_prompt(), attempt.endpoint,
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "base/logging.hpp"
 #include "capacity/report_selection.hpp"
+#include "request_limits.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -15,13 +16,31 @@
 constexpr milliseconds limit_delivery_time{250};
 // How long other entries are told that a limit has ended. Many gossip rounds.
 constexpr milliseconds ended_limit_retention{30'000};
+constexpr std::size_t stream_origin_capacity = 20'000;
+// Callers take up streams until their own deadline, which is about the route's timeout.
+constexpr milliseconds stream_age_margin{5'000};
+
+milliseconds stream_age(const catalog::route& route) {
+    const auto timeout = route.timeout > milliseconds{0} ? route.timeout : default_timeout;
+    return std::min(timeout + stream_age_margin, continuation::version_history_time);
+}
+
+// When an endpoint's process started, by the clocks of both machines; `now` if that is not known.
+time_point started_at(const catalog::endpoint& endpoint, time_point now) {
+    const auto clock = std::chrono::system_clock::now().time_since_epoch();
+    const auto age = std::chrono::floor<milliseconds>(clock) -
+                     milliseconds{static_cast<std::int64_t>(endpoint.incarnation)};
+    const bool known = endpoint.incarnation != 0 && age > milliseconds{0};
+    return known ? now - std::min(age, milliseconds{continuation::version_history_time}) : now;
+}
 
 } // namespace
 
 traffic_state::traffic_state(settings::gateway_settings role, std::string self_id,
                              std::string data_centre, metrics_registry& metrics)
     : role_{std::move(role)}, self_id_{std::move(self_id)}, data_centre_{std::move(data_centre)},
-      metrics_{metrics}, quarantine_{quarantine::prompt_quarantine::make(self_id_)} {
+      metrics_{metrics}, quarantine_{quarantine::prompt_quarantine::make(self_id_)},
+      origins_{continuation::stream_origins::make(stream_origin_capacity)} {
     group_ = {self_id_, {self_id_}, 1};
 }
 
@@ -46,11 +65,82 @@
             pool.set_endpoints(endpoints_, published.evacuated, last, now);
         }
     }
+    update_versions(now);
     if (on_endpoints_changed_) {
         on_endpoints_changed_(now);
     }
 }
 
+void traffic_state::update_versions(time_point now) {
+    max_stream_age_ = milliseconds{0};
+    for (const auto& route : current_->published.config->routes) {
+        max_stream_age_ =
+            std::max(max_stream_age_, route.streaming ? stream_age(route) : milliseconds{0});
+    }
+    continuation::service_listing listing;
+    std::map<std::string, std::set<std::string>> names;
+    for (const auto& endpoint : endpoints_) {
+        auto& listed = listing[continuation::make_service_key(endpoint.service)];
+        listed.versions.insert(continuation::make_version_key(endpoint.version));
+        listed.last_start = std::max(listed.last_start, started_at(endpoint, now));
+        names[endpoint.service].insert(endpoint.version);
+    }
+    versions_.observe(listing, now);
+    if (names != listed_versions_) {
+        log_versions(names);
+        listed_versions_ = std::move(names);
+    }
+}
+
+void traffic_state::log_versions(const std::map<std::string, std::set<std::string>>& listed) {
+    for (const auto& [service, versions] : listed) {
+        const auto last = listed_versions_.find(service);
+        if (last != listed_versions_.end() && last->second == versions) {
+            continue;
+        }
+        std::string names;
+        for (const auto& version : versions) {
+            names += (names.empty() ? "" : ",") + (version.empty() ? "unknown" : version);
+        }
+        log_change("endpoints", "versions_changed", {{"service", service}, {"versions", names}});
+        metrics_.get_gauge("boragefront_software_versions", "service=\"" + service + '"')
+            .set(static_cast<double>(versions.size()));
+    }
+}
+
+std::optional<continuation::version_key> traffic_state::sole_version(std::string_view service,
+                                                                     const catalog::route& route,
+                                                                     time_point now) const {
+    // Without contact to the others, the list of endpoints may be out of date.
+    const bool isolated = fleet_.serving.empty() && !fleet_.silent.empty();
+    return isolated ? std::nullopt
+                    : versions_.sole_version(continuation::make_service_key(service),
+                                             now - stream_age(route));
+}
+
+void traffic_state::record_past_versions(const std::vector<catalog::endpoint>& seen,
+                                         time_point now) {
+    std::vector<continuation::stream_origin> versions;
+    versions.reserve(seen.size());
+    for (const auto& endpoint : seen) {
+        versions.push_back({continuation::make_service_key(endpoint.service),
+                            continuation::make_version_key(endpoint.version)});
+    }
+    versions_.assume_unchanged(versions, now);
+}
+
+// The services that may have had several versions for as long as a stream lasts.
+std::set<continuation::service_key> traffic_state::mixed_services(time_point now) const {
+    std::set<continuation::service_key> mixed;
+    for (const auto& [name, versions] : listed_versions_) {
+        const auto service = continuation::make_service_key(name);
+        if (!versions_.sole_version(service, now - max_stream_age_)) {
+            mixed.insert(service);
+        }
+    }
+    return mixed;
+}
+
 void traffic_state::record_leaving(const std::string& id, std::uint64_t incarnation,
                                    time_point now) {
     if (!leaving_.record(id, incarnation, now)) {
@@ -164,11 +254,26 @@
             {one.endpoint, one.incarnation, one.speed_percent, one.concurrency, one.age});
     }
     observed.limits = limits_to_tell(now);
+    const auto mixed = mixed_services(now);
+    observed.origins =
+        origins_.recent([&](continuation::service_key service) { return mixed.contains(service); },
+                        wire::stream_origin_limit, now);
     speed_monitor_.update(pools_, metrics_, now);
     limit_monitor_.update(pools_, group_, metrics_, now);
     return observed;
 }
 
+wire::fleet_observations traffic_state::with_history(wire::fleet_observations observed,
+                                                     time_point now) const {
+    if (const auto mixed = mixed_services(now); !mixed.empty()) {
+        observed.origins =
+            origins_.all([&](continuation::service_key service) { return mixed.contains(service); },
+                         wire::all_stream_origins_limit, now);
+    }
+    observed.versions = versions_.report(now);
+    return observed;
+}
+
 // A sample in turn if there are many, so that messages stay bounded.
 std::vector<wire::endpoint_limit> traffic_state::limits_to_tell(time_point now) const {
     std::vector<wire::endpoint_limit> all;
@@ -208,6 +313,15 @@
                           {one.per_second > 0 ? std::optional{one.per_second} : std::nullopt,
                            now - one.age - limit_delivery_time}});
     }
+    origins_.merge(received.origins, now);
+    if (received.versions) {
+        versions_.merge(*received.versions, now);
+        log_change("endpoints", "versions_learned",
+                   {{"from", from},
+                    {"covered_ms", std::to_string(received.versions->covered.count())},
+                    {"versions", std::to_string(received.versions->sightings.size())},
+                    {"streams", std::to_string(origins_.size())}});
+    }
     for (auto& [service, pool] : pools_) {
         pool.merge_capacity(reports, now);
         pool.merge_limits(limits);
--- a/libs/gateway/src/traffic_state.hpp
+++ b/libs/gateway/src/traffic_state.hpp
@@ -12,6 +12,8 @@
 #include "catalog/leaving_endpoints.hpp"
 #include "catalog/route_table.hpp"
 #include "catalog/types.hpp"
+#include "continuation/stream_origins.hpp"
+#include "continuation/version_history.hpp"
 #include "gateway/drain_plan.hpp"
 #include "limit_monitor.hpp"
 #include "longest_recent.hpp"
@@ -110,10 +112,13 @@
         on_suspects_changed_ = std::move(callback);
     }
 
-    /// What other entries are told of late entries and of endpoints. Called at regular intervals;
-    /// also logs lasting changes of the endpoints' speed.
+    /// What other entries are told of late entries, of endpoints and of streams. Called at regular
+    /// intervals; also logs lasting changes of the endpoints' speed.
     wire::fleet_observations observations(time_point now);
 
+    /// Adds to the observations what an entry is told that has just started.
+    wire::fleet_observations with_history(wire::fleet_observations observed, time_point now) const;
+
     /// Merges the observations of another entry.
     void merge_observations(const std::string& from, const wire::fleet_observations& received,
                             time_point now);
@@ -132,6 +137,16 @@
     balancing::prompt_locations& prompt_locations() { return prompt_locations_; }
     balancing::reachability& reachability() { return reachability_; }
 
+    /// Records the versions in the store's history, of which all departures are known.
+    void record_past_versions(const std::vector<catalog::endpoint>& seen, time_point now);
+
+    /// Where streams began, by the id of the attempt that delivered the first event.
+    continuation::stream_origins& stream_origins() { return origins_; }
+    /// The only software version at which a stream of unknown origin may have begun. Empty if there
+    /// may have been several.
+    std::optional<continuation::version_key>
+    sole_version(std::string_view service, const catalog::route& route, time_point now) const;
+
     balancing::cold_limit cold_limit_of(std::string_view service) const;
     balancing::retry_limit retry_limit() const;
 
@@ -166,6 +181,9 @@
 
 private:
     void update_endpoints(time_point now);
+    void update_versions(time_point now);
+    std::set<continuation::service_key> mixed_services(time_point now) const;
+    void log_versions(const std::map<std::string, std::set<std::string>>& listed);
     void publish_suspects();
     std::vector<wire::endpoint_limit> limits_to_tell(time_point now) const;
 
@@ -196,6 +214,10 @@
     quarantine::prompt_quarantine quarantine_;
     std::vector<std::string> parts_in_quarantine_; // as last logged
     std::function<void(std::vector<quarantine::part_report>)> on_suspects_changed_;
+    continuation::stream_origins origins_;
+    continuation::version_history versions_;
+    std::map<std::string, std::set<std::string>> listed_versions_; // by service, as last logged
+    milliseconds max_stream_age_{0};                               // of all routes
 };
 
 } // namespace boragefront::gateway
--- a/libs/wire/include/wire/messages.hpp
+++ b/libs/wire/include/wire/messages.hpp
@@ -7,6 +7,8 @@
 #include "base/time.hpp"
 #include "catalog/replica.hpp"
 #include "config/store.hpp"
+#include "continuation/stream_origins.hpp"
+#include "continuation/version_history.hpp"
 #include "membership/instance.hpp"
 #include "stages/piece.hpp"
 
@@ -153,13 +155,23 @@
     std::vector<late_entry> late_entries;
     std::vector<endpoint_estimate> estimates;
     std::vector<endpoint_limit> limits{};
+    std::vector<continuation::origin_report> origins{};
+    std::optional<continuation::version_report> versions{}; ///< for an entry that has just started
 };
 
-/// Bounds the growth of a gossip message to about 1.5 kB, whatever the size of the fleet.
+/// Bounds the growth of a gossip message to about 1.5 kB, whatever the size of the fleet. Streams
+/// add up to 8 kB while a service has several software versions.
 inline constexpr std::size_t late_entry_limit = 8;
 inline constexpr std::size_t endpoint_estimate_limit = 24;
 inline constexpr std::size_t endpoint_limit_limit = 16;
 
+/// Bounds on streams and past versions in one message. Streams are told only while a service has
+/// several versions.
+inline constexpr std::size_t stream_origin_limit = 1'024;
+inline constexpr std::size_t all_stream_origins_limit =
+    2'048; ///< for an entry that has just started
+inline constexpr std::size_t version_sighting_limit = 1'024;
+
 /// A crash of an engine while it processed a request with a certain part of a prompt.
 struct crash_info {
     std::uint64_t engine{0};
@@ -189,6 +201,7 @@
     /// Size of the changes of each part of the published state, in bytes, from which on the
     /// answerer withholds them; empty: it withholds none.
     std::optional<std::uint64_t> max_delta_bytes{};
+    bool wants_versions{false}; ///< the sender has just started, and knows no past versions
 };
 struct gossip_answer {
     entry_info self;
--- a/libs/wire/src/entry_codec.cpp
+++ b/libs/wire/src/entry_codec.cpp
@@ -48,7 +48,7 @@
 template <class Message>
 void write_observations(const fleet_observations& observations, Message& message) {
     if (observations.late_entries.empty() && observations.estimates.empty() &&
-        observations.limits.empty()) {
+        observations.limits.empty() && observations.origins.empty() && !observations.versions) {
         return;
     }
     auto& out = *message.mutable_observations();
@@ -72,6 +72,55 @@
         one.set_per_second(limit.per_second);
         one.set_age_ms(as_count(limit.age));
     }
+    for (const auto& report : observations.origins) {
+        auto& one = *out.add_origins();
+        one.set_service(static_cast<std::uint64_t>(report.origin.service));
+        one.set_version(static_cast<std::uint64_t>(report.origin.version));
+        one.mutable_attempts()->Assign(report.attempts.begin(), report.attempts.end());
+    }
+    if (observations.versions) {
+        auto& versions = *out.mutable_versions();
+        versions.set_covered_ms(as_count(observations.versions->covered));
+        for (const auto& sighting : observations.versions->sightings) {
+            auto& one = *versions.add_sightings();
+            one.set_service(static_cast<std::uint64_t>(sighting.version.service));
+            one.set_version(static_cast<std::uint64_t>(sighting.version.version));
+            one.set_last_seen_ms(as_count(sighting.last_seen));
+        }
+    }
+}
+
+template <class Message>
+continuation::stream_origin read_origin(const Message& in) {
+    return {continuation::service_key{in.service()}, continuation::version_key{in.version()}};
+}
+
+std::vector<continuation::origin_report> read_origins(const pb::fleet_observations& in) {
+    std::vector<continuation::origin_report> reports;
+    std::size_t space = all_stream_origins_limit;
+    for (const auto& one : in.origins()) {
+        const auto count = std::min(space, static_cast<std::size_t>(one.attempts_size()));
+        space -= count;
+        if (count > 0) {
+            reports.push_back({read_origin(one),
+                               {one.attempts().begin(),
+                                one.attempts().begin() + static_cast<std::ptrdiff_t>(count)}});
+        }
+    }
+    return reports;
+}
+
+// A report that lacks versions covers nothing.
+std::optional<continuation::version_report> read_versions(const pb::fleet_observations& in) {
+    if (!in.has_versions() ||
+        static_cast<std::size_t>(in.versions().sightings_size()) > version_sighting_limit) {
+        return std::nullopt;
+    }
+    continuation::version_report report{read_milliseconds(in.versions().covered_ms()), {}};
+    for (const auto& one : in.versions().sightings()) {
+        report.sightings.push_back({read_origin(one), read_milliseconds(one.last_seen_ms())});
+    }
+    return report;
 }
 
 fleet_observations read_observations(const pb::fleet_observations& in) {
@@ -99,6 +148,8 @@
                                            read_milliseconds(one.age_ms())});
         }
     }
+    observations.origins = read_origins(in);
+    observations.versions = read_versions(in);
     return observations;
 }
 
@@ -206,6 +257,7 @@
     }
     write_parts(message.suspected_parts, out);
     write_observations(message.observations, out);
+    out.set_wants_versions(message.wants_versions);
 }
 
 void write(const gossip_answer& message, pb::gossip_answer& out) {
@@ -228,7 +280,8 @@
             read_parts_of(in.suspected_parts()),
             in.has_configuration_era() && in.has_endpoints_era(),
             read_observations(in.observations()),
-            in.has_max_delta_bytes() ? std::optional{in.max_delta_bytes()} : std::nullopt};
+            in.has_max_delta_bytes() ? std::optional{in.max_delta_bytes()} : std::nullopt,
+            in.wants_versions()};
 }
 
 gossip_answer read(const pb::gossip_answer& in) {
--- a/libs/wire/tests/entry_codec_test.cpp
+++ b/libs/wire/tests/entry_codec_test.cpp
@@ -135,6 +135,11 @@
     sent.observations.late_entries = {{"entry-2", 7}};
     sent.observations.estimates = {{0x1122334455667788, 5, 77, 12, milliseconds{900}}};
     sent.observations.limits = {{0x1122334455667788, 5, 1.5, milliseconds{300}}};
+    const continuation::stream_origin origin{continuation::make_service_key("model"),
+                                             continuation::make_version_key("v1")};
+    sent.observations.origins = {{origin, {1, 0x1122334455667788}}};
+    sent.observations.versions = continuation::version_report{seconds{9}, {{origin, seconds{2}}}};
+    sent.wants_versions = true;
     const auto read = decode_request(encode(request{sent}));
     REQUIRE(read);
     const auto& got = std::get<gossip_request>(read.value());
@@ -150,6 +155,15 @@
     CHECK(estimate.speed_percent == 77);
     CHECK(estimate.concurrency == 12);
     CHECK(estimate.age == milliseconds{900});
+    REQUIRE(got.observations.origins.size() == 1);
+    CHECK(got.observations.origins[0].origin == origin);
+    CHECK(got.observations.origins[0].attempts == sent.observations.origins[0].attempts);
+    REQUIRE(got.observations.versions);
+    CHECK(got.observations.versions->covered == seconds{9});
+    REQUIRE(got.observations.versions->sightings.size() == 1);
+    CHECK(got.observations.versions->sightings[0].version == origin);
+    CHECK(got.observations.versions->sightings[0].last_seen == seconds{2});
+    CHECK(got.wants_versions);
     REQUIRE(got.observations.limits.size() == 1);
     const auto& limit = got.observations.limits[0];
     CHECK(limit.endpoint == 0x1122334455667788);
@@ -176,6 +190,22 @@
     CHECK(std::get<gossip_answer>(answered.value()).delta_withheld);
 }
 
+// Guards against gossip that grows with the number of streams, and against a report that passes for
+// a whole one.
+TEST_CASE("streams beyond the limit are ignored, and so is a report of too many versions") {
+    gossip_answer sent;
+    sent.observations.origins = {{{}, std::vector<std::uint64_t>(all_stream_origins_limit + 1)}};
+    sent.observations.versions = continuation::version_report{
+        seconds{9},
+        std::vector<continuation::version_report::sighting>(version_sighting_limit + 1)};
+    const auto read = decode_answer(encode(answer{sent}));
+    REQUIRE(read);
+    const auto& got = std::get<gossip_answer>(read.value()).observations;
+    REQUIRE(got.origins.size() == 1);
+    CHECK(got.origins[0].attempts.size() == all_stream_origins_limit);
+    CHECK_FALSE(got.versions);
+}
+
 // Guards against gossip that grows with the fleet.
 TEST_CASE("observations beyond the limits are ignored, and those within take 1.5 kB at most") {
     gossip_answer sent;
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -10,6 +10,7 @@
 
 constexpr seconds patience{20}; // generous: a failure, not a slow machine, must end a wait
 constexpr milliseconds look{5};
+constexpr milliseconds history_patience{500}; // of a store that may be cut off
 
 } // namespace
 
@@ -98,6 +99,13 @@
         }
         std::this_thread::sleep_for(look);
     }
+    // Without the store's history, take-ups of unknown origin are refused.
+    auto& histories =
+        one.metrics->get_counter("boragefront_store_histories_total", "outcome=\"read\"");
+    const auto history_until = steady_clock::now() + history_patience;
+    while (histories.value() == 0 && steady_clock::now() < history_until) {
+        std::this_thread::sleep_for(look);
+    }
     return one;
 }
 
--- a/tests/gateway/src/endpoint_stand_in.cpp
+++ b/tests/gateway/src/endpoint_stand_in.cpp
@@ -160,15 +160,13 @@
 
 std::string endpoint_stand_in::registration(const std::string& service, const std::string& state,
                                             const std::string& data_centre) const {
-    return json::serialize(json::object{{"service", service},
-                                        {"address", address()},
-                                        {"zone", data_centre},
-                                        {"version", "v1"},
-                                        {"slots", 4},
-                                        {"state", state},
-                                        {"cold_remaining_ms", 0},
-                                        {"born", born},
-                                        {"sequence", sequence}});
+    json::object registered{{"service", service}, {"address", address()}, {"zone", data_centre},
+                            {"slots", 4},         {"state", state},       {"cold_remaining_ms", 0},
+                            {"born", born},       {"sequence", sequence}};
+    if (!version.empty()) {
+        registered["version"] = version;
+    }
+    return json::serialize(registered);
 }
 
 void endpoint_stand_in::set_mode(endpoint_mode mode, int times) {
--- a/tests/gateway/src/endpoint_stand_in.hpp
+++ b/tests/gateway/src/endpoint_stand_in.hpp
@@ -112,6 +112,7 @@
     bool announces_leaving{false};    ///< in all responses
     std::string limit{};              ///< requests per second, in all responses; empty: none
     std::int64_t born{1};             ///< start time that it registers, in milliseconds
+    std::string version{"v1"};        ///< of its software, as it registers; empty: none
     int sequence{1};                  ///< number of its reports, as it registers
     bool resets_health_checks{false}; ///< as an endpoint above its limit of connections
     bool unframed{false};             ///< streams have neither a length nor chunks
