--- a/libs/continuation/tests/stream_origins_test.cpp
+++ b/libs/continuation/tests/stream_origins_test.cpp
@@ -42,7 +42,7 @@
     CHECK_FALSE(origins.find("a", start + origin_retention + milliseconds{1}));
 }
 
-// Guards against a chain of take-ups that outlives the record of its first attempt.
+// Guards against a chain of resumptions that outlives the record of its first attempt.
 TEST_CASE("an origin is kept while its stream goes on") {
     auto origins = stream_origins::make(10);
     origins.record("a", first, start);
--- a/libs/gateway/src/traffic_state.cpp
+++ b/libs/gateway/src/traffic_state.cpp
@@ -17,7 +17,7 @@
 // How long other entries are told that a limit has ended. Many gossip rounds.
 constexpr milliseconds ended_limit_retention{30'000};
 constexpr std::size_t stream_origin_capacity = 20'000;
-// Callers take up streams until their own deadline, which is about the route's timeout.
+// Callers resume streams until their own deadline, which is about the timeout of the route.
 constexpr milliseconds stream_age_margin{5'000};
 
 milliseconds stream_age(const catalog::route& route) {
--- a/tests/gateway/src/deployment.cpp
+++ b/tests/gateway/src/deployment.cpp
@@ -99,7 +99,7 @@
         }
         std::this_thread::sleep_for(look);
     }
-    // Without the store's history, take-ups of unknown origin are refused.
+    // Without the store's history, resumptions of unknown origin are refused.
     auto& histories =
         one.metrics->get_counter("boragefront_store_histories_total", "outcome=\"read\"");
     const auto history_until = steady_clock::now() + history_patience;
--- a/tests/gateway/versions_test.cpp
+++ b/tests/gateway/versions_test.cpp
@@ -37,9 +37,9 @@
         return call_lines(to, make_request("stream.example", id));
     }
 
-    // Takes up a stream after its second event.
-    result<support::line_answer> take_up(const running_gateway& to, const std::string& id,
-                                         const std::vector<std::string>& resumed) {
+    // Resumes a stream after its second event.
+    result<support::line_answer> resume(const running_gateway& to, const std::string& id,
+                                        const std::vector<std::string>& resumed) {
         auto message = make_request("stream.example", id);
         message.headers.add("Last-Event-Id", "2");
         for (const auto& attempt : resumed) {
@@ -57,12 +57,12 @@
         });
     }
 
-    // Whether a gateway comes to know where the stream of an attempt began. A take-up is answered
-    // at once, whether it may go on or not.
+    // Whether a gateway comes to know where the stream of an attempt began. A resumption is
+    // answered at once, whether it may go on or not.
     bool comes_to_know(const running_gateway& one, const std::string& attempt) {
         const auto until = steady_clock::now() + seconds{10};
         for (int i = 0; steady_clock::now() < until; ++i) {
-            const auto answer = take_up(one, attempt + "-try" + std::to_string(i), {attempt});
+            const auto answer = resume(one, attempt + "-try" + std::to_string(i), {attempt});
             if (answer && answer.value().head.status == status_ok) {
                 return true;
             }
@@ -128,9 +128,9 @@
     CHECK((ran_at(old, "r2") || ran_at(fresh, "r2")));
 }
 
-// Guards against a caller's take-up that another entry sends to another software version.
+// Guards against a resumption by the caller that another entry sends to another software version.
 TEST_CASE_METHOD(mixed_deployment,
-                 "a take-up at any entry goes on at the software version that began the stream",
+                 "a resumption at any entry goes on at the software version that began the stream",
                  "[invariant]") {
     auto& old = add_model("i-1", "v1");
     auto& fresh = add_model("i-2", "v2");
@@ -146,7 +146,7 @@
         REQUIRE(comes_to_know(second, id));
         for (auto* const gateway : {&first, &second}) {
             const auto attempt = id + (gateway == &first ? "-first" : "-second");
-            const auto answer = take_up(*gateway, attempt, {id});
+            const auto answer = resume(*gateway, attempt, {id});
             REQUIRE(answer);
             CHECK(answer.value().head.status == status_ok);
             CHECK(answer.value().lines.front() == "id: 3");
@@ -156,10 +156,10 @@
     }
 }
 
-// Guards against take-ups that are joined after the version that began the stream has left.
+// Guards against resumed streams that are joined after the version that began the stream has left.
 TEST_CASE_METHOD(
     mixed_deployment,
-    "a take-up is refused at once if no endpoint has the version that began the stream",
+    "a resumption is refused at once if no endpoint has the version that began the stream",
     "[invariant]") {
     auto& old = add_model("i-1", "v1");
     auto& gateway = start_ready_gateway();
@@ -169,7 +169,7 @@
     register_again(old, "model", "draining");
     std::this_thread::sleep_for(seconds{1}); // the gateway learns of both
     const auto began_at = steady_clock::now();
-    const auto answer = take_up(gateway, "r2", {"r1"});
+    const auto answer = resume(gateway, "r2", {"r1"});
     REQUIRE(answer);
     CHECK(answer.value().head.status == status_unavailable);
     CHECK(answer.value().head.headers.has("Retry-After"));
@@ -178,10 +178,10 @@
     CHECK(ran_at(fresh, "r3"));
 }
 
-// Guards against take-ups that are joined after all entries have started anew: the version that
-// began the stream may have left a moment before.
+// Guards against resumed streams that are joined after all entries have started anew: the version
+// that began the stream may have left a moment before.
 TEST_CASE_METHOD(mixed_deployment,
-                 "a take-up of unknown origin is refused by an entry that has just started",
+                 "a resumption of unknown origin is refused by an entry that has just started",
                  "[invariant]") {
     auto& fresh = add_model("i-2", "v2");
     if (const bool mixed = GENERATE(false, true); mixed) {
@@ -193,17 +193,18 @@
     auto& gateway = start_ready_gateway();
     const auto resumed =
         GENERATE(values<std::vector<std::string>>({{}, {"r1"}, {"r1", "r2"}, {""}}));
-    const auto answer = take_up(gateway, "r3", resumed);
+    const auto answer = resume(gateway, "r3", resumed);
     REQUIRE(answer);
     CHECK(answer.value().head.status == status_unavailable);
     CHECK_FALSE(ran_at(fresh, "r3"));
     CHECK(stream(gateway, "r4").value().head.status == status_ok);
-    CHECK(take_up(gateway, "r5", {"r4"}).value().head.status == status_ok);
+    CHECK(resume(gateway, "r5", {"r4"}).value().head.status == status_ok);
 }
 
-// Guards against take-ups that are joined because the endpoints that remain have run for long.
+// Guards against resumed streams that are joined because the endpoints that remain have run for
+// long.
 TEST_CASE_METHOD(mixed_deployment,
-                 "a take-up of unknown origin is refused if another version has just left",
+                 "a resumption of unknown origin is refused if another version has just left",
                  "[invariant]") {
     auto& old = add_model("i-1", "v1");
     auto& fresh = add_model("i-2", "v2");
@@ -212,21 +213,22 @@
     }
     remove(old);
     auto& gateway = start_ready_gateway();
-    const auto answer = take_up(gateway, "r2", {"r1"});
+    const auto answer = resume(gateway, "r2", {"r1"});
     REQUIRE(answer);
     CHECK(answer.value().head.status == status_unavailable);
     CHECK_FALSE(ran_at(fresh, "r2"));
 }
 
 // Guards against streams that are lost although only one version has been there for long.
-TEST_CASE_METHOD(mixed_deployment,
-                 "a take-up of unknown origin goes on if all endpoints run one version for long") {
+TEST_CASE_METHOD(
+    mixed_deployment,
+    "a resumption of unknown origin goes on if all endpoints run one version for long") {
     auto& one = add_model("i-1", "v1");
     on_loop([&] { one.born = milliseconds_since_epoch() - 60'000; });
     register_again(one, "model", "ready");
     auto& gateway = start_ready_gateway();
     const auto resumed = GENERATE(values<std::vector<std::string>>({{}, {"r1"}, {"r1", "r2"}}));
-    const auto answer = take_up(gateway, "r3", resumed);
+    const auto answer = resume(gateway, "r3", resumed);
     REQUIRE(answer);
     CHECK(answer.value().head.status == status_ok);
     CHECK(ran_at(one, "r3"));
@@ -234,7 +236,7 @@
 
 // Guards against streams that are lost with their entry although another one knows their origin.
 TEST_CASE_METHOD(mixed_deployment,
-                 "a take-up goes on after the entry that began the stream was killed",
+                 "a resumption goes on after the entry that began the stream was killed",
                  "[invariant]") {
     auto& old = add_model("i-1", "v1");
     auto& fresh = add_model("i-2", "v2");
@@ -247,7 +249,7 @@
     add_seed(second.node->control_address());
     auto& restarted = start_ready_stranger(on_loop([&] { return store().address(); }));
     REQUIRE(comes_to_know(restarted, "r1"));
-    const auto answer = take_up(restarted, "r2", {"r1"});
+    const auto answer = resume(restarted, "r2", {"r1"});
     REQUIRE(answer);
     CHECK(answer.value().head.status == status_ok);
     CHECK(ran_at(began_at_old ? old : fresh, "r2"));
@@ -267,5 +269,5 @@
     REQUIRE(answer);
     CHECK(answer.value().broken);
     CHECK(ran_at(one, "r1") != ran_at(two, "r1"));
-    CHECK(take_up(gateway, "r2", {"r1"}).value().head.status == status_unavailable);
+    CHECK(resume(gateway, "r2", {"r1"}).value().head.status == status_unavailable);
 }
